--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Builds, checks and tests chestnutlead; `make help` lists the targets.
+MODULE := github.com/chestnutlead/chestnutlead
+BIN := bin
+TOOLS := $(BIN)/tools
+# Generated files are committed; `make generate-check` compares them with the schemas.
+STATE_PROTO := clstate/state.proto
+WIRE_PROTOS := clwire/peer.proto clwire/operator.proto
+PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
+
+.PHONY: help build tools generate generate-check format-check lint test model demo bench ci
+
+help: ## Lists the targets.
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+build: ## Builds the commands into bin/.
+	go build -o $(BIN)/ ./cmd/...
+
+tools: ## Builds the linters and code generators into bin/tools.
+	@mkdir -p $(TOOLS)
+	cd tools/lint && go build -o ../../$(TOOLS)/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
+	cd tools/gen && go build -o ../../$(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+
+generate: tools ## Regenerates the code from the schemas.
+	$(PROTOC) $(STATE_PROTO)
+	$(PROTOC) --twirp_out=. --twirp_opt=module=$(MODULE) $(WIRE_PROTOS)
+
+generate-check: generate ## Fails if the committed generated code differs from the schemas.
+	git diff --exit-code -- '*.pb.go' '*.twirp.go'
+
+format-check: ## Fails if a file is not formatted.
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	  if [ -n "$$unformatted" ]; then echo "not formatted, run gofmt -w:"; echo "$$unformatted"; exit 1; fi
+
+lint: tools ## Runs vet, staticcheck and revive.
+	go vet ./...
+	$(TOOLS)/staticcheck ./...
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+
+test: ## Runs all tests.
+	go test ./...
--- /dev/null
+++ b/clendpoint/endpoint.go
@@ -0,0 +1,129 @@
+// This file defines the interface to endpoints and the values it carries.
+
+package clendpoint
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+type (
+	// Call is one attempt to run a request at an endpoint.
+	Call struct {
+		Endpoint netip.AddrPort
+		// AttemptID is unique for each attempt; the endpoint echoes it.
+		AttemptID string
+		Method    string
+		// Path includes the query.
+		Path   string
+		Header []Header
+		Body   []byte
+		// Timeouts are the inactivity limits of this attempt.
+		Timeouts Timeouts
+	}
+
+	// Header is one header field of a call or an answer.
+	Header struct {
+		Name, Value string
+	}
+
+	// Timeouts are inactivity limits; zero means the client's default.
+	Timeouts struct {
+		Connect   time.Duration
+		FirstByte time.Duration
+		// BetweenReads limits the silence inside an answer.
+		BetweenReads time.Duration
+	}
+
+	// Answer is an endpoint's answer, whose body is read as it arrives.
+	Answer struct {
+		Status int
+		Header []Header
+		Body   BodyReader
+	}
+
+	// BodyReader reads an answer's body; Close before the end abandons the
+	// attempt and closes its connection, which is never reused.
+	BodyReader interface {
+		Read(p []byte) (int, error)
+		Close() error
+	}
+
+	// Client sends calls to endpoints.
+	Client interface {
+		// Do returns when the status and header have arrived.
+		Do(ctx context.Context, c Call) (*Answer, error)
+	}
+
+	// Load is an endpoint's load report, which lags.
+	Load struct {
+		BootID      string
+		ProducedAt  time.Time
+		Running     int
+		Waiting     int
+		KVUsedRatio float64
+		Cold        bool
+		Leaving     bool
+		Service     string
+		Version     string
+	}
+
+	// CacheEvent says that an endpoint's prefix cache gained or lost a block.
+	CacheEvent struct {
+		Sequence uint64
+		// Block is the hash of a prompt prefix up to the end of the block.
+		Block uint64
+		Added bool
+	}
+
+	// Observer reads an endpoint's reports.
+	Observer interface {
+		Load(ctx context.Context, addr netip.AddrPort) (Load, error)
+		// CacheEvents returns events with a sequence above after; gaps are possible.
+		CacheEvents(ctx context.Context, addr netip.AddrPort, after uint64) ([]CacheEvent, error)
+	}
+
+	// Order tells an engine to load a model version or to change its role.
+	Order struct {
+		// Fencing is the fencing number of the lease under which the order is given.
+		Fencing uint64
+		Action  string
+		Version string
+		Role    string
+	}
+
+	// Orderer gives orders to engines.
+	Orderer interface {
+		Order(ctx context.Context, addr netip.AddrPort, o Order) error
+	}
+
+	// Kind classifies the failure of a call.
+	Kind string
+
+	// Error is a failed call; Kind says whether the request can have run.
+	Error struct {
+		Kind Kind
+		Err  error
+	}
+)
+
+// Kinds of failure of a call.
+const (
+	// KindNotSent says that no byte of the request can have reached the endpoint.
+	KindNotSent Kind = "not_sent"
+	// KindBroken says that the connection ended before the whole answer.
+	KindBroken Kind = "broken"
+	// KindSilent says that the connection stayed silent past its limit.
+	KindSilent Kind = "silent"
+	// KindFenced says that the engine refused an order with an old fencing number.
+	KindFenced Kind = "fenced"
+)
+
+var _ error = (*Error)(nil)
+
+// Error returns the kind and the cause.
+func (e *Error) Error() string { return string(e.Kind) + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/clplatform/doc.go
@@ -0,0 +1,3 @@
+// Package clplatform defines what chestnutlead needs of the platform and the
+// HTTP adapters that provide it.
+package clplatform
