Add cllease and the store interface for embedders

Cause: control, slots and orders need a lease with a fencing number, and embedders should not have to import the platform's adapters. Change: cllease.Core decides reads, acquisitions, renewals and releases without I/O; cllease.Runner drives it against clstore.Store. clstore holds the minimal interface, typed failure kinds, Adapt for clients such as clplatform.Objects, and a store in memory with faults.

--- /dev/null
+++ b/cllease/doc.go
@@ -0,0 +1,12 @@
+// Package cllease keeps a lease on an object of a versioned store, with a
+// fencing number that rises with each change of holder.
+//
+// Core decides without I/O: times and the outcomes of calls go in, the next
+// call comes out. Runner drives a Core against a clstore.Store.
+//
+// No clocks are compared across processes. An observer counts the TTL from
+// the moment it received a renewal value for the first time; a holder counts
+// it from before it sent the renewal and stops trusting the lease a margin
+// earlier. Processes must measure durations at the same rate to within
+// Margin/TTL.
+package cllease
--- /dev/null
+++ b/cllease/runner.go
@@ -0,0 +1,181 @@
+// This file defines the runner, which executes a core's decisions.
+
+package cllease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clstore"
+)
+
+type (
+	// Runner keeps a lease until its context ends and then releases it. The
+	// exported fields are set before Run.
+	Runner struct {
+		Config Config
+		Store  clstore.Store
+		// CallTimeout bounds each call of the store; 0 means TTL/4.
+		CallTimeout time.Duration
+		// ReleaseTimeout bounds the release when Run's context ends; 0 means TTL/3.
+		ReleaseTimeout time.Duration
+		// Now returns the time; nil means time.Now.
+		Now func() time.Time
+		// OnChange, if set, is called from Run when Held, Fencing, Lapsed,
+		// Holder or AllowanceHalvings has changed. It must not block.
+		OnChange func(State)
+
+		once sync.Once
+		mu   sync.Mutex
+		core *Core
+		err  error
+		wake chan struct{}
+		last State
+		// stopping says that the loop ends when nothing is left to release.
+		stopping bool
+	}
+)
+
+// Run keeps the lease until ctx ends, releases it and returns nil. It returns
+// an Error of KindConfig at once if the settings are wrong.
+func (r *Runner) Run(ctx context.Context) error {
+	if err := r.init(); err != nil {
+		return err
+	}
+	r.loop(ctx)
+	r.change(func() {
+		r.core.SetWanted(false)
+		r.stopping = true
+	})
+	timeout := r.ReleaseTimeout
+	if timeout == 0 {
+		timeout = r.Config.TTL / 3
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	r.loop(ctx)
+	return nil
+}
+
+// Current says whether the lease is held at now, and with which fencing number.
+func (r *Runner) Current(now time.Time) State {
+	if r.init() != nil {
+		return State{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.State(now)
+}
+
+// SetWanted says whether this process wants the lease; initially it does.
+func (r *Runner) SetWanted(wanted bool) {
+	r.change(func() { r.core.SetWanted(wanted) })
+}
+
+// SetHalvings stores a new count with the lease; see Core.SetHalvings.
+func (r *Runner) SetHalvings(n uint32) {
+	r.change(func() { r.core.SetHalvings(n) })
+}
+
+// Err returns the error of the object last read, or nil.
+func (r *Runner) Err() error {
+	if err := r.init(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Err()
+}
+
+func (r *Runner) init() error {
+	r.once.Do(func() {
+		if r.Now == nil {
+			r.Now = time.Now
+		}
+		if r.CallTimeout == 0 {
+			r.CallTimeout = r.Config.TTL / 4
+		}
+		r.wake = make(chan struct{}, 1)
+		r.core, r.err = NewCore(r.Config)
+	})
+	return r.err
+}
+
+func (r *Runner) change(f func()) {
+	if r.init() != nil {
+		return
+	}
+	r.mu.Lock()
+	f()
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop executes decisions until ctx ends or, when stopping, nothing is left to do.
+func (r *Runner) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		now := r.Now()
+		d, s := r.core.Next(now), r.core.State(now)
+		finished := r.stopping && d.Action == ActionWait && d.Until.IsZero()
+		r.mu.Unlock()
+		r.notify(s)
+		switch {
+		case finished:
+			return
+		case d.Action == ActionWait:
+			r.wait(ctx, now, d.Until, s)
+		default:
+			r.call(ctx, d)
+		}
+	}
+}
+
+// call executes one call. It outlives ctx by up to CallTimeout, because an
+// abandoned update has an unknown outcome.
+func (r *Runner) call(ctx context.Context, d Decision) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.CallTimeout)
+	defer cancel()
+	if d.Action == ActionRead {
+		o, err := r.Store.Get(ctx, r.Config.Key)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.core.Observed(r.Now(), o, clstore.KindOf(err))
+		return
+	}
+	version, err := r.Store.Update(ctx, r.Config.Key, d.Value, d.IfVersion)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Updated(r.Now(), version, clstore.KindOf(err))
+}
+
+// wait returns when ctx ends, at until, when the lease lapses, or on a change.
+func (r *Runner) wait(ctx context.Context, now, until time.Time, s State) {
+	var timeout <-chan time.Time
+	if s.Held && (until.IsZero() || s.Until.Before(until)) {
+		until = s.Until
+	}
+	if !until.IsZero() {
+		t := time.NewTimer(until.Sub(now))
+		defer t.Stop()
+		timeout = t.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-timeout:
+	case <-r.wake:
+	}
+}
+
+func (r *Runner) notify(s State) {
+	last := r.last
+	r.last = s
+	last.Until = s.Until
+	if r.OnChange != nil && last != s {
+		r.OnChange(s)
+	}
+}
