Add clsettings: settings read from INI files against a schema

Cause: the daemons need their addresses, limits and credentials from a file, and a wrong key or unit must be found before a process starts.

Change: clsettings/settings.proto holds EntrySettings and ControlSettings. A rule on each field gives kind, default, bounds and one line of documentation. The loader walks the schema by reflection and reports all faults of a file together, each with file, section, key and remedy. tools/settingsdoc writes docs/settings.md from the same schema; `make generate` runs it and `make generate-check` compares the page. Contradictions between keys (shared ports, a lease margin that would stop its holder between renewals, one credential for operators and peers) are errors as well. Sample files are in settings/.

Conclusion: tests cover the samples, each kind of fault, secrets from files, the schema's own defaults and the committed page; they pass with the race detector.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 TOOLS := $(BIN)/tools
 # Generated files are committed; `make generate-check` compares them with the schemas.
 STATE_PROTO := clstate/state.proto
+SETTINGS_PROTO := clsettings/settings.proto
 WIRE_PROTOS := clwire/peer.proto clwire/operator.proto
 PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
 
@@ -21,11 +22,12 @@
 	cd tools/gen && go build -o ../../$(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
 
 generate: tools ## Regenerates the code from the schemas.
-	$(PROTOC) $(STATE_PROTO)
+	$(PROTOC) $(STATE_PROTO) $(SETTINGS_PROTO)
 	$(PROTOC) --twirp_out=. --twirp_opt=module=$(MODULE) $(WIRE_PROTOS)
+	go run ./tools/settingsdoc > docs/settings.md
 
 generate-check: generate ## Fails if the committed generated code differs from the schemas.
-	git diff --exit-code -- '*.pb.go' '*.twirp.go'
+	git diff --exit-code -- '*.pb.go' '*.twirp.go' docs/settings.md
 
 format-check: ## Fails if a file is not formatted.
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
