Add clbooking: records of non-repeatable calls

Cause: a booking must run at most once, whatever process writes its record and whichever answers are lost.

--- /dev/null
+++ b/clbooking/partition.go
@@ -0,0 +1,485 @@
+// This file defines the core of one partition: operations go in, object calls come out.
+
+package clbooking
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clstore"
+)
+
+const (
+	defaultWindow     = 24 * time.Hour
+	defaultPatience   = 400 * time.Millisecond
+	defaultRetryAfter = 50 * time.Millisecond
+	defaultMaxPending = 20_000
+	// deleteRetry is the wait after a segment could not be deleted; nothing depends on the deletion.
+	deleteRetry = 10 * time.Second
+	// maxFetched bounds the records kept of each segment for lookups.
+	maxFetched = 256
+)
+
+type (
+	// PartitionConfig holds the settings of one partition.
+	PartitionConfig struct {
+		Service   string
+		Partition uint32
+		Policy    Policy
+		// Window is the service's resend window; 0 means 24 h.
+		Window time.Duration
+		// Patience is how long claims, releases and lookups wait while the
+		// store fails; 0 means 400 ms. Outcomes wait without a limit.
+		Patience time.Duration
+		// RetryAfter is the wait after a call that failed; 0 means 50 ms.
+		RetryAfter time.Duration
+		// MaxPending bounds the waiting operations; 0 means 20,000.
+		MaxPending int
+	}
+
+	// Action is the kind of a Step.
+	Action int
+
+	// Step is the next object call of a partition.
+	Step struct {
+		Action Action
+		// Until is when to ask again, for ActionWait; zero means after the next operation.
+		Until     time.Time
+		Name      string
+		Value     []byte
+		IfVersion uint64
+	}
+
+	// Result is the outcome of a Step.
+	Result struct {
+		// Object is the object read.
+		Object clstore.Object
+		// Version is the version that an update returned.
+		Version uint64
+		// Kind is the kind of the failure, or clstore.KindNone.
+		Kind clstore.Kind
+	}
+
+	// Ticket identifies a submitted operation.
+	Ticket uint64
+
+	// Completion is the end of an operation: the stored record of its key (nil
+	// if there is none), or an Error.
+	Completion struct {
+		Ticket Ticket
+		Record *clstate.BookingRecord
+		Err    error
+	}
+
+	// Counts are the calls that a partition asked for and the claims it stored.
+	Counts struct {
+		Reads, Writes, WrittenBytes, Claims int
+	}
+
+	// Partition is the core of one process for one partition. It is not safe
+	// for concurrent use. The caller executes the step of Next and reports its
+	// outcome with Deliver before it asks again.
+	Partition struct {
+		cfg     PartitionConfig
+		tickets Ticket
+		pending []*op
+		done    []Completion
+		flush   bool
+
+		// view is the newest head that was read or confirmed; nil if none.
+		view *view
+		// stale says that the head must be read before the next update.
+		stale bool
+		// fresh is the last ticket submitted before the call that returned or confirmed view.
+		fresh Ticket
+		// staged is an existing segment with the number view.head.NextSegment.
+		staged *staged
+
+		call       call
+		lastWrite  time.Time
+		lastRead   time.Time
+		retryAt    time.Time
+		deleteFrom time.Time
+		counts     Counts
+	}
+
+	// op is a waiting operation; record is nil for a lookup.
+	op struct {
+		ticket Ticket
+		key    Key
+		record *clstate.BookingRecord
+		at     time.Time
+		// sent says that an update with the change was sent.
+		sent bool
+	}
+
+	// staged is a segment that exists but is not listed; records are set once loaded.
+	staged struct {
+		number  uint64
+		version uint64
+		loaded  bool
+		records []*clstate.BookingRecord
+	}
+
+	callKind int
+
+	// call is the step in progress.
+	call struct {
+		kind   callKind
+		number uint64
+		issued Ticket
+		head   *clstate.BookingHead
+	}
+)
+
+// Actions of a Step.
+const (
+	ActionWait Action = iota
+	ActionRead
+	ActionUpdate
+	ActionDelete
+)
+
+const (
+	callNone callKind = iota
+	callReadHead
+	callReadSegment
+	callReadStaged
+	callCreate
+	callUpdate
+	callDelete
+)
+
+// NewPartition returns the core of a partition of which nothing is known yet.
+func NewPartition(cfg PartitionConfig) *Partition {
+	fill := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	cfg.Policy = cfg.Policy.withDefaults()
+	fill(&cfg.Window, defaultWindow)
+	fill(&cfg.Patience, defaultPatience)
+	fill(&cfg.RetryAfter, defaultRetryAfter)
+	if cfg.MaxPending == 0 {
+		cfg.MaxPending = defaultMaxPending
+	}
+	return &Partition{cfg: cfg, stale: true}
+}
+
+// Submit adds a change: a claim, an outcome or a release, by the record's
+// state. The record must not be changed afterwards.
+func (p *Partition) Submit(now time.Time, r *clstate.BookingRecord) (Ticket, error) {
+	if err := check(r); err != nil {
+		return 0, err
+	}
+	claimed := r.State == clstate.BookingState_BOOKING_STATE_CLAIMED
+	if age := now.Sub(time.UnixMilli(r.ClaimedUnixMs)); claimed && age.Abs() > clockSlack {
+		return 0, newError(KindInvalid, fmt.Sprintf("the claim's time differs from the clock by %s", age.Abs()), nil)
+	}
+	return p.add(&op{key: keyOf(r), record: r, at: now})
+}
+
+// Lookup adds a lookup of the current record of a key.
+func (p *Partition) Lookup(now time.Time, key Key) (Ticket, error) {
+	return p.add(&op{key: key, at: now})
+}
+
+// Cancel forgets an operation. It returns true if its change was sent and may
+// still take effect.
+func (p *Partition) Cancel(t Ticket) (sent bool) {
+	p.keep(func(o *op) bool {
+		if o.ticket == t {
+			sent = o.sent
+		}
+		return o.ticket != t
+	})
+	return sent
+}
+
+// Flush makes all waiting changes due at once while on is set.
+func (p *Partition) Flush(on bool) { p.flush = on }
+
+// Pending returns the number of waiting operations.
+func (p *Partition) Pending() int { return len(p.pending) }
+
+// Counts returns the calls so far.
+func (p *Partition) Counts() Counts { return p.counts }
+
+// Completed returns the operations that ended since the last call.
+func (p *Partition) Completed() []Completion {
+	done := p.done
+	p.done = nil
+	return done
+}
+
+// Next returns the next step at now.
+func (p *Partition) Next(now time.Time) Step {
+	p.dropOverdue(now)
+	p.settle()
+	switch {
+	case len(p.pending) == 0:
+		return Step{Action: ActionWait}
+	case now.Before(p.retryAt):
+		return Step{Action: ActionWait, Until: p.retryAt}
+	case p.view == nil || p.stale:
+		return p.read(call{kind: callReadHead}, p.headName(), now)
+	}
+	if ref, ok := p.view.missing(); ok {
+		return p.read(call{kind: callReadSegment, number: ref.Number}, p.segmentName(ref.Number), now)
+	}
+	at, readAt := p.due()
+	for _, o := range p.pending {
+		if f := p.view.lookup(o.key); f.needed {
+			return p.read(call{kind: callReadSegment, number: f.fetch}, p.segmentName(f.fetch), now)
+		}
+	}
+	switch {
+	case !at.IsZero() && !now.Before(at):
+		return p.write(now)
+	case !readAt.IsZero() && !now.Before(readAt):
+		return p.read(call{kind: callReadHead}, p.headName(), now)
+	case at.IsZero() || !readAt.IsZero() && readAt.Before(at):
+		at = readAt
+	}
+	return Step{Action: ActionWait, Until: at}
+}
+
+// Deliver reports the outcome of the last step of Next.
+func (p *Partition) Deliver(now time.Time, r Result) {
+	c := p.call
+	p.call = call{}
+	if r.Kind == clstore.KindUnavailable || r.Kind == clstore.KindUnknown || r.Kind == clstore.KindInvalid {
+		p.failed(now, c, newError(KindUnavailable, "the object API does not answer", nil))
+		return
+	}
+	var err *Error
+	switch c.kind {
+	case callReadHead:
+		err = p.headRead(c, r)
+	case callReadSegment:
+		err = p.segmentRead(now, c, r)
+	case callReadStaged:
+		err = p.stagedRead(c, r)
+	case callCreate:
+		if r.Kind == clstore.KindConflict {
+			p.staged = &staged{number: c.number}
+			break
+		}
+		p.staged = &staged{number: c.number, version: r.Version, loaded: true, records: c.head.Records}
+	case callUpdate:
+		p.updated(now, c, r)
+	case callDelete:
+		p.deleted(now, c, r)
+	}
+	if err != nil {
+		p.failed(now, c, err)
+	}
+}
+
+func (p *Partition) add(o *op) (Ticket, error) {
+	if len(p.pending) >= p.cfg.MaxPending {
+		return 0, newError(KindBacklog, "too many changes wait for the object API", nil)
+	}
+	p.tickets++
+	o.ticket = p.tickets
+	p.pending = append(p.pending, o)
+	return o.ticket, nil
+}
+
+// keep keeps the pending operations for which f holds.
+func (p *Partition) keep(f func(*op) bool) {
+	kept := p.pending[:0]
+	for _, o := range p.pending {
+		if f(o) {
+			kept = append(kept, o)
+		}
+	}
+	clear(p.pending[len(kept):])
+	p.pending = kept
+}
+
+// dropOverdue fails claims that waited so long, because the process was
+// paused, that their records would be removed before the resend window ends.
+func (p *Partition) dropOverdue(now time.Time) {
+	p.keep(func(o *op) bool {
+		if o.record.GetState() != clstate.BookingState_BOOKING_STATE_CLAIMED || now.Sub(o.at) <= clockSlack {
+			return true
+		}
+		p.fail(o, newError(KindUnavailable, "the claim waited too long", nil))
+		return false
+	})
+}
+
+func (p *Partition) fail(o *op, err *Error) {
+	e := *err
+	e.Sent = o.sent
+	p.done = append(p.done, Completion{Ticket: o.ticket, Err: &e})
+}
+
+// settle ends the operations that the view answers.
+func (p *Partition) settle() {
+	if p.view == nil {
+		return
+	}
+	if _, ok := p.view.missing(); ok {
+		return
+	}
+	p.keep(func(o *op) bool {
+		f := p.view.lookup(o.key)
+		if f.needed {
+			return true
+		}
+		switch p.wants(o, f.record) {
+		case changeWrite:
+			return true
+		case changeNone:
+			if o.ticket > p.fresh || p.stale {
+				return true
+			}
+		}
+		c := Completion{Ticket: o.ticket, Record: f.record}
+		if f.record == nil && o.record != nil {
+			c.Err = newError(KindNotClaimed, "the outcome has no claim", nil)
+		}
+		p.done = append(p.done, c)
+		return false
+	})
+}
+
+// wants returns what an operation does to the stored record. A lookup changes
+// nothing, and only a finished record answers it without a fresh read.
+func (p *Partition) wants(o *op, stored *clstate.BookingRecord) change {
+	if o.record != nil {
+		return changeOf(stored, o.record)
+	}
+	if stored.GetState() == clstate.BookingState_BOOKING_STATE_DONE {
+		return changeFinal
+	}
+	return changeNone
+}
+
+// due returns when to write and when to read for the operations that a write
+// does not answer; zero times mean never. A write also confirms the head, so
+// no read is needed while one is due.
+func (p *Partition) due() (writeAt, readAt time.Time) {
+	b := Backlog{LastWrite: p.lastWrite, Flush: p.flush}
+	var oldestRead time.Time
+	for _, o := range p.pending {
+		oldest := &b.OldestClaim
+		switch {
+		case p.wants(o, p.view.lookup(o.key).record) != changeWrite:
+			oldest = &oldestRead
+		case isOutcome(o.record):
+			oldest = &b.OldestOutcome
+		}
+		if oldest.IsZero() || o.at.Before(*oldest) {
+			*oldest = o.at
+		}
+	}
+	writeAt = p.cfg.Policy.WriteAt(b)
+	if !oldestRead.IsZero() {
+		readAt = oldestRead
+		if next := p.lastRead.Add(p.cfg.Policy.Linger); !p.flush && readAt.Before(next) {
+			readAt = next
+		}
+		if !writeAt.IsZero() && !b.OldestClaim.IsZero() {
+			readAt = time.Time{}
+		}
+	}
+	return writeAt, readAt
+}
+
+func isOutcome(r *clstate.BookingRecord) bool {
+	return r.State == clstate.BookingState_BOOKING_STATE_DONE || r.State == clstate.BookingState_BOOKING_STATE_UNKNOWN
+}
+
+// write returns the calls of one write: the deletion of an expired segment or
+// the creation of a full one, if needed, and then the update of the head.
+func (p *Partition) write(now time.Time) Step {
+	head := p.view.head
+	if s := p.staged; s != nil && s.number != head.NextSegment {
+		p.staged = nil
+	}
+	switch {
+	case p.staged != nil && !p.staged.loaded:
+		return p.read(call{kind: callReadStaged, number: head.NextSegment}, p.segmentName(head.NextSegment), now)
+	case p.staged == nil && p.view.size > p.cfg.Policy.SealBytes && len(head.Records) > 0:
+		return p.update(call{kind: callCreate, number: head.NextSegment, head: head},
+			p.segmentName(head.NextSegment), &clstate.BookingSegment{Records: head.Records}, 0)
+	}
+	expired := expiredBefore(now, p.cfg.Window+clockSlack)
+	if ref := p.expired(expired); ref != nil && !now.Before(p.deleteFrom) {
+		p.call = call{kind: callDelete, number: ref.Number}
+		return Step{Action: ActionDelete, Name: p.segmentName(ref.Number), IfVersion: p.view.segments[ref.Number].version}
+	}
+	e := p.view.edit(expired)
+	if p.staged != nil {
+		e.seal(p.staged.records)
+	}
+	for _, o := range p.pending {
+		p.apply(e, o)
+	}
+	return p.update(call{kind: callUpdate, head: e.head}, p.headName(), e.head, p.view.version)
+}
+
+// apply stores an operation's change in e. Operations on the same key see each other's changes.
+func (p *Partition) apply(e *edit, o *op) {
+	if o.record == nil {
+		return
+	}
+	stored := p.view.lookup(o.key).record
+	if i, ok := e.index[o.key]; ok {
+		stored = e.head.Records[i]
+	}
+	if changeOf(stored, o.record) == changeWrite {
+		e.put(merged(stored, o.record))
+		o.sent = true
+	}
+}
+
+// expired returns the first listed segment if all of its records have expired.
+func (p *Partition) expired(expired func(int64) bool) *clstate.BookingSegmentRef {
+	for _, ref := range p.view.head.Segments {
+		if p.view.segments[ref.Number].deleted {
+			continue
+		}
+		if expired(ref.YoungestUnixMs) {
+			return ref
+		}
+		return nil
+	}
+	return nil
+}
+
+func (p *Partition) read(c call, name string, now time.Time) Step {
+	c.issued = p.tickets
+	p.call = c
+	p.counts.Reads++
+	if c.kind == callReadHead {
+		p.lastRead = now
+	}
+	return Step{Action: ActionRead, Name: name}
+}
+
+func (p *Partition) update(c call, name string, m proto.Message, ifVersion uint64) Step {
+	value, err := proto.Marshal(m)
+	if err != nil {
+		// Marshal fails only for strings that are not valid UTF-8, which check refuses.
+		panic(fmt.Sprintf("booking: cannot encode %s: %v", name, err))
+	}
+	c.issued = p.tickets
+	p.call = c
+	p.counts.Writes++
+	p.counts.WrittenBytes += len(value)
+	return Step{Action: ActionUpdate, Name: name, Value: value, IfVersion: ifVersion}
+}
+
+func (p *Partition) headName() string { return HeadName(p.cfg.Service, p.cfg.Partition) }
+
+func (p *Partition) segmentName(n uint64) string {
+	return SegmentName(p.cfg.Service, p.cfg.Partition, n)
+}
