--- a/clplatform/platform.go
+++ b/clplatform/platform.go
@@ -11,10 +11,10 @@
 type (
 	// Object is one value of the object API at one version.
 	Object struct {
-		Key   string
-		Value []byte
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
 		// Version is positive and rises with each change of the object.
-		Version uint64
+		Version uint64 `json:"version"`
 	}
 
 	// Objects is the platform's object API. Every call counts against its
@@ -40,18 +40,18 @@
 
 	// Instance is an entry of the list of instances, which lags.
 	Instance struct {
-		ID         string
-		DataCentre string
-		Class      string
+		ID         string `json:"id"`
+		DataCentre string `json:"data_centre"`
+		Class      string `json:"class"`
 		// Reclaimable instances can be taken back by the platform.
-		Reclaimable bool
-		State       InstanceState
+		Reclaimable bool          `json:"reclaimable"`
+		State       InstanceState `json:"state"`
 		// Endpoint fields are empty until the instance serves.
-		Service  string
-		Version  string
-		Endpoint netip.AddrPort
+		Service  string         `json:"service"`
+		Version  string         `json:"version"`
+		Endpoint netip.AddrPort `json:"endpoint"`
 		// LeavingAt is when the platform takes the instance away; zero if unknown.
-		LeavingAt time.Time
+		LeavingAt time.Time `json:"leaving_at,omitzero"`
 	}
 
 	// Instances is the platform's list of live and leaving instances.
@@ -61,28 +61,28 @@
 
 	// InstanceRequest asks for one new instance.
 	InstanceRequest struct {
-		DataCentre  string
-		Class       string
-		Reclaimable bool
-		Service     string
-		Version     string
+		DataCentre  string `json:"data_centre"`
+		Class       string `json:"class"`
+		Reclaimable bool   `json:"reclaimable"`
+		Service     string `json:"service"`
+		Version     string `json:"version"`
 	}
 
 	// Notice announces that an instance will be taken away.
 	Notice struct {
-		Sequence   uint64
-		InstanceID string
-		DataCentre string
-		LeavingAt  time.Time
+		Sequence   uint64    `json:"sequence"`
+		InstanceID string    `json:"instance_id"`
+		DataCentre string    `json:"data_centre"`
+		LeavingAt  time.Time `json:"leaving_at"`
 	}
 
 	// Offer is the price of an instance class in a data centre.
 	Offer struct {
-		DataCentre  string
-		Class       string
-		Reclaimable bool
+		DataCentre  string `json:"data_centre"`
+		Class       string `json:"class"`
+		Reclaimable bool   `json:"reclaimable"`
 		// PricePerHour is in the platform's currency.
-		PricePerHour float64
+		PricePerHour float64 `json:"price_per_hour"`
 	}
 
 	// Cloud starts and stops instances and announces reclaims.
