Add the HTTP client of endpoints

Cause: the interfaces of clendpoint have no implementation. Change: clendpoint.HTTP implements Client, Observer and Orderer with fasthttp's header codec on connections of its own pool. fasthttp.HostClient does not say whether a byte of a failed request was written, finds out that an idle connection was closed only by failing a request on it, and limits a streamed answer as a whole instead of its silence.

--- /dev/null
+++ b/clendpoint/body.go
@@ -0,0 +1,115 @@
+// This file defines the reader of an answer's body.
+
+package clendpoint
+
+import (
+	"io"
+	"net/http/httputil"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// body reads an answer's body as it arrives and gives the connection back at its end.
+type body struct {
+	c    *conn
+	h    *HTTP
+	src  io.Reader
+	left int64 // bytes to come; lengthChunked or lengthUntilClose
+	// keep says that the connection may be reused after the body.
+	keep  bool
+	ended atomic.Bool
+	err   error // returned by all further reads
+}
+
+// Lengths of bodies that are not known beforehand, as in fasthttp.
+const (
+	lengthChunked    = -1
+	lengthUntilClose = -2
+)
+
+var _ BodyReader = (*body)(nil)
+
+func newBody(c *conn, h *HTTP, length int64, closes bool) *body {
+	b := &body{c: c, h: h, src: c.br, left: length, keep: !closes && length != lengthUntilClose}
+	switch length {
+	case lengthChunked:
+		b.src = httputil.NewChunkedReader(c.br)
+	case 0:
+		b.end()
+	}
+	return b
+}
+
+// Read returns what has arrived, io.EOF at the end of the whole body, and an
+// *Error if the connection broke or stayed silent before.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if b.left >= 0 && int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.src.Read(p)
+	if b.left > 0 {
+		b.left -= int64(n)
+		if b.left == 0 {
+			b.end()
+			return n, nil
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	if err == io.EOF && b.left == lengthChunked {
+		err = b.readTrailer()
+	}
+	switch {
+	case err == io.EOF:
+		b.end()
+	case err != nil:
+		b.fail(err)
+	}
+	return n, b.err
+}
+
+// Close abandons the attempt if the body has not been read to its end.
+func (b *body) Close() error {
+	if b.ended.CompareAndSwap(false, true) {
+		b.c.abandon()
+	}
+	return nil
+}
+
+// readTrailer reads what follows the last chunk, and returns io.EOF if that succeeds.
+func (b *body) readTrailer() error {
+	var hdr fasthttp.ResponseHeader
+	if err := hdr.ReadTrailer(b.c.br); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return errors.Wrap(err, "read trailer")
+	}
+	return io.EOF
+}
+
+// end gives the connection back; bytes beyond the body make it unusable.
+func (b *body) end() {
+	b.err = io.EOF
+	if !b.ended.CompareAndSwap(false, true) {
+		return
+	}
+	if b.c.finish() && b.keep && b.c.br.Buffered() == 0 {
+		b.h.release(b.c)
+		return
+	}
+	_ = b.c.Conn.Close()
+}
+
+func (b *body) fail(err error) {
+	b.err = b.c.classify(err, true)
+	if b.ended.CompareAndSwap(false, true) {
+		b.c.abandon()
+	}
+}
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -21,6 +21,10 @@
 		Body   []byte
 		// Timeouts are the inactivity limits of this attempt.
 		Timeouts Timeouts
+		// NewConnection forbids a kept-alive connection, which the endpoint may
+		// close in the moment the request is sent; set it for calls that may not
+		// be repeated.
+		NewConnection bool
 	}
 
 	// Header is one header field of a call or an answer.
@@ -58,23 +62,23 @@
 
 	// Load is an endpoint's load report, which lags.
 	Load struct {
-		BootID      string
-		ProducedAt  time.Time
-		Running     int
-		Waiting     int
-		KVUsedRatio float64
-		Cold        bool
-		Leaving     bool
-		Service     string
-		Version     string
+		BootID      string    `json:"boot_id"`
+		ProducedAt  time.Time `json:"produced_at"`
+		Running     int       `json:"running"`
+		Waiting     int       `json:"waiting"`
+		KVUsedRatio float64   `json:"kv_used_ratio"`
+		Cold        bool      `json:"cold"`
+		Leaving     bool      `json:"leaving"`
+		Service     string    `json:"service"`
+		Version     string    `json:"version"`
 	}
 
 	// CacheEvent says that an endpoint's prefix cache gained or lost a block.
 	CacheEvent struct {
-		Sequence uint64
+		Sequence uint64 `json:"sequence"`
 		// Block is the hash of a prompt prefix up to the end of the block.
-		Block uint64
-		Added bool
+		Block uint64 `json:"block"`
+		Added bool   `json:"added"`
 	}
 
 	// Observer reads an endpoint's reports.
@@ -87,10 +91,10 @@
 	// Order tells an engine to load a model version or to change its role.
 	Order struct {
 		// Fencing is the fencing number of the lease under which the order is given.
-		Fencing uint64
-		Action  string
-		Version string
-		Role    string
+		Fencing uint64 `json:"fencing"`
+		Action  string `json:"action"`
+		Version string `json:"version"`
+		Role    string `json:"role"`
 	}
 
 	// Orderer gives orders to engines.
@@ -118,6 +122,8 @@
 	KindSilent Kind = "silent"
 	// KindFenced says that the engine refused an order with an old fencing number.
 	KindFenced Kind = "fenced"
+	// KindStatus says that a report or an order was answered with an error status.
+	KindStatus Kind = "status"
 )
 
 var _ error = (*Error)(nil)
