--- /dev/null
+++ b/clstandin/control.go
@@ -0,0 +1,181 @@
+// This file defines the stand-in engine's reports, orders and cache transfer.
+
+package clstandin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clendpoint"
+)
+
+// kvHeader is the first line of an exported KV cache; filler bytes follow.
+type kvHeader struct {
+	Blocks []uint64 `json:"blocks"`
+	Tokens int      `json:"tokens"`
+	Bytes  int64    `json:"bytes"`
+}
+
+func (e *Engine) routeControl() {
+	e.mux.HandleFunc("GET /load", e.handleLoad)
+	e.mux.HandleFunc("GET /cache/events", e.handleCacheEvents)
+	e.mux.HandleFunc("POST /orders", e.handleOrder)
+	e.mux.HandleFunc("GET /v1/streams/{id}/kv", e.handleExport)
+	e.mux.HandleFunc("POST /v1/kv", e.handleImport)
+	e.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, e.Stats()) })
+	e.mux.HandleFunc("POST /admin/actions/turn_cold", func(w http.ResponseWriter, _ *http.Request) {
+		e.TurnCold()
+		reply(w, http.StatusOK, struct{}{})
+	})
+}
+
+// handleLoad answers with the newest report that is at least LoadLag old.
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	reports := e.boot.reports
+	i := 0
+	for i+1 < len(reports) && time.Since(reports[i+1].ProducedAt) >= e.LoadLag {
+		i++
+	}
+	l := reports[i]
+	e.mu.Unlock()
+	reply(w, http.StatusOK, l)
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "after is not a sequence number")
+		return
+	}
+	e.mu.Lock()
+	evs := e.boot.cache.read(after, e.CacheEventLag)
+	id := e.boot.id
+	e.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"boot_id": id, "events": evs})
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o clendpoint.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	if o.Action != "load" && o.Action != "role" {
+		fail(w, http.StatusBadRequest, "action is not load or role")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFencing && o.Fencing < e.fencing {
+		fail(w, http.StatusConflict, "fencing number is old, newest is "+strconv.FormatUint(e.fencing, 10))
+		return
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	e.orders = append(e.orders, o)
+	if o.Action == "role" {
+		e.role = o.Role
+	} else {
+		time.AfterFunc(e.LoadTime, func() { e.load(o.Version) })
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
+
+// load changes the version; new weights start cold and with an empty cache.
+func (e *Engine) load(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Version == version {
+		return
+	}
+	e.Version = version
+	e.boot.coldUntil, e.boot.graceUntil = time.Now().Add(e.ColdTime), time.Time{}
+	e.boot.cache.clear()
+}
+
+// clear evicts all blocks.
+func (c *prefixCache) clear() {
+	keep := c.capacity
+	c.capacity = 0
+	c.add(nil)
+	c.capacity = keep
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	st := e.boot.streams[r.PathValue("id")]
+	n := 0
+	if st != nil {
+		n = st.generated
+	}
+	e.mu.Unlock()
+	if st == nil {
+		fail(w, http.StatusNotFound, "stream is not known")
+		return
+	}
+	h := kvHeader{
+		Blocks: clendpoint.AppendBlocks(nil, st.prompt+AnswerText(st.prompt, n)), Tokens: st.usage.PromptTokens + n,
+	}
+	h.Bytes = int64(h.Tokens) * int64(e.KVBytesPerToken)
+	line, err := json.Marshal(h)
+	if err != nil {
+		fail(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	if !sleep(r.Context(), e.transferTime(h.Bytes)) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(int64(len(line))+1+h.Bytes, 10))
+	_, _ = w.Write(append(line, '\n'))
+	filler := bytes.Repeat([]byte{'k'}, 32<<10)
+	for left := h.Bytes; left > 0; left -= int64(len(filler)) {
+		if _, err := w.Write(filler[:min(left, int64(len(filler)))]); err != nil {
+			return
+		}
+	}
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	h, err := readKV(r.Body)
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !sleep(r.Context(), e.transferTime(h.Bytes)) {
+		panic(http.ErrAbortHandler)
+	}
+	e.mu.Lock()
+	e.boot.cache.add(h.Blocks)
+	e.mu.Unlock()
+	reply(w, http.StatusOK, map[string]int{"blocks": len(h.Blocks), "tokens": h.Tokens})
+}
+
+// readKV reads an exported KV cache and checks its size.
+func readKV(r io.Reader) (kvHeader, error) {
+	var h kvHeader
+	br := bufio.NewReader(r)
+	line, err := br.ReadBytes('\n')
+	if err != nil {
+		return h, io.ErrUnexpectedEOF
+	}
+	if err := json.Unmarshal(line, &h); err != nil {
+		return h, err
+	}
+	n, err := io.Copy(io.Discard, br)
+	if err == nil && n != h.Bytes {
+		err = io.ErrUnexpectedEOF
+	}
+	return h, err
+}
+
+func (e *Engine) transferTime(n int64) time.Duration {
+	if e.KVBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / e.KVBytesPerSecond * float64(time.Second))
+}
