Add clcommand: the operators' command line

Cause: operators state intents, decide and follow plans and change the configuration through the control process's API, and scripts need to tell a refused change from one whose outcome is unknown.

Change: clcommand holds apply, config get, intent, plan, status, account key and check-settings, with table and JSON output. Exit codes separate failure, wrong usage, undone, rejected, conflict and unknown outcome; an error names the command that shows whether a change took effect. `plan follow` repeats failed polls for a while, because a control process may be replaced while it executes a plan. Redirects are refused, because they would carry the token to another server. main.go only wires, and has the place where the daemons are added.

Configuration files are YAML or JSON, read with go.yaml.in/yaml/v3, which go.mod still lists as indirect.

--- a/cmd/chestnutlead/main.go
+++ b/cmd/chestnutlead/main.go
@@ -3,16 +3,24 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/chestnutlead/chestnutlead/clcommand"
 	"github.com/urfave/cli/v3"
 )
 
+// daemons returns the serving subcommands, made with clcommand.Daemon. The
+// first SIGINT or SIGTERM ends their context, upon which they drain and return.
+func daemons() []*cli.Command { return nil }
+
 func main() {
-	cmd := &cli.Command{Name: "chestnutlead", Usage: "serving on reclaimable instances"}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "chestnutlead:", err)
-		os.Exit(1)
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	app := &clcommand.App{Daemons: daemons()}
+	code := app.Run(ctx, os.Args)
+	stop()
+	os.Exit(int(code))
 }
