Add package clrollout: evaluated version rollouts

Cause: a new version must get at most 5% of the traffic until it has been compared with the old one, and none once it is found to be bad. Change: a collector of evidence per route and minute, a sequential test that stays valid when it is evaluated at any time, steps with a deadline, and local suspension.

--- /dev/null
+++ b/clrollout/rollout.go
@@ -0,0 +1,295 @@
+// This file defines the rollout with its steps and deadline.
+
+package clrollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+type (
+	// Verdict is what the evidence says of the new version.
+	Verdict string
+
+	// Action is what the caller has to do.
+	Action string
+
+	// Config describes a rollout.
+	Config struct {
+		Service string
+		// From and To are the old and the new version.
+		From, To string
+		Start    time.Time
+		// Deadline is when the rollout must be done or undone.
+		Deadline time.Time
+		// SharePermille is the new version's current share in thousandths. A
+		// process that takes a rollout over sets it; it then collects evidence
+		// anew before the share rises further.
+		SharePermille uint32
+	}
+
+	// Decision is the outcome of Rollout.Decide.
+	Decision struct {
+		Action  Action
+		Verdict Verdict
+		// SharePermille is the share that the new version shall have. The caller
+		// sets it whenever it differs from the share in force.
+		SharePermille uint32
+		// Finding is set with the verdict Bad.
+		Finding Finding
+		// Reason is a short sentence for operators.
+		Reason string
+	}
+
+	// Rollout evaluates the evidence of all processes.
+	Rollout struct {
+		cfg       Config
+		eval      evaluator
+		step      int
+		stepSince time.Time
+		dwell     time.Duration
+		// sequences holds the last batch of each reporting process.
+		sequences map[string]uint64
+		final     *Decision
+	}
+
+	// Local evaluates the evidence of one process, which may stop sending
+	// requests to the new version before the sum of all processes shows a fault.
+	Local struct {
+		eval    evaluator
+		finding *Finding
+	}
+)
+
+// Verdicts.
+const (
+	Undecided Verdict = "undecided"
+	Good      Verdict = "good"
+	Bad       Verdict = "bad"
+)
+
+// Actions.
+const (
+	// Hold waits at Decision.SharePermille.
+	Hold Action = "hold"
+	// Raise sets the share to Decision.SharePermille; report ShareApplied when
+	// it is in force. Until then Decide repeats it.
+	Raise Action = "raise"
+	// Finish ends the rollout: the new version is the active one.
+	Finish Action = "finish"
+	// Suspend takes all traffic from the new version at once.
+	Suspend Action = "suspend"
+	// RollBack returns all traffic to the old version, because the deadline
+	// nears without a verdict.
+	RollBack Action = "roll_back"
+)
+
+const (
+	// FalseBadRate bounds how often a version equal to the old one is called bad.
+	FalseBadRate = 0.005
+	// LocalFalseBadRate bounds the same for one process; 390 of them add 0.4%.
+	LocalFalseBadRate = 1e-5
+	// MissedBadRate is how often a version that is worse by the design effect
+	// may pass a step.
+	MissedBadRate = 0.05
+	// MinRequests of the new version on each route are needed to pass a step.
+	MinRequests = 100
+	// minorRouteShare is the share of requests below which routes are judged
+	// good together: alone they would take too long. Each is still tested for bad.
+	minorRouteShare = 0.02
+
+	minDwell = 2 * time.Minute
+	// maxDwell is long enough for faults that show after some minutes.
+	maxDwell = 10 * time.Minute
+	// A roll-back starts this long before the deadline, for the update of the
+	// configuration (9 s) and one repetition of it.
+	rollBackMargin = time.Minute
+	// ShortestRollout is the least time from start to deadline in which a
+	// rollout can finish.
+	ShortestRollout = time.Duration(len(Steps))*minDwell + rollBackMargin
+
+	evaluatePeriod = 5 * time.Second
+	localPeriod    = time.Second
+)
+
+// Steps are the new version's traffic shares in thousandths.
+var Steps = [...]uint32{50, 250, 500, 1000}
+
+// New returns a rollout at the step of the configured share, without evidence.
+// It steps back from a share of 1000 to 500, because a process that takes the
+// rollout over has no figures of the old version to compare with.
+func New(cfg Config, now time.Time) *Rollout {
+	r := &Rollout{cfg: cfg, eval: newEvaluator(cfg, FalseBadRate, evaluatePeriod), sequences: make(map[string]uint64)}
+	step := 0
+	for step+2 < len(Steps) && Steps[step+1] <= cfg.SharePermille {
+		step++
+	}
+	r.enter(now, step)
+	return r
+}
+
+// newEvaluator returns an evaluator of the rollout's versions.
+func newEvaluator(cfg Config, falseBadRate float64, period time.Duration) evaluator {
+	return evaluator{
+		service: cfg.Service, from: cfg.From, to: cfg.To, falseBadRate: falseBadRate, foldPeriod: period,
+		onsets: int(cfg.Deadline.Sub(cfg.Start)/(onsetPeriod*time.Second)) + 1,
+	}
+}
+
+// Report takes a batch of evidence from a process (an ID unique for each start
+// of it). It reports false for a batch that was counted before.
+func (r *Rollout) Report(from string, sequence uint64, batch []Evidence) bool {
+	if sequence <= r.sequences[from] {
+		return false
+	}
+	r.sequences[from] = sequence
+	for _, e := range batch {
+		r.eval.add(e)
+	}
+	return true
+}
+
+// ShareApplied says that the new version's share has been set. Evidence for
+// the next step counts from here on.
+func (r *Rollout) ShareApplied(now time.Time, permille uint32) {
+	if i := lo.IndexOf(Steps[:], permille); i >= 0 && i != r.step {
+		r.eval.setShare(now, permille)
+		r.enter(now, i)
+	}
+}
+
+// enter starts a step. The time left is divided among the steps left.
+func (r *Rollout) enter(now time.Time, step int) {
+	r.step, r.stepSince = step, now
+	left := r.cutoff().Sub(now) / time.Duration(2*(len(Steps)-step))
+	r.dwell = min(max(left, minDwell), maxDwell)
+}
+
+// cutoff is when an unfinished rollout is rolled back.
+func (r *Rollout) cutoff() time.Time { return r.cfg.Deadline.Add(-rollBackMargin) }
+
+// Decide returns what to do now. After Finish, Suspend or RollBack it repeats
+// that decision.
+func (r *Rollout) Decide(now time.Time) Decision {
+	if r.final != nil {
+		return *r.final
+	}
+	r.eval.fold(now)
+	share := Steps[r.step]
+	if f, bad := r.eval.bad(); bad {
+		return r.end(Decision{
+			Action: Suspend, Verdict: Bad, Finding: f,
+			Reason: fmt.Sprintf("%s is worse than %s on route %q: %s", r.cfg.To, r.cfg.From, f.Route, f.Metric),
+		})
+	}
+	verdict, why := r.judge()
+	last := r.step == len(Steps)-1
+	switch {
+	case verdict == Good && !now.Before(r.stepSince.Add(r.dwell)) && last && now.Before(r.cutoff()):
+		return r.end(Decision{Action: Finish, Verdict: Good, SharePermille: share, Reason: "every step is good"})
+	case !now.Add(r.shortest(now)).Before(r.cutoff()):
+		return r.end(Decision{
+			Action: RollBack, Verdict: Undecided, Reason: "the deadline nears: " + why,
+		})
+	case verdict == Good && !now.Before(r.stepSince.Add(r.dwell)):
+		return Decision{Action: Raise, Verdict: Good, SharePermille: Steps[r.step+1], Reason: why}
+	}
+	return Decision{Action: Hold, Verdict: verdict, SharePermille: share, Reason: why}
+}
+
+// shortest is the least time that the steps left still take.
+func (r *Rollout) shortest(now time.Time) time.Duration {
+	here := max(0, minDwell-now.Sub(r.stepSince))
+	return here + time.Duration(len(Steps)-1-r.step)*minDwell
+}
+
+// end makes the decision final.
+func (r *Rollout) end(d Decision) Decision {
+	r.final = &d
+	return d
+}
+
+// judge returns whether the current step is good on every route and metric.
+func (r *Rollout) judge() (Verdict, string) {
+	var total float64
+	for _, rt := range r.eval.order {
+		total += rt.tests[0].step.newN + rt.tests[0].step.oldN
+	}
+	if total == 0 {
+		return Undecided, "there is no evidence yet"
+	}
+	var minor [len(metrics)]cell
+	for _, rt := range r.eval.order {
+		n := rt.tests[0].step.newN + rt.tests[0].step.oldN
+		for j := range rt.tests {
+			c := rt.tests[j].comparable(r.eval.full)
+			if n < minorRouteShare*total {
+				minor[j] = minor[j].plus(c)
+			} else if why := notGood(c, j); why != "" {
+				return Undecided, fmt.Sprintf("route %q: %s", rt.name, why)
+			}
+		}
+	}
+	for j, c := range minor {
+		if why := notGood(c, j); c.newN >= MinRequests && why != "" {
+			return Undecided, "minor routes: " + why
+		}
+	}
+	return Good, "the step is good"
+}
+
+// comparable returns the step's sums; without old traffic, those of the
+// former step stand in for the old version.
+func (t *test) comparable(full bool) cell {
+	c := t.step
+	if full {
+		c.oldN, c.oldEvents = t.reference.oldN, t.reference.oldEvents
+	}
+	return c
+}
+
+// notGood says what a cell lacks to be called good on a metric, or "".
+func notGood(c cell, metric int) string {
+	switch {
+	case c.newN < MinRequests:
+		return fmt.Sprintf("%.0f of %d requests needed on the new version", c.newN, MinRequests)
+	case c.oldN < MinRequests:
+		return fmt.Sprintf("%.0f of %d requests needed on the old version", c.oldN, MinRequests)
+	case c.logNotWorse(effects[metric]) < -math.Log(MissedBadRate):
+		return fmt.Sprintf("%s are not yet shown to be as low as before", metrics[metric])
+	}
+	return ""
+}
+
+// NewLocal returns the evaluation of one process's own evidence.
+func NewLocal(cfg Config) *Local {
+	return &Local{eval: newEvaluator(cfg, LocalFalseBadRate, localPeriod)}
+}
+
+// Add takes the process's own evidence, each batch once.
+func (l *Local) Add(batch []Evidence) {
+	for _, e := range batch {
+		l.eval.add(e)
+	}
+}
+
+// ShareApplied says that the new version's share has been set.
+func (l *Local) ShareApplied(now time.Time, permille uint32) { l.eval.setShare(now, permille) }
+
+// Suspended reports whether the process shall send no more requests to the new
+// version. It stays true.
+func (l *Local) Suspended(now time.Time) (Finding, bool) {
+	if l.finding == nil {
+		l.eval.fold(now)
+		if f, bad := l.eval.bad(); bad {
+			l.finding = &f
+		}
+	}
+	if l.finding == nil {
+		return Finding{}, false
+	}
+	return *l.finding, true
+}
