Add the entry process

Cause: callers need a process that authenticates them, chooses endpoints under leased slots and answers truthfully. Change: package clentry joins admission, routing, slots, booking records, crash fingerprints and rollout evidence to HTTP.

--- /dev/null
+++ b/clentry/gate.go
@@ -0,0 +1,479 @@
+// This file defines the gate, which decides when and where requests run.
+
+package clentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/cladmission"
+	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"github.com/chestnutlead/chestnutlead/clroute"
+	"github.com/chestnutlead/chestnutlead/clslot"
+	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/gofiber/fiber/v2"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxQueueWait bounds the time in the queue whatever the request's timeout.
+	maxQueueWait  = 10 * time.Second
+	expireEvery   = 20 * time.Millisecond
+	defaultCost   = 1
+	pinnedPause   = 5 * time.Millisecond
+)
+
+type (
+	// queueKey names a queue: capacity is per service and version.
+	queueKey struct {
+		service string
+		version string
+	}
+
+	// work is what the gate needs to know of a request.
+	work struct {
+		id          string
+		account     *clstate.Account
+		service     *clstate.Service
+		fingerprint clroute.Fingerprint
+		route       clroute.Request
+		startBy     time.Time
+		cost        float64
+		// retry says that an earlier attempt was made.
+		retry bool
+	}
+
+	// place is an endpoint with a slot for one attempt.
+	place struct {
+		endpoint endpoint
+		choice   clroute.Choice
+		ticket   clslot.Ticket
+		bootID   string
+	}
+
+	waiter struct {
+		w      *work
+		result chan waitResult
+	}
+
+	waitResult struct {
+		place   *place
+		refusal *Refusal
+	}
+
+	// gate owns the decision cores of an entry, guarded by mu.
+	gate struct {
+		// self is this process's member ID.
+		self  string
+		fleet *fleet
+		views *views
+		log   *zap.Logger
+		// kick wakes the loop that demands slots.
+		kick chan struct{}
+
+		mu      sync.Mutex
+		table   *clroute.Table
+		holder  *clslot.Holder
+		crashes *clroute.Crashes
+		budget  *cladmission.Budget
+		queues  map[queueKey]*cladmission.Queue[*waiter]
+		// suspended has versions that a fact suspends before the configuration does.
+		suspended map[queueKey]bool
+		// pinned counts requests that wait for a slot at one endpoint.
+		pinned map[string]int
+		rnd    *rand.Rand
+		queueCfg  cladmission.Config
+	}
+)
+
+// acquire waits until the request may be sent, and to where.
+func (g *gate) acquire(ctx context.Context, w *work) (*place, *Refusal) {
+	g.mu.Lock()
+	now := time.Now()
+	if r := g.checkCrash(w, now); r != nil {
+		g.mu.Unlock()
+		return nil, r
+	}
+	key := g.assign(w)
+	q := g.queue(key)
+	if q.Len() == 0 {
+		if p, reason := g.pick(w, now); p != nil || reason != clroute.RefusedNoSlot && reason != clroute.RefusedBusy {
+			g.mu.Unlock()
+			return p, g.refusalOf(w, p, reason)
+		}
+	}
+	wt := &waiter{w: w, result: make(chan waitResult, 1)}
+	id, refused := q.Offer(g.request(wt), now)
+	g.mu.Unlock()
+	if refused != nil {
+		return nil, refuseOverload(refused)
+	}
+	g.wake()
+	return g.await(ctx, wt, key, id)
+}
+
+func (g *gate) await(ctx context.Context, wt *waiter, key queueKey, id cladmission.ID) (*place, *Refusal) {
+	select {
+	case r := <-wt.result:
+		return r.place, r.refusal
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	cancelled := g.queue(key).Cancel(id)
+	g.mu.Unlock()
+	if !cancelled {
+		// The result is being delivered; a place must not be lost.
+		if r := <-wt.result; r.place != nil {
+			g.release(r.place, clslot.Outcome{}, clroute.Result{})
+		}
+	}
+	return nil, refuseUnavailable(RunNot, "the request ended while it waited for an endpoint", time.Second)
+}
+
+func (g *gate) request(wt *waiter) cladmission.Request[*waiter] {
+	return cladmission.Request[*waiter]{
+		Account: wt.w.account.GetName(), Weight: int(wt.w.account.GetWeight()), Cost: max(wt.w.cost, defaultCost),
+		StartBy: wt.w.startBy, Value: wt,
+	}
+}
+
+func (g *gate) checkCrash(w *work, now time.Time) *Refusal {
+	switch g.crashes.Verdict(w.fingerprint, now) {
+	case clroute.RefuseCrash:
+		return &Refusal{
+			Status: fiber.StatusUnprocessableEntity, Code: "crashing_request", Title: "Request refused",
+			Detail: "this request has crashed two endpoints", Remedy: "change the request before you send it again",
+			Run: RunNot,
+		}
+	case clroute.RunAlone:
+		w.route.Alone = true
+	default:
+		w.route.Alone = false
+	}
+	return nil
+}
+
+// assign chooses the version and returns the queue's key.
+func (g *gate) assign(w *work) queueKey {
+	split := g.views.load().split(w.service)
+	if g.suspended[queueKey{w.service.GetName(), split.New}] {
+		split.NewSuspended = true
+	}
+	w.route.Version = clroute.AssignVersion(split, w.id)
+	return queueKey{w.service.GetName(), w.route.Version}
+}
+
+func (g *gate) queue(key queueKey) *cladmission.Queue[*waiter] {
+	q := g.queues[key]
+	if q == nil {
+		q = cladmission.NewQueue[*waiter](g.queueCfg)
+		g.queues[key] = q
+	}
+	return q
+}
+
+// pick chooses an endpoint and takes a slot there.
+func (g *gate) pick(w *work, now time.Time) (*place, clroute.Reason) {
+	choice := g.table.Pick(&w.route, g.rnd, now)
+	if choice.Reason.Refused() {
+		return nil, choice.Reason
+	}
+	ticket, ok := g.holder.Acquire(choice.Endpoint, now)
+	g.table.SetSlots(choice.Endpoint, g.holder.Available(choice.Endpoint, now))
+	if !ok {
+		return nil, clroute.RefusedNoSlot
+	}
+	e, ok := g.fleet.get(choice.Endpoint)
+	if !ok {
+		g.holder.Release(ticket, clslot.Outcome{}, now)
+		return nil, clroute.RefusedNoSlot
+	}
+	g.table.Sent(e.id, w.route.Prefix, now)
+	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
+		zap.Stringer("reason", choice.Reason), zap.String("service", e.service), zap.String("version", e.version),
+		zap.String("data_centre", e.dataCentre), zap.Duration("expected_first_token", choice.Expected),
+		zap.Int("cached_tokens", choice.CachedTokens))
+	return &place{endpoint: e, choice: choice, ticket: ticket, bootID: g.fleet.load(e.id).BootID}, choice.Reason
+}
+
+func (g *gate) refusalOf(w *work, p *place, reason clroute.Reason) *Refusal {
+	if p != nil {
+		return nil
+	}
+	g.log.Info("Request refused.", zap.String("request", w.id), zap.String("service", w.service.GetName()),
+		zap.String("version", w.route.Version), zap.Stringer("reason", reason))
+	return refuseUnavailable(RunNot, "no endpoint can take the request: "+reason.String(), time.Second)
+}
+
+// release ends an attempt and gives its slot to the next request.
+func (g *gate) release(p *place, o clslot.Outcome, r clroute.Result) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder.Release(p.ticket, o, now)
+	r.Expected = p.choice.Expected
+	g.table.Ended(p.endpoint.id, r, now)
+	g.refreshSlots(p.endpoint.id, now)
+	g.pump(queueKey{p.endpoint.service, p.endpoint.version}, now)
+}
+
+func (g *gate) refreshSlots(id string, now time.Time) {
+	g.table.SetSlots(id, g.holder.Available(id, now))
+}
+
+// pump admits waiting requests while there are slots for them.
+func (g *gate) pump(key queueKey, now time.Time) {
+	q := g.queues[key]
+	for q != nil && q.Len() > 0 && g.hasSlot(key, now) {
+		r, _, ok := q.Take(now)
+		if !ok {
+			return
+		}
+		if !g.admit(q, r, now) {
+			return
+		}
+	}
+}
+
+// admit finds a place for a request that was taken from the queue; it reports
+// whether the queue may go on.
+func (g *gate) admit(q *cladmission.Queue[*waiter], r cladmission.Request[*waiter], now time.Time) bool {
+	wt := r.Value
+	if refusal := g.checkCrash(wt.w, now); refusal != nil {
+		wt.result <- waitResult{refusal: refusal}
+		return true
+	}
+	p, reason := g.pick(wt.w, now)
+	if p == nil && (reason == clroute.RefusedNoSlot || reason == clroute.RefusedBusy) {
+		if _, refused := q.Offer(r, now); refused != nil {
+			wt.result <- waitResult{refusal: refuseOverload(refused)}
+		}
+		return false
+	}
+	wt.result <- waitResult{place: p, refusal: g.refusalOf(wt.w, p, reason)}
+	return true
+}
+
+// hasSlot reports whether a request without special needs would find a slot.
+func (g *gate) hasSlot(key queueKey, now time.Time) bool {
+	probe := clroute.Request{Service: key.service, Version: key.version}
+	reason := g.table.Pick(&probe, g.rnd, now).Reason
+	return reason != clroute.RefusedNoSlot
+}
+
+// loopExpire refuses queued requests that can no longer start in time.
+func (g *gate) loopExpire(ctx context.Context) error {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			g.mu.Lock()
+			for key, q := range g.queues {
+				for _, r := range q.Expire(now) {
+					r.Request.Value.result <- waitResult{refusal: refuseOverload(r.Refusal)}
+				}
+				g.pump(key, now)
+			}
+			g.crashes.Expire(now)
+			g.mu.Unlock()
+		}
+	}
+}
+
+// finishedAlone clears a suspect whose second run ended well.
+func (g *gate) finishedAlone(f clroute.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes.Finished(f)
+}
+
+// acquireAt waits for a slot at one endpoint, for work that only it can go on with.
+func (g *gate) acquireAt(ctx context.Context, w *work, e endpoint) (*place, bool) {
+	g.mu.Lock()
+	g.pinned[e.id]++
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.pinned[e.id]--; g.pinned[e.id] <= 0 {
+			delete(g.pinned, e.id)
+		}
+	}()
+	for {
+		if p, ok := g.takeAt(w, e); ok {
+			return p, true
+		}
+		g.wake()
+		if pause(ctx, pinnedPause) != nil {
+			return nil, false
+		}
+	}
+}
+
+func (g *gate) takeAt(w *work, e endpoint) (*place, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ticket, ok := g.holder.Acquire(e.id, now)
+	g.refreshSlots(e.id, now)
+	if !ok {
+		return nil, false
+	}
+	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
+		zap.String("reason", "holds the stream"), zap.String("service", e.service), zap.String("version", e.version))
+	return &place{endpoint: e, ticket: ticket, bootID: g.fleet.load(e.id).BootID}, true
+}
+
+// tryAcquire takes a place elsewhere if one is free now.
+func (g *gate) tryAcquire(w *work) (*place, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.assign(w)
+	p, _ := g.pick(w, time.Now())
+	return p, p != nil
+}
+
+// giveBack frees a place at which nothing was sent.
+func (g *gate) giveBack(p *place) { g.release(p, clslot.Outcome{}, clroute.Result{}) }
+
+// renew replaces a ticket that has waited too long for its request to be sent.
+func (g *gate) renew(p *place) bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Before(p.ticket.SendBefore) {
+		return true
+	}
+	g.holder.Release(p.ticket, clslot.Outcome{}, now)
+	ticket, ok := g.holder.Acquire(p.endpoint.id, now)
+	p.ticket = ticket
+	g.refreshSlots(p.endpoint.id, now)
+	return ok
+}
+
+// wake makes the demand loop look at the queues at once.
+func (g *gate) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// retryAllowed takes one retry from the service's budget.
+func (g *gate) retryAllowed(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Retry(service, time.Now())
+}
+
+func (g *gate) countRequest(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Request(service, time.Now())
+}
+
+// setEndpoints takes endpoints from the fleet.
+func (g *gate) setEndpoints(set []endpoint, removed []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range set {
+		g.table.Set(clroute.Endpoint{ID: e.id, Service: e.service, Version: e.version, DataCentre: e.dataCentre})
+	}
+	for _, id := range removed {
+		g.table.Remove(id)
+		g.holder.Revoke(id)
+	}
+}
+
+func (g *gate) setLeaving(id string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetLeaving(id, true)
+	g.holder.Revoke(id)
+	g.refreshSlots(id, time.Now())
+	until := time.Now().Add(leavingFactLifetime)
+	g.crashes.Announced(id, lo.Ternary(at.After(until), at, until))
+}
+
+// applyView takes a configuration revision. Requests that wait for a version
+// that gets no more traffic are assigned again.
+func (g *gate) applyView(v *view) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for dc, out := range v.out {
+		g.table.SetDataCentre(dc, out)
+	}
+	g.reassign()
+}
+
+// suspend stops new work for a version at once.
+func (g *gate) suspend(key queueKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.suspended[key] {
+		return
+	}
+	g.suspended[key] = true
+	g.log.Info("Version is suspended. It gets no new work.", zap.String("service", key.service), zap.String("version", key.version))
+	g.reassign()
+}
+
+func (g *gate) reassign() {
+	now := time.Now()
+	for key, q := range g.queues {
+		svc := g.views.load().services[key.service]
+		if svc == nil || q.Len() == 0 || g.current(svc, key.version) {
+			continue
+		}
+		for {
+			r, _, ok := q.Take(now)
+			if !ok {
+				break
+			}
+			r.Value.w.service = svc
+			if _, refused := g.queue(g.assign(r.Value.w)).Offer(r, now); refused != nil {
+				r.Value.result <- waitResult{refusal: refuseOverload(refused)}
+			}
+		}
+	}
+}
+
+// current reports whether the version gets traffic.
+func (g *gate) current(svc *clstate.Service, version string) bool {
+	s := g.views.load().split(svc)
+	return version == s.Old || version == s.New && !s.NewSuspended && !g.suspended[queueKey{svc.GetName(), version}]
+}
+
+// report takes an endpoint's load.
+func (g *gate) report(id string, l clendpoint.Load) {
+	now := time.Now()
+	g.fleet.setLoad(id, l)
+	if l.Leaving {
+		g.fleet.markLeaving(id, time.Time{})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Report(id, clroute.Load{BootID: l.BootID, ProducedAt: l.ProducedAt, Running: l.Running, Waiting: l.Waiting})
+	if l.Cold {
+		g.holder.Revoke(id)
+		g.refreshSlots(id, now)
+	}
+}
+
+func refuseOverload(r *cladmission.Refusal) *Refusal {
+	status := fiber.StatusServiceUnavailable
+	if r.Kind == cladmission.KindQueueFull {
+		status = fiber.StatusTooManyRequests
+	}
+	return &Refusal{
+		Status: status, Code: "overloaded", Title: "Overloaded", Detail: r.Error(),
+		Remedy: "send the request again after the given time", Run: RunNot,
+		RetryAfter: max(r.RetryAfter, time.Second),
+	}
+}
--- /dev/null
+++ b/clentry/generation.go
@@ -0,0 +1,420 @@
+// This file defines generation, which completes one request over any number of attempts.
+
+package clentry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"github.com/chestnutlead/chestnutlead/clroute"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// callerWriteTimeout bounds the time for which a caller that reads nothing
+	// holds up its stream.
+	callerWriteTimeout = 30 * time.Second
+	// resumeSlotWait bounds the wait for a slot at the endpoint that holds a stream.
+	resumeSlotWait = 2 * time.Second
+	// defaultTokenTime is assumed until a stream's own pace is known.
+	defaultTokenTime = 77 * time.Millisecond
+)
+
+// generation runs one completion request. Tokens that were sent to the caller
+// are kept, so that another endpoint can go on after them.
+type generation struct {
+	h       *handler
+	w       *work
+	ctx     context.Context
+	cancel  context.CancelFunc
+	path    string
+	body    []byte
+	headers []clendpoint.Header
+	stream  bool
+	conn    net.Conn
+	// deterministic says that another run of the request gives the same tokens.
+	deterministic bool
+	maxTokens     int
+
+	cur        *attempt
+	events     *eventReader
+	streamID   string
+	attempts   int
+	sent       bool
+	firstToken time.Duration
+	// tokens are those sent by this entry; base counts those that the caller
+	// had before, whose text this entry does not know.
+	tokens []string
+	base   int
+	// skip counts events that the caller has already, in a repeated run.
+	skip   int
+	resume *streamPosition
+	began  time.Time
+	moved  bool
+}
+
+// setPosition prepares to go on with a stream after the caller's last event.
+func (g *generation) setPosition(lastEventID string) error {
+	p, ok := parseStreamPosition(lastEventID)
+	if !ok {
+		return refuseInvalid("Last-Event-ID is not an event ID of this system", "send the id of the last event received")
+	}
+	g.resume, g.base = &p, p.position
+	return nil
+}
+
+// openStream starts the stream, at the endpoint that holds it if the caller
+// resumes one.
+func (g *generation) openStream() *Refusal {
+	if g.resume == nil {
+		return g.open()
+	}
+	if e, ok := g.h.runner.fleet.get(g.resume.endpointID); ok {
+		ctx, cancel := context.WithTimeout(g.ctx, resumeSlotWait)
+		defer cancel()
+		if p, ok := g.h.gate.acquireAt(ctx, g.w, e); ok && g.resumeAt(p, g.resume.streamID) {
+			return nil
+		}
+	}
+	return g.openAgain()
+}
+
+// openAgain runs the request elsewhere, after the tokens that the caller has.
+func (g *generation) openAgain() *Refusal {
+	if g.base > 0 {
+		if !g.deterministic {
+			return &Refusal{
+				Status: 410, Code: "stream_lost", Title: "Stream lost",
+				Detail: "the endpoint that held the stream is gone, and another run may give other tokens",
+				Remedy: "send the request again without Last-Event-ID, or set seed or temperature 0 to make streams resumable",
+				Run:    RunUnknown,
+			}
+		}
+		g.skip = g.base + len(g.tokens)
+	}
+	return g.open()
+}
+
+// open finds a place and starts an attempt, again elsewhere while that may help.
+func (g *generation) open() *Refusal {
+	for {
+		p, r := g.h.gate.acquire(g.ctx, g.w)
+		if r != nil {
+			if g.sent {
+				r.Run = RunUnknown
+			}
+			return r
+		}
+		retry, r := g.startAt(p)
+		if !retry {
+			return r
+		}
+	}
+}
+
+// startAt starts an attempt at the place; it reports whether to try another.
+func (g *generation) startAt(p *place) (bool, *Refusal) {
+	c, err := g.call()
+	if err != nil {
+		g.h.gate.giveBack(p)
+		return false, refuseInvalid(err.Error(), "send a JSON object")
+	}
+	a, err := g.h.runner.start(g.ctx, g.w, p, g.path, c)
+	g.attempts++
+	if err != nil {
+		g.sent = g.sent || kindOf(err) != clendpoint.KindNotSent
+		g.exclude(p.endpoint.id)
+		return true, g.retry(err)
+	}
+	g.sent = true
+	if a.answer.Status >= 500 {
+		a.settle(nil)
+		g.exclude(p.endpoint.id)
+		r := g.retry(errors.Errorf("endpoint answered with status %d", a.answer.Status))
+		return r == nil, r
+	}
+	g.attach(a)
+	return false, nil
+}
+
+func (g *generation) attach(a *attempt) {
+	g.cur = a
+	g.streamID = headerOf(a.answer, headerStreamID)
+	g.events = newEventReader(bodyOf(a))
+	g.began = time.Now()
+}
+
+// headerStreamID carries the engine's name of a stream.
+const headerStreamID = "X-Stream-ID"
+
+func headerOf(a *clendpoint.Answer, name string) string {
+	for _, h := range a.Header {
+		if strings.EqualFold(h.Name, name) {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+func (g *generation) streaming() bool { return g.cur.answer.Status == 200 }
+
+// retry says whether another attempt may be made; a nil refusal means yes.
+func (g *generation) retry(cause error) *Refusal {
+	run := RunUnknown
+	if !g.sent {
+		run = RunNot
+	}
+	switch {
+	case g.ctx.Err() != nil:
+		return refuseUnavailable(run, "the request's time is over: "+cause.Error(), time.Second)
+	case g.attempts >= g.h.maxAttempts:
+		return refuseUnavailable(run, "all attempts failed: "+cause.Error(), time.Second)
+	case !g.h.gate.retryAllowed(g.w.service.GetName()):
+		return refuseUnavailable(run, "the retry budget is used up: "+cause.Error(), time.Second)
+	}
+	g.w.retry = true
+	g.w.startBy = time.Now().Add(maxQueueWait)
+	return nil
+}
+
+func (g *generation) exclude(id string) {
+	g.w.route.Excluded = append(g.w.route.Excluded, id)
+}
+
+// call returns the next attempt's call, which goes on after the tokens sent.
+func (g *generation) call() (clendpoint.Call, error) {
+	body := g.body
+	if len(g.tokens) > 0 && g.base == 0 {
+		var err error
+		if body, err = clendpoint.ContinueBody(g.body, g.tokens); err != nil {
+			return clendpoint.Call{}, err
+		}
+	}
+	return clendpoint.Call{
+		Method: "POST", Path: g.path, Header: append([]clendpoint.Header(nil), g.headers...), Body: body,
+		Timeouts: g.h.timeouts,
+	}, nil
+}
+
+// resumeAt goes on with an engine's stream over a new connection. The attempt
+// is given up if the engine does not know the stream.
+func (g *generation) resumeAt(p *place, streamID string) bool {
+	c := clendpoint.ResumeCall(streamID, g.position())
+	c.Timeouts = g.h.timeouts
+	a, err := g.h.runner.start(g.ctx, g.w, p, g.path, c)
+	if err != nil {
+		return false
+	}
+	if a.answer.Status != 200 {
+		a.settle(errHandedOver)
+		return false
+	}
+	g.sent = true
+	g.attach(a)
+	if g.streamID == "" {
+		g.streamID = streamID
+	}
+	return true
+}
+
+func (g *generation) position() int { return g.base + len(g.tokens) }
+
+// relay sends the stream's events to the caller until the end; a stream that
+// cannot be finished ends with an error event.
+func (g *generation) relay(w *bufio.Writer) {
+	for {
+		done, err := g.forward(w)
+		switch {
+		case done:
+			g.cur.settle(nil)
+			return
+		case errors.Is(err, errCallerGone):
+			g.cur.settle(errCallerGone)
+			return
+		case err == nil:
+			continue
+		}
+		if r := g.recoverFrom(err); r != nil {
+			g.writeError(w, r)
+			return
+		}
+	}
+}
+
+// forward passes one event on; it reports the end of the stream.
+func (g *generation) forward(w *bufio.Writer) (bool, error) {
+	if leavesAt, ok := g.h.runner.fleet.isLeaving(g.cur.p.endpoint.id); ok && g.shouldMove(leavesAt, time.Now()) {
+		if err := g.move(); err != nil {
+			return false, err
+		}
+	}
+	ev, err := g.events.next()
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("the stream ended before its last event")}
+		}
+		return false, err
+	}
+	if g.firstToken == 0 {
+		g.firstToken = time.Since(g.cur.sent)
+	}
+	if string(ev.data) == string(doneData) {
+		return true, g.write(w, ev.data, false)
+	}
+	token, isToken := tokenOf(ev.data)
+	if isToken && g.skip > 0 {
+		g.skip--
+		return false, nil
+	}
+	if isToken {
+		g.tokens = append(g.tokens, token)
+	}
+	return false, g.write(w, ev.data, isToken)
+}
+
+func (g *generation) write(w *bufio.Writer, data []byte, withID bool) error {
+	if g.conn != nil {
+		// The deadline bounds how long a caller that does not read is waited for.
+		_ = g.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	}
+	if withID {
+		p := streamPosition{g.cur.p.endpoint.id, g.streamID, g.position()}
+		_, _ = w.WriteString("id: " + p.String() + "\n") // Flush reports the error.
+	}
+	_, _ = w.WriteString("data: ") // Flush reports the error.
+	_, _ = w.Write(data)
+	_, _ = w.WriteString("\n\n")
+	if g.events.r.Buffered() > 0 {
+		return nil // More events have arrived; they are sent together.
+	}
+	if err := w.Flush(); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// recoverFrom goes on with the stream after its attempt failed; a refusal says
+// that this is not possible.
+func (g *generation) recoverFrom(cause error) *Refusal {
+	p, streamID := g.cur.p, g.streamID
+	g.cur.settle(cause)
+	g.attempts++
+	if r := g.retry(cause); r != nil {
+		return r
+	}
+	g.h.log.Info("Stream broke. It goes on over a new attempt.", zap.String("request", g.w.id),
+		zap.String("endpoint", p.endpoint.id), zap.Int("position", g.position()), zap.Error(cause))
+	if kindOf(cause) == clendpoint.KindSilent && streamID != "" {
+		ctx, cancel := context.WithTimeout(g.ctx, resumeSlotWait)
+		defer cancel()
+		if next, ok := g.h.gate.acquireAt(ctx, g.w, p.endpoint); ok && g.resumeAt(next, streamID) {
+			return nil
+		}
+	}
+	g.exclude(p.endpoint.id)
+	return g.openAgain()
+}
+
+// move hands the stream over to another endpoint if a slot is free there now.
+func (g *generation) move() error {
+	if g.base > 0 && !g.deterministic {
+		return nil
+	}
+	g.exclude(g.cur.p.endpoint.id)
+	p, ok := g.h.gate.tryAcquire(g.w)
+	if !ok {
+		g.w.route.Excluded = g.w.route.Excluded[:len(g.w.route.Excluded)-1]
+		return nil
+	}
+	old := g.cur
+	if g.base > 0 {
+		g.skip = g.position()
+	}
+	c, err := g.call()
+	if err != nil {
+		g.h.gate.giveBack(p)
+		return nil
+	}
+	a, err := g.h.runner.start(g.ctx, g.w, p, g.path, c)
+	if err != nil || a.answer.Status != 200 {
+		if err == nil {
+			a.settle(errHandedOver)
+		}
+		return nil
+	}
+	old.settle(errHandedOver)
+	g.attach(a)
+	g.h.log.Info("Stream handed over.", zap.String("request", g.w.id), zap.String("from", old.p.endpoint.id),
+		zap.String("to", p.endpoint.id), zap.Int("position", g.position()))
+	return nil
+}
+
+// remainder estimates the time until the stream's end at the present pace.
+func (g *generation) remainder(now time.Time) time.Duration {
+	n := len(g.tokens)
+	if n == 0 {
+		return time.Duration(g.maxTokens) * defaultTokenTime
+	}
+	perToken := now.Sub(g.began) / time.Duration(n)
+	return time.Duration(max(g.maxTokens-g.position(), 0)) * perToken
+}
+
+// shouldMove decides what becomes of the stream while its endpoint leaves.
+func (g *generation) shouldMove(leavesAt, now time.Time) bool {
+	if leavesAt.IsZero() {
+		return false
+	}
+	option, recomputed := clroute.ChooseHandover(clroute.Handover{
+		Left: leavesAt.Sub(now), Remainder: g.remainder(now), Tokens: g.w.route.Tokens + g.position(),
+	})
+	if option == clroute.HandoverFinish {
+		return false
+	}
+	if !g.moved {
+		g.moved = true
+		g.h.log.Info("Endpoint leaves before the stream ends.", zap.String("request", g.w.id), zap.Stringer("handover", option),
+			zap.Int("tokens_recomputed", recomputed), zap.Duration("left", leavesAt.Sub(now)))
+	}
+	return true
+}
+
+func (g *generation) writeError(w *bufio.Writer, r *Refusal) {
+	g.h.metrics.refusals.WithLabelValues(r.Code, string(r.Run)).Inc()
+	g.h.log.Info("Stream cannot be finished.", zap.String("request", g.w.id), zap.String("code", r.Code), zap.String("detail", r.Detail))
+	_, _ = w.WriteString("event: error\ndata: ") // Flush reports the error.
+	_, _ = w.Write(r.document())
+	_, _ = w.WriteString("\n\n")
+	_ = w.Flush() // A caller that is gone needs no answer.
+}
+
+// chunk is the part of a completion event that the entry reads.
+type chunk struct {
+	Choices []struct {
+		Text  *string `json:"text"`
+		Delta *struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// tokenOf returns the text that an event adds to the answer.
+func tokenOf(data []byte) (string, bool) {
+	var c chunk
+	if json.Unmarshal(data, &c) != nil || len(c.Choices) == 0 {
+		return "", false
+	}
+	switch ch := c.Choices[0]; {
+	case ch.Text != nil:
+		return *ch.Text, true
+	case ch.Delta != nil:
+		return ch.Delta.Content, true
+	}
+	return "", false
+}
--- a/clpeer/calls.go
+++ b/clpeer/calls.go
@@ -131,3 +131,28 @@
 	}
 	return result
 }
+
+// TellAll sends a fact to every live member of a role and waits until each has
+// answered, failed, or ctx has ended. It returns how many have answered. It is
+// for facts that must be known before this process acts on; AddFact spreads
+// them as well.
+func (n *Node) TellAll(ctx context.Context, role string, f clmember.Fact) int {
+	members := lo.Filter(n.Members(), func(m clmember.Member, _ int) bool { return m.Live() && m.Role == role })
+	n.mu.Lock()
+	f.Origin = n.core.Self().ID
+	e := clmember.Exchange{From: n.core.Self(), Facts: []clmember.Fact{f}, ConfigRevision: n.core.Revision()}
+	n.mu.Unlock()
+	req := exchangeToRequest(e)
+	answered := make([]bool, len(members))
+	var g errgroup.Group
+	g.SetLimit(tellParallel)
+	for i, m := range members {
+		g.Go(func() error {
+			_, err := n.Transport.Peer(m.Address).Exchange(ctx, req)
+			answered[i] = err == nil
+			return nil
+		})
+	}
+	_ = g.Wait() // Failures are counted in answered.
+	return lo.Count(answered, true)
+}
--- a/clpeer/node.go
+++ b/clpeer/node.go
@@ -22,6 +22,7 @@
 	callQueueLength = 1024
 	tickInterval    = 50 * time.Millisecond
 	leaveTimeout    = time.Second
+	tellParallel    = 64
 )
 
 // Kinds of facts beside those of clmember.
