Add the control process

Cause: operators need plans that the system carries out. Change: package clcontrol answers intents with plans, edits the configuration by conditional updates, and carries out plans under the control lease.

--- /dev/null
+++ b/clcontrol/control.go
@@ -0,0 +1,210 @@
+// This file defines Control, the control process.
+
+package clcontrol
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"github.com/chestnutlead/chestnutlead/cllease"
+	"github.com/chestnutlead/chestnutlead/clmember"
+	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/clpeer"
+	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clsettings"
+	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// Role is the role of control processes among the members.
+	Role = "control"
+
+	conditionServing = "serving"
+	leaseKey         = "lease/control"
+)
+
+type (
+	// Control is one control process. Exported fields are set before Run.
+	Control struct {
+		Settings  *clsettings.ControlSettings
+		Objects   clplatform.Objects
+		Instances clplatform.Instances
+		Cloud     clplatform.Cloud
+		Observer  clendpoint.Observer
+		Logger    *zap.Logger
+		Metrics   *clobserve.Metrics
+		Readiness *clobserve.Readiness
+
+		operator net.Listener
+		peer     net.Listener
+		log      *zap.Logger
+		node     *clpeer.Node
+		config   *clpeer.ConfigSource
+		lease    *cllease.Runner
+		executor *executor
+		server   *http.Server
+	}
+
+	// snapshots holds the applied configuration.
+	snapshots struct {
+		current atomic.Pointer[clstate.ConfigSnapshot]
+	}
+)
+
+var _ clpeer.Configs = (*snapshots)(nil)
+
+// Conditions are the readiness conditions that a Control meets.
+var Conditions = []string{conditionServing}
+
+// Current implements clpeer.Configs.
+func (s *snapshots) Current() *clstate.ConfigSnapshot { return s.current.Load() }
+
+// Apply implements clpeer.Configs.
+func (s *snapshots) Apply(c *clstate.ConfigSnapshot) bool {
+	for {
+		cur := s.current.Load()
+		if c.GetRevision() <= cur.GetRevision() {
+			return false
+		}
+		if s.current.CompareAndSwap(cur, c) {
+			return true
+		}
+	}
+}
+
+// Listen opens the listeners and returns the operators' and the peers' address.
+func (c *Control) Listen() (operator, peer netip.AddrPort, err error) {
+	if c.operator, err = net.Listen("tcp", c.Settings.GetListen().OperatorAddr().String()); err != nil {
+		return operator, peer, errors.Wrap(err, "listen for operators")
+	}
+	if c.peer, err = net.Listen("tcp", c.Settings.GetListen().PeerAddr().String()); err != nil {
+		return operator, peer, errors.Wrap(err, "listen for peers")
+	}
+	return addrOf(c.operator), addrOf(c.peer), nil
+}
+
+func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// Run serves until ctx ends; then it releases the control lease and returns.
+func (c *Control) Run(ctx context.Context) error {
+	if c.operator == nil {
+		if _, _, err := c.Listen(); err != nil {
+			return err
+		}
+	}
+	c.build()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context) error{c.node.Run, c.config.Run, c.lease.Run, c.executor.loop} {
+		g.Go(func() error { return loop(ctx) })
+	}
+	g.Go(c.loopServe)
+	g.Go(func() error {
+		<-ctx.Done()
+		return c.drain()
+	})
+	c.Readiness.Meet(conditionServing)
+	c.log.Info("Control process is ready.")
+	return g.Wait()
+}
+
+func (c *Control) loopServe() error {
+	if err := c.server.Serve(c.operator); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve operators")
+	}
+	return nil
+}
+
+func (c *Control) drain() error {
+	sh := c.Settings.GetShutdown()
+	c.Readiness.Fail(conditionServing, "the process is shutting down")
+	time.Sleep(sh.GetBalancerDelay().AsDuration())
+	ctx, cancel := context.WithTimeout(context.Background(), sh.GetDrainTimeout().AsDuration())
+	defer cancel()
+	return errors.Wrap(c.server.Shutdown(ctx), "shut down")
+}
+
+func (c *Control) build() {
+	s := c.Settings
+	c.log = clobserve.Component(c.Logger, "control")
+	transport := &clpeer.Transport{Token: s.GetPeer().GetToken(), Timeout: s.GetPeer().GetCallTimeout().AsDuration()}
+	c.buildNode(transport)
+	c.lease = &cllease.Runner{
+		Config: cllease.Config{
+			Key: leaseKey, Holder: c.node.Member.Self.ID,
+			TTL: s.GetLease().GetTtl().AsDuration(), Margin: s.GetLease().GetMargin().AsDuration(),
+		},
+		Store: &clplatform.Store{Objects: c.Objects},
+	}
+	configs := &store[*clstate.ConfigSnapshot]{
+		objects: c.Objects, newT: func() *clstate.ConfigSnapshot { return new(clstate.ConfigSnapshot) },
+		mark: (*clstate.ConfigSnapshot).GetProposalId,
+	}
+	plans := &store[*clstate.Plan]{
+		objects: c.Objects, newT: func() *clstate.Plan { return new(clstate.Plan) }, mark: (*clstate.Plan).GetUpdateId,
+	}
+	leases := &store[*clstate.Lease]{
+		objects: c.Objects, newT: func() *clstate.Lease { return new(clstate.Lease) }, mark: (*clstate.Lease).GetHolder,
+	}
+	ed := &editor{store: configs, node: c.node, log: clobserve.Component(c.Logger, "config")}
+	c.executor = &executor{
+		plans: plans, editor: ed, node: c.node, lease: c.lease, instances: c.Instances, observer: c.Observer,
+		interval: s.GetPlans().GetInterval().AsDuration(), log: clobserve.Component(c.Logger, "plan"), kick: make(chan struct{}, 1),
+	}
+	c.executor.rollouts = newRollouts(c.executor.wake)
+	c.node.Evidence = c.executor.rollouts
+	c.node.OnFacts = c.learn
+	c.node.Init()
+	op := &operatorServer{
+		plans: plans, leases: leases, configs: configs, editor: ed, node: c.node, instances: c.Instances, kick: c.executor.wake,
+	}
+	c.server = clpeer.NewServer(guardOperators(s.GetOperator().GetTokens(), clwire.NewOperatorServer(op)))
+}
+
+func (c *Control) buildNode(t *clpeer.Transport) {
+	s := c.Settings
+	c.node = &clpeer.Node{
+		Member: clmember.Config{
+			Self: clmember.Member{
+				ID: s.GetProcess().GetName() + "-" + uuid.NewString()[:8], Address: s.GetPeer().AdvertisedAddr(addrOf(c.peer)),
+				DataCentre: s.GetProcess().GetDataCentre(), Region: s.GetProcess().GetRegion(), Role: Role,
+			},
+			Seeds: s.GetPeer().SeedAddrs(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			ProbeInterval: s.GetPeer().GetProbeInterval().AsDuration(), ProbeTimeout: s.GetPeer().GetProbeTimeout().AsDuration(),
+			SuspicionBase: s.GetPeer().GetSuspectTimeout().AsDuration(), SyncInterval: s.GetPeer().GetSyncInterval().AsDuration(),
+		},
+		Transport: t, Listener: c.peer, Configs: &snapshots{}, Log: clobserve.Component(c.Logger, "peer"),
+	}
+	cfg := s.GetConfig()
+	c.config = &clpeer.ConfigSource{
+		Node: c.node, Objects: c.Objects, Watchers: int(cfg.GetWatchersPerDataCentre()), Wait: cfg.GetWatchWait().AsDuration(),
+		PeerSilence: cfg.GetPeerSilence().AsDuration(), Log: clobserve.Component(c.Logger, "config"), OnResult: func(error) {},
+	}
+}
+
+// learn takes facts of peers and of this process.
+func (c *Control) learn(facts []clmember.Fact) {
+	for _, f := range facts {
+		if f.Kind == clmember.VersionSuspended {
+			c.executor.rollouts.learnSuspended(f)
+		}
+	}
+}
+
+func holderFact(self clmember.Member, fencing uint64) clmember.Fact {
+	return clmember.Fact{
+		ID: fmt.Sprintf("control/%d", fencing), Kind: clpeer.ControlHolder, Lifetime: holderFactLifetime,
+		Subject: "control", Detail: fmt.Sprintf("%s %d", self.Address, fencing), Urgent: true,
+	}
+}
--- a/clcontrol/plan.go
+++ b/clcontrol/plan.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clrollout"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"google.golang.org/protobuf/types/known/timestamppb"
 )
@@ -155,8 +156,8 @@
 	case !m.GetDeadline().AsTime().After(now):
 		return nil, &IntentError{Reason: "the deadline has passed", Remedy: "state a deadline in the future"}
 	}
-	steps := make([]string, 0, len(moveSharesPermille)+1)
-	for _, share := range moveSharesPermille {
+	steps := make([]string, 0, len(clrollout.Steps)+1)
+	for _, share := range clrollout.Steps {
 		steps = append(steps, fmt.Sprintf("send %d%% of %s to version %s and evaluate it",
 			share/10, s.GetName(), m.GetToVersion()))
 	}
--- a/clcontrol/store.go
+++ b/clcontrol/store.go
@@ -162,3 +162,29 @@
 		return nil
 	}
 }
+
+// listNamed returns the values under a prefix by their keys.
+func (s *store[T]) listNamed(ctx context.Context, prefix string) (map[string]T, error) {
+	objects, err := s.objects.List(ctx, prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list "+prefix)
+	}
+	values := make(map[string]T, len(objects))
+	for _, o := range objects {
+		v := s.newT()
+		if err := proto.Unmarshal(o.Value, v); err != nil {
+			return nil, errors.Wrap(err, "decode "+o.Key)
+		}
+		values[o.Key] = v
+	}
+	return values, nil
+}
+
+// remove deletes an object; a failure leaves it for a later try.
+func (s *store[T]) remove(ctx context.Context, key string) {
+	o, err := s.objects.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	_ = s.objects.Delete(ctx, key, o.Version) // The next sweep finds it again.
+}
--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -41,13 +41,13 @@
 
 	// attempt is one attempt in progress.
 	attempt struct {
-		r       *runner
-		w       *work
-		p       *place
-		route   string
-		sent    time.Time
-		answer  *clendpoint.Answer
-		first   time.Duration
+		r      *runner
+		w      *work
+		p      *place
+		route  string
+		sent   time.Time
+		answer *clendpoint.Answer
+		first  time.Duration
 		// cold says that the endpoint was cold when the attempt was sent.
 		cold    bool
 		settled bool
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -20,10 +20,10 @@
 
 const (
 	// maxQueueWait bounds the time in the queue whatever the request's timeout.
-	maxQueueWait  = 10 * time.Second
-	expireEvery   = 20 * time.Millisecond
-	defaultCost   = 1
-	pinnedPause   = 5 * time.Millisecond
+	maxQueueWait = 10 * time.Second
+	expireEvery  = 20 * time.Millisecond
+	defaultCost  = 1
+	pinnedPause  = 5 * time.Millisecond
 )
 
 type (
@@ -83,9 +83,9 @@
 		// suspended has versions that a fact suspends before the configuration does.
 		suspended map[queueKey]bool
 		// pinned counts requests that wait for a slot at one endpoint.
-		pinned map[string]int
-		rnd    *rand.Rand
-		queueCfg  cladmission.Config
+		pinned   map[string]int
+		rnd      *rand.Rand
+		queueCfg cladmission.Config
 	}
 )
 
