--- a/clendpoint/http_test.go
+++ b/clendpoint/http_test.go
@@ -45,7 +45,7 @@
 }
 
 func newClient(t *testing.T) *HTTP {
-	h := &HTTP{Timeouts: Timeouts{Connect: time.Second, FirstByte: 150 * time.Millisecond, BetweenReads: 150 * time.Millisecond}}
+	h := &HTTP{Timeouts: Timeouts{Connect: time.Minute, FirstByte: time.Minute, BetweenReads: time.Minute}}
 	t.Cleanup(h.Close)
 	return h
 }
@@ -113,7 +113,14 @@
 					<-done
 				}
 			})
-			body, err := readAll(newClient(t), post(addr))
+			call := post(addr)
+			if tt.kind == KindSilent {
+				call.Timeouts.BetweenReads = 100 * time.Millisecond
+				if tt.answer == "" {
+					call.Timeouts.FirstByte = 100 * time.Millisecond
+				}
+			}
+			body, err := readAll(newClient(t), call)
 			require.Equal(t, tt.kind, kindOf(err), "%v", err)
 			require.Equal(t, tt.body, body)
 		})
--- /dev/null
+++ b/clendpoint/reuse_test.go
@@ -0,0 +1,257 @@
+package clendpoint
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// TestReuse guards against reuse of a connection that the endpoint closed or
+// dirtied, that was abandoned, or whose answer forbids it.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name  string
+		first string // first connection's first answer
+		// after runs on the first connection when the answer is out.
+		after func(c net.Conn)
+		read  bool // read the first answer to its end
+		fresh bool // second call asks for a new connection
+		conns int
+	}{
+		{"kept alive", okAnswer, nil, true, false, 1},
+		{"chunked kept alive", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", nil, true, false, 1},
+		{"closed meanwhile", okAnswer, func(c net.Conn) { c.Close() }, true, false, 2},
+		{"reset meanwhile", okAnswer, func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() }, true, false, 2},
+		{"bytes after the answer", okAnswer, func(c net.Conn) { _, _ = io.WriteString(c, okAnswer) }, true, false, 2},
+		{"bytes with the answer", okAnswer + okAnswer, nil, true, false, 2},
+		{"abandoned", okAnswer, nil, false, false, 2},
+		{"connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", nil, true, false, 2},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", nil, true, false, 2},
+		{"new connection asked for", okAnswer, nil, true, true, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var conns atomic.Int32
+			settled := make(chan struct{})
+			addr := listen(t, func(n int, c net.Conn) {
+				conns.Add(1)
+				br := bufio.NewReader(c)
+				for i := 0; readRequest(br); i++ {
+					if n > 0 || i > 0 {
+						_, _ = io.WriteString(c, okAnswer)
+						continue
+					}
+					_, _ = io.WriteString(c, tt.first)
+					if tt.after != nil {
+						<-settled
+						tt.after(c)
+						settled <- struct{}{}
+					}
+				}
+			})
+			h := newClient(t)
+			a, err := h.Do(context.Background(), post(addr))
+			require.NoError(t, err)
+			if tt.read {
+				b, err := io.ReadAll(a.Body)
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(b))
+			}
+			require.NoError(t, a.Body.Close())
+			if tt.after != nil {
+				settled <- struct{}{}
+				<-settled
+				// Loopback delivers before the close returns, but a margin costs little.
+				time.Sleep(10 * time.Millisecond)
+			}
+			second := post(addr)
+			second.NewConnection = tt.fresh
+			body, err := readAll(h, second)
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+			require.EqualValues(t, tt.conns, conns.Load())
+		})
+	}
+}
+
+// TestNoRetry guards against a silent repetition of a request whose kept-alive
+// connection broke after the request was sent.
+func TestNoRetry(t *testing.T) {
+	var requests atomic.Int32
+	addr := listen(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for i := 0; readRequest(br); i++ {
+			requests.Add(1)
+			if i > 0 {
+				return // closes without an answer
+			}
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	for _, method := range []string{"POST", "GET", "PUT"} {
+		requests.Store(0)
+		h := newClient(t)
+		call := post(addr)
+		call.Method = method
+		_, err := readAll(h, call)
+		require.NoError(t, err)
+		_, err = readAll(h, call)
+		require.Equal(t, KindBroken, kindOf(err), "%v", err)
+		require.EqualValues(t, 2, requests.Load(), method)
+	}
+}
+
+// TestIdleExpiry guards against a connection that is kept longer than the
+// endpoint's own limit, and against idle connections that are never closed.
+func TestIdleExpiry(t *testing.T) {
+	var conns atomic.Int32
+	addr := listen(t, func(_ int, c net.Conn) {
+		conns.Add(1)
+		for br := bufio.NewReader(c); readRequest(br); {
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	h := newClient(t)
+	h.IdleTimeout = time.Nanosecond
+	for range 3 {
+		_, err := readAll(h, post(addr))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 3, conns.Load())
+	require.LessOrEqual(t, len(h.pool.idle[addr]), 1)
+}
+
+// TestWriteFailures guards against "not sent" after a byte was written, and
+// "unknown" when none was.
+func TestWriteFailures(t *testing.T) {
+	client, server := net.Pipe()
+	require.NoError(t, server.Close())
+	c := newConn(client, netip.MustParseAddrPort("127.0.0.1:1"))
+	c.begin(context.Background(), Timeouts{FirstByte: time.Second})
+	n, err := c.send(post(c.addr))
+	require.Error(t, err)
+	require.Equal(t, KindNotSent, kindOf(c.classify(err, n > 0)))
+
+	block := make(chan struct{})
+	defer close(block)
+	addr := listen(t, func(int, net.Conn) { <-block })
+	call := post(addr)
+	call.Body = make([]byte, 32<<20) // more than the socket buffers hold
+	call.Timeouts.FirstByte = 100 * time.Millisecond
+	_, err = readAll(newClient(t), call)
+	require.Equal(t, KindSilent, kindOf(err), "%v", err)
+
+	addr = listen(t, func(_ int, c net.Conn) { _, _ = io.ReadFull(c, make([]byte, 100)) })
+	call.Endpoint, call.Timeouts = addr, Timeouts{}
+	_, err = readAll(newClient(t), call)
+	require.Equal(t, KindBroken, kindOf(err), "%v", err)
+}
+
+// TestInvalidCalls guards against requests that an endpoint would read as two.
+func TestInvalidCalls(t *testing.T) {
+	var conns atomic.Int32
+	addr := listen(t, func(int, net.Conn) { conns.Add(1) })
+	for _, change := range []func(*Call){
+		func(c *Call) { c.Path = "/x HTTP/1.1\r\nA: b" },
+		func(c *Call) { c.Path = "x" },
+		func(c *Call) { c.Method = "GET /" },
+		func(c *Call) { c.Header = []Header{{"A", "b\r\nC: d"}} },
+		func(c *Call) { c.Header = []Header{{"A b", "c"}} },
+		func(c *Call) { c.AttemptID = "a\nb" },
+		func(c *Call) { c.Endpoint = netip.AddrPort{} },
+	} {
+		call := post(addr)
+		change(&call)
+		_, err := readAll(newClient(t), call)
+		require.Equal(t, KindNotSent, kindOf(err), "%v", err)
+	}
+	require.Zero(t, conns.Load())
+}
+
+// TestCancel guards against a call that outlives its context, before the
+// header or inside the body, and against reuse of its connection.
+func TestCancel(t *testing.T) {
+	for _, answer := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"} {
+		addr := listen(t, func(_ int, c net.Conn) {
+			br := bufio.NewReader(c)
+			if readRequest(br) {
+				_, _ = io.WriteString(c, answer)
+			}
+			readRequest(br) // returns when the client closes
+		})
+		h := newClient(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		a, err := h.Do(ctx, post(addr))
+		if err == nil {
+			_, err = io.ReadAll(a.Body)
+		}
+		require.Equal(t, KindBroken, kindOf(err), "%v", err)
+		require.ErrorIs(t, err, context.Canceled)
+		require.Empty(t, h.pool.idle[addr])
+		_, err = h.Do(ctx, post(addr))
+		require.Equal(t, KindNotSent, kindOf(err), "a cancelled context before the call")
+	}
+}
+
+// TestOwnAnswers guards against an answer that reaches another caller when
+// attempts are abandoned or cancelled at random moments.
+func TestOwnAnswers(t *testing.T) {
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 5 {
+			_, _ = io.WriteString(w, r.Header.Get(AttemptHeader)+"\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(100 * time.Microsecond)
+		}
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	h := newClient(t)
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 60 {
+				id := fmt.Sprintf("%d-%d", g, i)
+				ctx, cancel := context.WithCancel(context.Background())
+				if i%3 == 0 {
+					time.AfterFunc(time.Duration(i*20)*time.Microsecond, cancel)
+				}
+				call := Call{Endpoint: netip.MustParseAddrPort(ln.Addr().String()), Method: "GET", Path: "/", AttemptID: id}
+				a, err := h.Do(ctx, call)
+				if err != nil {
+					cancel()
+					continue
+				}
+				if i%3 == 1 {
+					_, _ = a.Body.Read(make([]byte, 1))
+					a.Body.Close()
+					cancel()
+					continue
+				}
+				b, err := io.ReadAll(a.Body)
+				want := id + "\n"
+				want = want + want + want + want + want
+				if err == nil && string(b) != want || len(b) > len(want) || want[:len(b)] != string(b) || i%3 == 2 && err != nil {
+					t.Errorf("attempt %s got %q, %v", id, b, err)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+}
