--- a/cmd/chestnutlead/main.go
+++ b/cmd/chestnutlead/main.go
@@ -8,13 +8,8 @@
 	"syscall"
 
 	"github.com/chestnutlead/chestnutlead/clcommand"
-	"github.com/urfave/cli/v3"
 )
 
-// daemons returns the serving subcommands, made with clcommand.Daemon. The
-// first SIGINT or SIGTERM ends their context, upon which they drain and return.
-func daemons() []*cli.Command { return nil }
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	// A second signal ends the process at once.
