Join islands of processes that started together

Cause: a process calls its seeds only while it knows no live peer. Change: seeds at which no live member is known are called at each probe in the first 30 probe intervals, and with each retry of dead members later.

--- a/clmember/config.go
+++ b/clmember/config.go
@@ -14,7 +14,8 @@
 	Config struct {
 		// Self is this process; State and Incarnation are ignored.
 		Self Member
-		// Seeds are addresses to join through while no live peer is known.
+		// Seeds are addresses to join through; those at which no live member is
+		// known are called again from time to time.
 		Seeds []netip.AddrPort
 		// Rand chooses peers and must not be shared; required.
 		Rand *rand.Rand
@@ -43,6 +44,9 @@
 
 const (
 	indirectProbes = 3
+	// joinProbes is the number of probe intervals after the start in which
+	// missing seeds are called at each probe.
+	joinProbes = 30
 	// pushFanout peers receive an urgent fact or a new configuration revision.
 	pushFanout = 4
 	// urgentRounds pushes of each urgent fact, pushGap apart: one round of
--- a/clmember/core.go
+++ b/clmember/core.go
@@ -31,6 +31,8 @@
 		facts      factTable
 		revision   uint64
 		fetchUntil time.Time
+		// joinUntil is when the seeds without a live member are no longer called at each probe.
+		joinUntil time.Time
 
 		lastTick, nextProbe, nextSync, lastSync, nextRetry time.Time
 		lastPush                                           time.Time
@@ -63,6 +65,7 @@
 		// processes that start together don't stay in step.
 		nextSync:  now.Add(time.Duration(cfg.Rand.Int64N(int64(cfg.SyncInterval)))),
 		nextRetry: now.Add(cfg.RetryDeadInterval),
+		joinUntil: now.Add(joinProbes * cfg.ProbeInterval),
 	}
 	c.facts.max = cfg.MaxHeldFacts
 	c.hash = c.selfHash
--- a/clmember/probe.go
+++ b/clmember/probe.go
@@ -3,6 +3,7 @@
 package clmember
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -66,10 +67,10 @@
 
 // startProbe probes the next member of the ring, or joins through a seed.
 func (c *Core) startProbe(now time.Time) {
+	if c.live == 0 || now.Before(c.joinUntil) {
+		c.callMissingSeed(now)
+	}
 	if c.live == 0 {
-		if n := len(c.cfg.Seeds); n > 0 {
-			c.sync(now, Member{Address: c.cfg.Seeds[c.cfg.Rand.IntN(n)]})
-		}
 		return
 	}
 	for range 2 {
@@ -89,6 +90,18 @@
 	}
 }
 
+// callMissingSeed calls a seed at whose address no live member is known.
+// Processes that start together can find each other in separate groups, each
+// of which has live peers and would otherwise never look for the others.
+func (c *Core) callMissingSeed(now time.Time) {
+	missing := slices.DeleteFunc(slices.Clone(c.cfg.Seeds), func(a netip.AddrPort) bool {
+		return slices.ContainsFunc(c.entries, func(e *entry) bool { return e.Live() && e.Address == a })
+	})
+	if len(missing) > 0 {
+		c.sync(now, Member{Address: missing[c.cfg.Rand.IntN(len(missing))]})
+	}
+}
+
 // probe sends a direct probe.
 func (c *Core) probe(now time.Time, e *entry) {
 	c.exchange(e.Member)
@@ -213,6 +226,7 @@
 		return
 	}
 	c.nextRetry = now.Add(c.cfg.RetryDeadInterval)
+	c.callMissingSeed(now)
 	var dead []*entry
 	for _, e := range c.entries {
 		if e.State == Dead {
