Make the pace of version moves a setting; fall back to the old version

Cause: each step of a move lasted 2 minutes, so no move could finish in a short test or a small deployment's quiet hour; and requests assigned to a new version without endpoints were refused. Change: settings plans.rollout_dwell and plans.rollout_margin; an intent whose deadline is too near is refused with the least time; a request whose new version no endpoint can serve goes to the old one.

--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -162,12 +162,13 @@
 		plans: plans, editor: ed, node: c.node, lease: c.lease, instances: c.Instances, observer: c.Observer,
 		interval: s.GetPlans().GetInterval().AsDuration(), log: clobserve.Component(c.Logger, "plan"), kick: make(chan struct{}, 1),
 	}
-	c.executor.rollouts = newRollouts(c.executor.wake)
+	pc := pace{dwell: s.GetPlans().GetRolloutDwell().AsDuration(), margin: s.GetPlans().GetRolloutMargin().AsDuration()}
+	c.executor.rollouts = newRollouts(pc, c.executor.wake)
 	c.node.Evidence = c.executor.rollouts
 	c.node.OnFacts = c.learn
 	c.node.Init()
 	op := &operatorServer{
-		plans: plans, leases: leases, configs: configs, editor: ed, node: c.node, instances: c.Instances, kick: c.executor.wake,
+		plans: plans, leases: leases, configs: configs, editor: ed, node: c.node, instances: c.Instances, pace: pc, kick: c.executor.wake,
 	}
 	c.server = clpeer.NewServer(guardOperators(s.GetOperator().GetTokens(), clwire.NewOperatorServer(op)))
 }
--- a/clcontrol/move.go
+++ b/clcontrol/move.go
@@ -25,6 +25,7 @@
 		suspended map[string]string
 		// onBad wakes the executor.
 		onBad func()
+		pace  pace
 	}
 
 	rollout struct {
@@ -40,8 +41,8 @@
 
 var _ clpeer.Evidence = (*rollouts)(nil)
 
-func newRollouts(onBad func()) *rollouts {
-	return &rollouts{byPlan: make(map[string]*rollout), suspended: make(map[string]string), onBad: onBad}
+func newRollouts(pc pace, onBad func()) *rollouts {
+	return &rollouts{byPlan: make(map[string]*rollout), suspended: make(map[string]string), onBad: onBad, pace: pc}
 }
 
 // ReportEvidence implements clpeer.Evidence.
@@ -96,6 +97,7 @@
 		ro = &rollout{service: mv.GetService(), version: mv.GetToVersion(), core: clrollout.New(clrollout.Config{
 			Service: mv.GetService(), From: mv.GetFromVersion(), To: mv.GetToVersion(), Start: start,
 			Deadline: mv.GetDeadline().AsTime(), SharePermille: mv.GetSharePermille(),
+			MinDwell: r.pace.dwell, RollBackMargin: r.pace.margin,
 		}, now)}
 		r.byPlan[planID] = ro
 	}
@@ -167,7 +169,7 @@
 			return false, nil
 		}
 		// The plan was made under an earlier configuration.
-		if _, err := moveSteps(s, m, now); err != nil {
+		if _, err := moveSteps(s, m, x.rollouts.pace, now); err != nil {
 			reason = err.Error()
 			return false, nil
 		}
--- a/clcontrol/operator.go
+++ b/clcontrol/operator.go
@@ -38,6 +38,7 @@
 	editor    *editor
 	node      *clpeer.Node
 	instances clplatform.Instances
+	pace      pace
 	// kick makes the executor look at the plans at once.
 	kick func()
 }
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, twirpError(err)
 	}
-	p, err := planFor(cur.value, r.GetIntent(), time.Now())
+	p, err := planFor(cur.value, r.GetIntent(), s.pace, time.Now())
 	if err != nil {
 		return nil, twirpError(err)
 	}
--- a/clcontrol/plan.go
+++ b/clcontrol/plan.go
@@ -20,6 +20,12 @@
 		By     string
 	}
 
+	// pace is how fast version moves may go.
+	pace struct {
+		dwell  time.Duration
+		margin time.Duration
+	}
+
 	// IntentError says why no plan can be made for an intent.
 	IntentError struct {
 		Reason string
@@ -102,8 +108,12 @@
 	return true
 }
 
+func (p pace) shortest() time.Duration {
+	return clrollout.Config{MinDwell: p.dwell, RollBackMargin: p.margin}.Shortest()
+}
+
 // planFor answers an intent with a proposed plan under the configuration.
-func planFor(cfg *clstate.ConfigSnapshot, in *clstate.Intent, now time.Time) (*clstate.Plan, error) {
+func planFor(cfg *clstate.ConfigSnapshot, in *clstate.Intent, pc pace, now time.Time) (*clstate.Plan, error) {
 	p := &clstate.Plan{
 		Intent: in, State: clstate.PlanState_PLAN_STATE_PROPOSED,
 		CreatedAt: timestamppb.New(now), ChangedAt: timestamppb.New(now),
@@ -112,7 +122,7 @@
 	var err error
 	switch v := in.GetIntent().(type) {
 	case *clstate.Intent_MoveVersion:
-		steps, err = moveSteps(cfg, v.MoveVersion, now)
+		steps, err = moveSteps(cfg, v.MoveVersion, pc, now)
 	case *clstate.Intent_SetDataCentre:
 		steps, err = dataCentreSteps(cfg, v.SetDataCentre)
 	default:
@@ -127,7 +137,7 @@
 	return p, nil
 }
 
-func moveSteps(cfg *clstate.ConfigSnapshot, m *clstate.MoveVersion, now time.Time) ([]string, error) {
+func moveSteps(cfg *clstate.ConfigSnapshot, m *clstate.MoveVersion, pc pace, now time.Time) ([]string, error) {
 	s := findService(cfg, m.GetService())
 	if s == nil {
 		return nil, &IntentError{Reason: "service " + m.GetService() + " does not exist", Remedy: "apply it first"}
@@ -153,8 +163,11 @@
 			Reason: "service " + s.GetName() + " is already moving to " + findMove(cfg, s.GetName()).GetToVersion(),
 			Remedy: "wait until that plan is done or undone",
 		}
-	case !m.GetDeadline().AsTime().After(now):
-		return nil, &IntentError{Reason: "the deadline has passed", Remedy: "state a deadline in the future"}
+	case m.GetDeadline().AsTime().Sub(now) < pc.shortest():
+		return nil, &IntentError{
+			Reason: fmt.Sprintf("a move needs at least %s, for its steps to be evaluated and taken back if need be", pc.shortest()),
+			Remedy: "state a later deadline",
+		}
 	}
 	steps := make([]string, 0, len(clrollout.Steps)+1)
 	for _, share := range clrollout.Steps {
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -98,9 +98,12 @@
 		return nil, r
 	}
 	key := g.assign(w)
+	if g.unservable(w, now) {
+		key = g.assignOld(w)
+	}
 	q := g.queue(key)
 	if q.Len() == 0 {
-		if p, reason := g.pick(w, now); p != nil || reason != clroute.RefusedNoSlot && reason != clroute.RefusedBusy {
+		if p, reason := g.pick(w, now); p != nil || !waits(reason) {
 			g.mu.Unlock()
 			return p, g.refusalOf(w, p, reason)
 		}
@@ -166,6 +169,28 @@
 	return queueKey{w.service.GetName(), w.route.Version}
 }
 
+// unservable reports whether the request was assigned to a new version that no
+// endpoint can serve at present.
+func (g *gate) unservable(w *work, now time.Time) bool {
+	split := g.views.load().split(w.service)
+	if w.route.Version != split.New {
+		return false
+	}
+	reason := g.table.Pick(&w.route, g.rnd, now).Reason
+	return reason.Refused() && !waits(reason)
+}
+
+func (g *gate) assignOld(w *work) queueKey {
+	w.route.Version = g.views.load().split(w.service).Old
+	return queueKey{w.service.GetName(), w.route.Version}
+}
+
+// waits reports whether a request that was refused for the reason may find a
+// place later without any change of the fleet.
+func waits(reason clroute.Reason) bool {
+	return reason == clroute.RefusedNoSlot || reason == clroute.RefusedBusy
+}
+
 func (g *gate) queue(key queueKey) *cladmission.Queue[*waiter] {
 	q := g.queues[key]
 	if q == nil {
@@ -247,7 +272,7 @@
 		return true
 	}
 	p, reason := g.pick(wt.w, now)
-	if p == nil && (reason == clroute.RefusedNoSlot || reason == clroute.RefusedBusy) {
+	if p == nil && waits(reason) {
 		if _, refused := q.Offer(r, now); refused != nil {
 			wt.result <- waitResult{refusal: refuseOverload(refused)}
 		}
--- a/clrollout/rollout.go
+++ b/clrollout/rollout.go
@@ -29,6 +29,10 @@
 		// process that takes a rollout over sets it; it then collects evidence
 		// anew before the share rises further.
 		SharePermille uint32
+		// MinDwell is the least time that each step lasts; 0 means 2 minutes.
+		MinDwell time.Duration
+		// RollBackMargin is how long before the deadline a roll-back starts; 0 means 1 minute.
+		RollBackMargin time.Duration
 	}
 
 	// Decision is the outcome of Rollout.Decide.
@@ -108,7 +112,7 @@
 	// configuration (9 s) and one repetition of it.
 	rollBackMargin = time.Minute
 	// ShortestRollout is the least time from start to deadline in which a
-	// rollout can finish.
+	// rollout with the default times can finish.
 	ShortestRollout = time.Duration(len(Steps))*minDwell + rollBackMargin
 
 	evaluatePeriod = 5 * time.Second
@@ -122,6 +126,7 @@
 // It steps back from a share of 1000 to 500, because a process that takes the
 // rollout over has no figures of the old version to compare with.
 func New(cfg Config, now time.Time) *Rollout {
+	cfg = cfg.withDefaults()
 	r := &Rollout{cfg: cfg, eval: newEvaluator(cfg, FalseBadRate, evaluatePeriod), sequences: make(map[string]uint64)}
 	step := 0
 	for step+2 < len(Steps) && Steps[step+1] <= cfg.SharePermille {
@@ -131,6 +136,23 @@
 	return r
 }
 
+// Shortest returns the least time from start to deadline in which a rollout
+// with the configured times can finish.
+func (c Config) Shortest() time.Duration {
+	c = c.withDefaults()
+	return time.Duration(len(Steps))*c.MinDwell + c.RollBackMargin
+}
+
+func (c Config) withDefaults() Config {
+	if c.MinDwell == 0 {
+		c.MinDwell = minDwell
+	}
+	if c.RollBackMargin == 0 {
+		c.RollBackMargin = rollBackMargin
+	}
+	return c
+}
+
 // newEvaluator returns an evaluator of the rollout's versions.
 func newEvaluator(cfg Config, falseBadRate float64, period time.Duration) evaluator {
 	return evaluator{
@@ -165,11 +187,11 @@
 func (r *Rollout) enter(now time.Time, step int) {
 	r.step, r.stepSince = step, now
 	left := r.cutoff().Sub(now) / time.Duration(2*(len(Steps)-step))
-	r.dwell = min(max(left, minDwell), maxDwell)
+	r.dwell = min(max(left, r.cfg.MinDwell), max(maxDwell, r.cfg.MinDwell))
 }
 
 // cutoff is when an unfinished rollout is rolled back.
-func (r *Rollout) cutoff() time.Time { return r.cfg.Deadline.Add(-rollBackMargin) }
+func (r *Rollout) cutoff() time.Time { return r.cfg.Deadline.Add(-r.cfg.RollBackMargin) }
 
 // Decide returns what to do now. After Finish, Suspend or RollBack it repeats
 // that decision.
@@ -202,8 +224,8 @@
 
 // shortest is the least time that the steps left still take.
 func (r *Rollout) shortest(now time.Time) time.Duration {
-	here := max(0, minDwell-now.Sub(r.stepSince))
-	return here + time.Duration(len(Steps)-1-r.step)*minDwell
+	here := max(0, r.cfg.MinDwell-now.Sub(r.stepSince))
+	return here + time.Duration(len(Steps)-1-r.step)*r.cfg.MinDwell
 }
 
 // end makes the decision final.
