--- a/clstandin/booking.go
+++ b/clstandin/booking.go
@@ -116,30 +116,33 @@
 }
 
 func (b *Booking) handleCall(w http.ResponseWriter, r *http.Request) {
+	status, answer := b.run(r)
+	reply(w, status, answer)
+}
+
+// run returns the status and the answer of a call.
+func (b *Booking) run(r *http.Request) (int, any) {
 	b.enter()
 	defer b.leave()
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
 		b.mu.Lock()
 		b.reads++
 		b.mu.Unlock()
-		reply(w, http.StatusOK, map[string]string{"path": r.URL.Path})
-		return
+		return http.StatusOK, map[string]string{"path": r.URL.Path}
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
-		return
+		return http.StatusBadRequest, map[string]string{"error": err.Error()}
 	}
 	sum := sha256.Sum256(body)
 	a, first := b.book(r.Header.Get("Idempotency-Key"), hex.EncodeToString(sum[:]))
 	if first == nil { // a repeated key
-		reply(w, http.StatusOK, a)
-		return
+		return http.StatusOK, a
 	}
 	// A booking that was counted takes place even if the caller goes away.
 	time.Sleep(b.Delay)
 	close(first.done)
-	reply(w, http.StatusOK, a)
+	return http.StatusOK, a
 }
 
 // book counts a run; the returned run is nil if the answer is a former one's.
--- a/clstandin/completions.go
+++ b/clstandin/completions.go
@@ -97,25 +97,25 @@
 	}
 	ctx, end := e.attach(w, r, st)
 	defer end()
-	b, err := e.enter(ctx, req.Priority)
+	p, err := e.enter(ctx, req.Priority)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer e.leave(b)
+	defer p.leave()
 	e.mu.Lock()
-	st.id = b.streamID()
+	st.id = p.b.streamID()
 	if req.Stream {
-		b.streams[st.id] = st
+		p.b.streams[st.id] = st
 	}
 	e.mu.Unlock()
-	if err := e.prefill(ctx, b, st, continued); err != nil {
+	if err := e.prefill(ctx, p.b, st, continued); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(StreamHeader, st.id)
 	if req.Stream {
-		err = e.run(ctx, b, st, continued, newEvents(w, st).emit)
+		err = e.run(ctx, p, st, continued, newEvents(w, st).emit)
 	} else {
-		err = e.run(ctx, b, st, st.total, func(int, int) error { return nil })
+		err = e.run(ctx, p, st, st.total, func(int, int) error { return nil })
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -155,16 +155,16 @@
 	}
 	ctx, end := e.attach(w, r, st)
 	defer end()
-	b, err := e.enter(ctx, st.priority)
+	p, err := e.enter(ctx, st.priority)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer e.leave(b)
-	if b != boot {
+	defer p.leave()
+	if p.b != boot {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(StreamHeader, st.id)
-	if err := e.run(ctx, b, st, req.Position, newEvents(w, st).emit); err != nil {
+	if err := e.run(ctx, p, st, req.Position, newEvents(w, st).emit); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -173,10 +173,15 @@
 	e.mu.Lock()
 	st := e.boot.streams[r.PathValue("id")]
 	delete(e.boot.streams, r.PathValue("id"))
+	var detached chan struct{}
 	if st != nil && st.attached {
 		st.detach()
+		detached = st.detached
 	}
 	e.mu.Unlock()
+	if detached != nil {
+		<-detached // the answer says that the place in the batch is free
+	}
 	if st == nil {
 		fail(w, http.StatusNotFound, "stream is not known")
 		return
--- a/clstandin/engine.go
+++ b/clstandin/engine.go
@@ -89,6 +89,13 @@
 		admitted chan struct{}
 	}
 
+	// place is a request's place in the batch of one boot.
+	place struct {
+		e    *Engine
+		b    *boot
+		left bool // guarded by the engine's mu
+	}
+
 	// BootStats says how much an engine ran at once during one boot.
 	BootStats struct {
 		BootID string `json:"boot_id"`
@@ -108,7 +115,8 @@
 		Crashes int                `json:"crashes"`
 		Orders  []clendpoint.Order `json:"orders"`
 		Role    string             `json:"role"`
-		// Usage sums the usage of all completed requests.
+		// Usage sums the work of all boots, also for requests that were abandoned;
+		// completion_tokens counts only the tokens generated here.
 		Usage Usage `json:"usage"`
 	}
 )
@@ -181,9 +189,11 @@
 func (e *Engine) Stats() EngineStats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	usage := e.usage
+	usage.TotalTokens = usage.PromptTokens + usage.CompletionTokens
 	return EngineStats{
 		Boot: e.boot.stats, Past: append([]BootStats{}, e.past...), Crashes: e.crashes,
-		Orders: append([]clendpoint.Order{}, e.orders...), Role: e.role, Usage: e.usage,
+		Orders: append([]clendpoint.Order{}, e.orders...), Role: e.role, Usage: usage,
 	}
 }
 
@@ -224,9 +234,9 @@
 
 func (b *boot) cold(now time.Time) bool { return now.Before(b.coldUntil) }
 
-// enter counts a request and gives it a place in the batch. It returns the
-// boot to leave, or an error if ctx ended or the engine crashed.
-func (e *Engine) enter(ctx context.Context, priority int) (*boot, error) {
+// enter counts a request and gives it a place in the batch, or returns an
+// error if ctx ended or the engine crashed.
+func (e *Engine) enter(ctx context.Context, priority int) (*place, error) {
 	e.mu.Lock()
 	b := e.boot
 	now := time.Now()
@@ -244,7 +254,7 @@
 	if b.running < e.MaxRunning {
 		b.running++
 		e.mu.Unlock()
-		return b, nil
+		return &place{e: e, b: b}, nil
 	}
 	w := &waiter{priority: priority, admitted: make(chan struct{})}
 	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].priority > priority })
@@ -254,7 +264,7 @@
 	e.mu.Unlock()
 	select {
 	case <-w.admitted:
-		return b, nil
+		return &place{e: e, b: b}, nil
 	case <-b.down:
 		return nil, errDown
 	case <-ctx.Done():
@@ -287,13 +297,19 @@
 	b.leave()
 }
 
-// leave ends a running request and admits the next one.
-func (e *Engine) leave(b *boot) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b.leave()
+// leave gives the place to the next request; further calls do nothing. It
+// comes before the end of the answer is sent, because a caller may send its
+// next request as soon as it has the end.
+func (p *place) leave() {
+	p.e.mu.Lock()
+	defer p.e.mu.Unlock()
+	if !p.left {
+		p.left = true
+		p.b.leave()
+	}
 }
 
+// leave ends a running request and admits the next one; the caller holds mu.
 func (b *boot) leave() {
 	b.inFlight--
 	if len(b.waiting) == 0 {
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -184,11 +184,8 @@
 		fail(w, http.StatusBadRequest, "set outage_ms or start with --admin-listen, because the admin API would be unreachable")
 		return
 	}
-	reply(w, http.StatusOK, f)
-	if fl, ok := w.(http.Flusher); ok {
-		fl.Flush()
-	}
 	s.setFaults(f, connOf(r))
+	reply(w, http.StatusOK, f)
 }
 
 func (s *Server) handleSilence(w http.ResponseWriter, r *http.Request) {
--- a/clstandin/stream.go
+++ b/clstandin/stream.go
@@ -27,7 +27,6 @@
 
 		generated  int
 		attached   bool
-		ended      bool
 		detach     func()        // ends the connection that reads the stream
 		detached   chan struct{} // closed when it has ended
 		detachedAt time.Time
@@ -69,6 +68,9 @@
 	st.generated = continued
 	st.usage.PromptDetails.CachedTokens = cached
 	st.usage.RecomputedTokens = tokens - cached
+	e.usage.PromptTokens += st.usage.PromptTokens
+	e.usage.PromptDetails.CachedTokens += cached
+	e.usage.RecomputedTokens += tokens - cached
 	e.mu.Unlock()
 	d := time.Duration(float64(tokens-cached) / e.PrefillPerSecond * factor * float64(time.Second))
 	return e.pause(ctx, b, d)
@@ -76,10 +78,14 @@
 
 // run emits the tokens of a stream from a position on, in the engine's pace
 // as far as they have not been generated before.
-func (e *Engine) run(ctx context.Context, b *boot, st *stream, from int, emit emitter) error {
+func (e *Engine) run(ctx context.Context, p *place, st *stream, from int, emit emitter) error {
+	b := p.b
 	e.mu.Lock()
 	ready := st.generated
 	e.mu.Unlock()
+	if ready == st.total {
+		p.leave()
+	}
 	if from < ready || ready == st.total {
 		if err := emit(from, ready); err != nil {
 			return err
@@ -96,32 +102,27 @@
 		}
 		e.mu.Lock()
 		st.generated = i + 1
+		e.usage.CompletionTokens++
 		e.mu.Unlock()
+		if i == st.total-1 {
+			e.finish(b, st)
+			p.leave()
+		}
 		if i >= from {
 			if err := emit(i, i+1); err != nil {
 				return err
 			}
 		}
 	}
-	e.finish(b, st)
 	return nil
 }
 
-// finish caches the answer's blocks and sums the usage.
+// finish caches the answer's blocks.
 func (e *Engine) finish(b *boot, st *stream) {
 	blocks := clendpoint.AppendBlocks(nil, st.prompt+AnswerText(st.prompt, st.total))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b.cache.add(blocks)
-	if st.ended {
-		return
-	}
-	st.ended = true
-	e.usage.PromptTokens += st.usage.PromptTokens
-	e.usage.CompletionTokens += st.usage.CompletionTokens
-	e.usage.TotalTokens += st.usage.TotalTokens
-	e.usage.PromptDetails.CachedTokens += st.usage.PromptDetails.CachedTokens
-	e.usage.RecomputedTokens += st.usage.RecomputedTokens
 }
 
 // pause waits for d, or returns an error if ctx ends or the engine crashes.
