--- a/clslot/grantor.go
+++ b/clslot/grantor.go
@@ -383,7 +383,17 @@
 			delete(e.entries, id)
 		}
 	}
-	e.unattributed = pool{slots: min(sum+e.unattributed.slots, running), since: counted, version: e.unattributed.version + 1}
+	e.unattributed.add(sum, running, counted)
+	if e.hasAfterEnd {
+		e.afterEnd.add(sum, running, counted)
+	}
+}
+
+// add puts more requests into the pool, of which a report shows at most running.
+func (p *pool) add(slots, running int, counted time.Time) {
+	p.slots = min(p.slots+slots, running)
+	p.since = counted
+	p.version++
 }
 
 // bound lowers the pool to the running requests of a report that covers it.
