--- a/clplatform/http.go
+++ b/clplatform/http.go
@@ -20,7 +20,8 @@
 
 type (
 	// HTTP provides the platform's interfaces over its HTTP API; exported
-	// fields are set before the first call. Calls are not repeated.
+	// fields are set before the first call. Calls that change something are not
+	// repeated once a byte was sent.
 	HTTP struct {
 		// Address is the platform's address.
 		Address netip.AddrPort
@@ -98,8 +99,8 @@
 	return h.client
 }
 
-// do sends the call and returns an answer with a status below 400, or 404,
-// 409, 412, 413 for the caller to interpret; other failures are classified.
+// do sends the call and returns a successful answer, or 304 to a read; other
+// answers become errors of their kind.
 func (h *HTTP) do(ctx context.Context, c call) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -146,8 +147,10 @@
 func (c *call) checkStatus(a answer) error {
 	err := errors.Errorf("platform answered %d: %s", a.status, excerpt(a.body))
 	switch s := a.status; {
-	case s < 400:
+	case s < 300, s == http.StatusNotModified && !c.effect:
 		return nil
+	case s < 400:
+		return c.fail(c.lostKind(true), err) // the platform's API has no redirects
 	case s == http.StatusNotFound:
 		return c.fail(KindNotFound, err)
 	case s == http.StatusPreconditionFailed:
