--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -189,6 +189,16 @@
 	return int64(hdr.ContentLength())
 }
 
+// Value returns the first header of the name, in any case, or "".
+func (a *Answer) Value(name string) string {
+	for _, h := range a.Header {
+		if strings.EqualFold(h.Name, name) {
+			return h.Value
+		}
+	}
+	return ""
+}
+
 // ownedHeader reports whether the client itself decides on a header, because
 // it concerns a single connection or the framing of the body.
 func ownedHeader(name string) bool {
--- a/clstandin/control.go
+++ b/clstandin/control.go
@@ -5,21 +5,34 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 )
 
-// kvHeader is the first line of an exported KV cache; filler bytes follow.
-type kvHeader struct {
-	Blocks []uint64 `json:"blocks"`
-	Tokens int      `json:"tokens"`
-	Bytes  int64    `json:"bytes"`
-}
+type (
+	// kvHeader is the first line of an exported KV cache; filler bytes follow.
+	kvHeader struct {
+		Blocks []uint64 `json:"blocks"`
+		Tokens int      `json:"tokens"`
+		Bytes  int64    `json:"bytes"`
+	}
+
+	// kvSource names a stream of another engine whose cache is imported.
+	kvSource struct {
+		From   netip.AddrPort `json:"from"`
+		Stream string         `json:"stream"`
+	}
+)
 
 func (e *Engine) routeControl() {
 	e.mux.HandleFunc("GET /load", e.handleLoad)
@@ -140,8 +153,20 @@
 	}
 }
 
+// handleImport takes an exported cache as the body, or as JSON the engine and
+// the stream to fetch it from.
 func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
-	h, err := readKV(r.Body)
+	var h kvHeader
+	var err error
+	if r.Header.Get("Content-Type") == "application/json" {
+		var from kvSource
+		if !decode(w, r, &from) {
+			return
+		}
+		h, err = from.fetch(r.Context())
+	} else {
+		h, err = readKV(r.Body)
+	}
 	if err != nil {
 		fail(w, http.StatusBadRequest, err.Error())
 		return
@@ -155,6 +180,24 @@
 	reply(w, http.StatusOK, map[string]int{"blocks": len(h.Blocks), "tokens": h.Tokens})
 }
 
+// fetch exports a stream's cache from another engine.
+func (s *kvSource) fetch(ctx context.Context) (kvHeader, error) {
+	target := "http://" + s.From.String() + "/v1/streams/" + url.PathEscape(s.Stream) + "/kv"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return kvHeader{}, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return kvHeader{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return kvHeader{}, errors.Errorf("engine %s answered %d", s.From, resp.StatusCode)
+	}
+	return readKV(resp.Body)
+}
+
 // readKV reads an exported KV cache and checks its size.
 func readKV(r io.Reader) (kvHeader, error) {
 	var h kvHeader
--- a/clstandin/engine_test.go
+++ b/clstandin/engine_test.go
@@ -131,7 +131,7 @@
 
 	a, err := h.Do(context.Background(), call(e.Addr(), "/v1/chat/completions", strings.Replace(chat, "true", "false", 1)))
 	require.NoError(t, err)
-	require.Contains(t, a.Header, clendpoint.Header{Name: "X-Attempt-Id", Value: "attempt"})
+	require.Equal(t, "attempt", a.Value(clendpoint.AttemptHeader))
 	var c completion
 	require.NoError(t, json.NewDecoder(a.Body).Decode(&c))
 	require.Equal(t, AnswerText(prompt, n), c.Choices[0].Message.Content)
@@ -188,11 +188,11 @@
 		_, err = streamCall(h, resume(e, s, got))
 		require.ErrorContains(t, err, "status 404")
 	})
-	for _, export := range []bool{false, true} {
-		t.Run(fmt.Sprintf("continue elsewhere, export %v", export), func(t *testing.T) {
+	for _, export := range []string{"none", "relayed", "fetched"} {
+		t.Run("continue elsewhere, export "+export, func(t *testing.T) {
 			e, other, h := testEngine(t, nil), testEngine(t, nil), testClient(t)
 			s := begin(t, h, e)
-			if export {
+			if export == "relayed" {
 				a, err := h.Do(context.Background(), clendpoint.Call{Endpoint: e.Addr(), Method: "GET", Path: "/v1/streams/" + s.id + "/kv"})
 				require.NoError(t, err)
 				kv, err := io.ReadAll(a.Body)
@@ -202,13 +202,20 @@
 				require.NoError(t, err)
 				require.Equal(t, 200, a.Status)
 			}
+			if export == "fetched" {
+				c := call(other.Addr(), "/v1/kv", fmt.Sprintf(`{"from":%q,"stream":%q}`, e.Addr(), s.id))
+				c.Header = []clendpoint.Header{{Name: "Content-Type", Value: "application/json"}}
+				a, err := h.Do(context.Background(), c)
+				require.NoError(t, err)
+				require.Equal(t, 200, a.Status)
+			}
 			tokens, err := json.Marshal(s.tokens[:got])
 			require.NoError(t, err)
 			rest, err := streamCall(h, call(other.Addr(), "/v1/completions", body(prompt, total, `,"continue_tokens":`+string(tokens))))
 			require.NoError(t, err)
 			require.Equal(t, want, strings.Join(s.tokens[:got], "")+rest.text)
 			cached := 0
-			if export {
+			if export != "none" {
 				cached = 64
 			}
 			require.Equal(t, cached, rest.usage.PromptDetails.CachedTokens)
@@ -245,7 +252,10 @@
 	require.NoError(t, err)
 	require.NotEqual(t, boot, l.BootID)
 
-	e.SetFaults(Faults{HideCold: true})
+	e.SetFaults(Faults{HideCold: true, CrashMarker: "poison"})
+	_, err = streamCall(h, call(e.Addr(), "/v1/completions", body("poison", 1, "")))
+	require.Error(t, err)
+	require.Equal(t, BootStats{BootID: l.BootID, Crash: "marker"}, e.Stats().Past[1])
 	require.Eventually(t, func() bool {
 		l, err := h.Load(context.Background(), e.Addr())
 		return err == nil && !l.Cold
--- a/clstandin/faults.go
+++ b/clstandin/faults.go
@@ -21,8 +21,10 @@
 		Outage Outage `json:"outage,omitempty"`
 		// OutageMs ends the outage after this time; 0 keeps it until the next change.
 		OutageMs int `json:"outage_ms,omitempty"`
-		// SlowMs delays each request.
+		// SlowMs delays each request before it takes effect.
 		SlowMs int `json:"slow_ms,omitempty"`
+		// LateWrites lets delayed writes take effect although the caller has gone.
+		LateWrites bool `json:"late_writes,omitempty"`
 		// LoseAnswers closes the connections of the next writes after they took effect.
 		LoseAnswers int `json:"lose_answers,omitempty"`
 		// LoseAnswerRate is the probability that a write's answer is lost.
@@ -91,6 +93,7 @@
 		refuse     bool
 		crash      bool
 		silence    bool
+		late       bool
 		loseAnswer bool
 		failStatus int
 	}
@@ -171,6 +174,7 @@
 		}
 	}
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		v.late = f.LateWrites
 		v.loseAnswer = s.take(&s.lose) || s.chance(f.LoseAnswerRate)
 	}
 	return v
--- a/clstandin/faults_test.go
+++ b/clstandin/faults_test.go
@@ -193,6 +193,7 @@
 		{"reset", Faults{Outage: OutageReset}, clplatform.KindUnknown, clplatform.KindUnavailable, false},
 		{"hang", Faults{Outage: OutageHang}, clplatform.KindUnknown, clplatform.KindUnavailable, false},
 		{"slow", Faults{SlowMs: minute}, clplatform.KindUnknown, clplatform.KindUnavailable, false},
+		{"late", Faults{SlowMs: 1000, LateWrites: true}, clplatform.KindUnknown, clplatform.KindUnavailable, true},
 		{"answer lost", Faults{LoseAnswers: 1}, clplatform.KindUnknown, "", true},
 		{"answers lost by probability", Faults{LoseAnswerRate: 1}, clplatform.KindUnknown, "", true},
 		{"refused", Faults{RefuseRate: 1}, clplatform.KindUnavailable, clplatform.KindUnavailable, false},
@@ -215,6 +216,11 @@
 			_, err = h.Get(ctx, "k")
 			require.Equal(t, tt.get, clplatform.KindOf(err), "%v", err)
 			p.SetFaults(Faults{})
+			h.ReadTimeout = time.Minute
+			if tt.faults.LateWrites {
+				_, err = h.Watch(ctx, "k", 0, time.Minute)
+				require.NoError(t, err)
+			}
 			o, err := h.Get(ctx, "k")
 			require.Equal(t, tt.stored, err == nil, "%v", err)
 			require.Equal(t, tt.stored, string(o.Value) == "value")
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,8 @@
 		ln      *trackedListener
 		servers []*http.Server
 		stop    chan struct{}
+		// stopOnce closes stop.
+		stopOnce sync.Once
 		// running returns the number of running requests, for RouteFault.
 		running func() int
 		// onCrash resets the stand-in's own state; nil if it has none.
@@ -104,19 +107,16 @@
 
 // Close stops the stand-in and breaks all its connections.
 func (s *Server) Close() {
-	select {
-	case <-s.stop:
-		return
-	default:
-		close(s.stop)
-	}
+	s.stopOnce.Do(func() { close(s.stop) })
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
 }
 
-// Shutdown stops the stand-in after its running requests have ended.
+// Shutdown stops the stand-in after its running requests have ended; long
+// polls end at once.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopOnce.Do(func() { close(s.stop) })
 	var first error
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil && first == nil {
@@ -247,7 +247,11 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), v.delay) {
+	ctx := r.Context()
+	if v.late {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if !sleep(ctx, v.delay) {
 		panic(http.ErrAbortHandler)
 	}
 	if v.crash {
--- a/clstandin/stream.go
+++ b/clstandin/stream.go
@@ -55,11 +55,7 @@
 // prefill computes the tokens of the prompt and of the continued answer that
 // are not cached.
 func (e *Engine) prefill(ctx context.Context, b *boot, st *stream, continued int) error {
-	text := st.prompt
-	for i := range continued {
-		text += token(st.seed, i)
-	}
-	blocks := clendpoint.AppendBlocks(nil, text)
+	blocks := clendpoint.AppendBlocks(nil, st.prompt+AnswerText(st.prompt, continued))
 	tokens := clendpoint.TokenCount(st.prompt) + continued
 	e.mu.Lock()
 	cached := min(b.cache.touch(blocks)*clendpoint.BlockTokens, tokens)
--- a/cmd/chestnutstand/main.go
+++ b/cmd/chestnutstand/main.go
@@ -28,6 +28,9 @@
 // drainTimeout limits the graceful shutdown after SIGTERM.
 const drainTimeout = time.Minute
 
+// onStart is called with the address of a started stand-in; tests replace it.
+var onStart = func(netip.AddrPort) {}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -83,6 +86,7 @@
 		return err
 	}
 	fmt.Printf("chestnutstand %s: listening on %s\n", name, s.Addr())
+	onStart(s.Addr())
 	<-ctx.Done()
 	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
