Keep requests from before a crash out of the engine's next boot

Cause: a request that was being read when the engine crashed was counted in the new boot, and two overloads at the same moment crashed the engine twice. Change: connections are marked before the state changes and aborted after it; the first overload of a boot crashes it.

--- a/clstandin/conns.go
+++ b/clstandin/conns.go
@@ -29,6 +29,7 @@
 		net.Conn
 		owner    *trackedListener
 		silent   atomic.Bool
+		aborted  atomic.Bool
 		peerGone atomic.Bool
 	}
 )
@@ -180,6 +181,7 @@
 
 // abort resets the connection.
 func (c *trackedConn) abort() {
+	c.aborted.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/clstandin/engine.go
+++ b/clstandin/engine.go
@@ -71,6 +71,7 @@
 	boot struct {
 		id         string
 		down       chan struct{} // closed by a crash
+		crashing   bool          // from too much load until the crash
 		coldUntil  time.Time
 		graceUntil time.Time
 		inFlight   int
@@ -239,6 +240,10 @@
 func (e *Engine) enter(ctx context.Context, priority int) (*place, error) {
 	e.mu.Lock()
 	b := e.boot
+	if b.crashing || aborted(ctx) { // a request from before the crash
+		e.mu.Unlock()
+		return nil, errDown
+	}
 	now := time.Now()
 	b.inFlight++
 	b.stats.Requests++
@@ -246,8 +251,9 @@
 	if b.cold(now) && !now.Before(b.graceUntil) {
 		b.stats.ColdPeak = max(b.stats.ColdPeak, b.inFlight)
 		if b.inFlight > e.ColdSlots {
+			b.crashing = true
 			e.mu.Unlock()
-			e.crashBoot(b)
+			e.Crash("overload")
 			return nil, errDown
 		}
 	}
@@ -273,16 +279,6 @@
 	}
 }
 
-// crashBoot crashes the engine unless b has crashed already.
-func (e *Engine) crashBoot(b *boot) {
-	e.mu.Lock()
-	current := e.boot == b
-	e.mu.Unlock()
-	if current {
-		e.Crash("overload")
-	}
-}
-
 // giveUp ends a waiting request, which may have been admitted meanwhile.
 func (e *Engine) giveUp(b *boot, w *waiter) {
 	e.mu.Lock()
--- a/clstandin/engine_test.go
+++ b/clstandin/engine_test.go
@@ -248,6 +248,7 @@
 	s := e.Stats()
 	require.Equal(t, 1, s.Crashes)
 	require.Equal(t, BootStats{BootID: boot, Peak: 3, ColdPeak: 3, Requests: 3, Crash: "overload"}, s.Past[0])
+	require.Zero(t, s.Boot.Requests, "a request from before the crash")
 	l, err = h.Load(context.Background(), e.Addr())
 	require.NoError(t, err)
 	require.NotEqual(t, boot, l.BootID)
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -148,10 +148,18 @@
 		s.ln.suspend()
 		time.AfterFunc(restart, s.applyListening)
 	}
+	// Connections are marked before the state changes, so that it can tell
+	// requests from before the crash, and aborted after it, so that a caller who
+	// sees the crash sees the new state.
+	s.ln.each(except, func(c *trackedConn) { c.aborted.Store(true) })
 	if s.onCrash != nil {
 		s.onCrash(reason)
 	}
-	s.ln.each(except, (*trackedConn).abort)
+	s.ln.each(except, func(c *trackedConn) {
+		if c.aborted.Load() {
+			c.abort()
+		}
+	})
 }
 
 // setFaults replaces the switches; except keeps the connection that asked for it.
@@ -265,6 +273,12 @@
 	return c
 }
 
+// aborted reports whether the connection that a context belongs to was aborted.
+func aborted(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	return ok && c.aborted.Load()
+}
+
 // sleep waits for d and returns false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
