--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,8 @@
 		ln      *trackedListener
 		servers []*http.Server
 		stop    chan struct{}
+		// stopOnce closes stop.
+		stopOnce sync.Once
 		// running returns the number of running requests, for RouteFault.
 		running func() int
 		// onCrash resets the stand-in's own state; nil if it has none.
@@ -104,19 +107,16 @@
 
 // Close stops the stand-in and breaks all its connections.
 func (s *Server) Close() {
-	select {
-	case <-s.stop:
-		return
-	default:
-		close(s.stop)
-	}
+	s.stopOnce.Do(func() { close(s.stop) })
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
 }
 
-// Shutdown stops the stand-in after its running requests have ended.
+// Shutdown stops the stand-in after its running requests have ended; long
+// polls end at once.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopOnce.Do(func() { close(s.stop) })
 	var first error
 	for _, srv := range s.servers {
 		if err := srv.Shutdown(ctx); err != nil && first == nil {
@@ -148,10 +148,18 @@
 		s.ln.suspend()
 		time.AfterFunc(restart, s.applyListening)
 	}
+	// Connections are marked before the state changes, so that it can tell
+	// requests from before the crash, and aborted after it, so that a caller who
+	// sees the crash sees the new state.
+	s.ln.each(except, func(c *trackedConn) { c.aborted.Store(true) })
 	if s.onCrash != nil {
 		s.onCrash(reason)
 	}
-	s.ln.each(except, (*trackedConn).abort)
+	s.ln.each(except, func(c *trackedConn) {
+		if c.aborted.Load() {
+			c.abort()
+		}
+	})
 }
 
 // setFaults replaces the switches; except keeps the connection that asked for it.
@@ -247,7 +255,11 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), v.delay) {
+	ctx := r.Context()
+	if v.late {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if !sleep(ctx, v.delay) {
 		panic(http.ErrAbortHandler)
 	}
 	if v.crash {
@@ -261,6 +273,12 @@
 	return c
 }
 
+// aborted reports whether the connection that a context belongs to was aborted.
+func aborted(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	return ok && c.aborted.Load()
+}
+
 // sleep waits for d and returns false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
