Wait for the first capacity of a queue

Cause: a queue that had served nothing for 200 ms stated a service rate of 0 and refused with an expected wait of one hour. Ruled out: too few slots; the refusals stopped as soon as the first grant arrived. Change: the rate counts as unknown until something was served; the expected wait is capped at a minute.

--- a/cladmission/rate.go
+++ b/cladmission/rate.go
@@ -7,8 +7,9 @@
 const (
 	// minBusy is the time with requests waiting before a rate is stated.
 	minBusy = 200 * time.Millisecond
-	// maxWait is the expected wait when nothing is being served.
-	maxWait = time.Hour
+	// maxWait caps the expected wait, and with it the time after which callers
+	// are told to retry.
+	maxWait = time.Minute
 )
 
 // rate measures the cost served per second while requests wait. Time without
@@ -37,7 +38,9 @@
 }
 
 func (r *rate) perSecond() (float64, bool) {
-	if r.busy < minBusy {
+	// A queue that has served nothing yet waits for its first capacity, at the
+	// start of a process for instance; that says nothing about the rate to come.
+	if r.busy < minBusy || r.served == 0 {
 		return 0, false
 	}
 	return r.served / r.busy.Seconds(), true
