Keep request strings past the handler; hold slots of abandoned attempts

Cause: fiber reuses the memory of a request's strings. Streams kept the path, so outcomes were counted under routes such as /services/orders/boo, and a good version move was undone for want of evidence on them. Errors of go-faster/errors.Wrap are not nil for nil, so clean stops were reported as failures. An endpoint learns of an abandoned connection only with its next write. Change: fiber's Immutable setting; explicit nil checks; slots of abandoned attempts stay taken for 200 ms; gauges of each endpoint's limit and count.

--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -132,7 +132,10 @@
 	time.Sleep(sh.GetBalancerDelay().AsDuration())
 	ctx, cancel := context.WithTimeout(context.Background(), sh.GetDrainTimeout().AsDuration())
 	defer cancel()
-	return errors.Wrap(c.server.Shutdown(ctx), "shut down")
+	if err := c.server.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "shut down")
+	}
+	return nil
 }
 
 func (c *Control) build() {
--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -23,6 +23,9 @@
 	bootProbeWait     = time.Second
 	bootProbeInterval = 50 * time.Millisecond
 	crashLifetime     = time.Hour
+	// abandonedHold is how long the slot of an abandoned attempt stays taken,
+	// because its endpoint learns of the closed connection only with its next write.
+	abandonedHold = 200 * time.Millisecond
 )
 
 type (
@@ -111,8 +114,13 @@
 	if err == nil && a.w.route.Alone {
 		a.r.gate.finishedAlone(a.w.fingerprint)
 	}
-	a.r.gate.release(a.p, clslot.Outcome{Healthy: err == nil && !fault, Failed: fault, FirstToken: a.first},
-		clroute.Result{OK: err == nil && !fault, Fault: fault, Suspect: suspect, FirstToken: a.first})
+	outcome := clslot.Outcome{Healthy: err == nil && !fault, Failed: fault, FirstToken: a.first}
+	result := clroute.Result{OK: err == nil && !fault, Fault: fault, Suspect: suspect, FirstToken: a.first}
+	if err == nil || kindOf(err) == clendpoint.KindNotSent {
+		a.r.gate.release(a.p, outcome, result)
+	} else {
+		time.AfterFunc(abandonedHold, func() { a.r.gate.release(a.p, outcome, result) })
+	}
 	if err != nil {
 		a.r.log.Info("Attempt failed.", zap.String("request", a.w.id), zap.String("endpoint", a.p.endpoint.id),
 			zap.Bool("suspect", suspect), zap.Error(err))
--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -102,7 +102,7 @@
 	e.build(work)
 	g, work := errgroup.WithContext(work)
 	e.startLoops(g, work)
-	g.Go(func() error { return errors.Wrap(e.app.Listener(e.caller), "serve callers") })
+	g.Go(e.loopServe)
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -126,6 +126,13 @@
 	}
 }
 
+func (e *Entry) loopServe() error {
+	if err := e.app.Listener(e.caller); err != nil {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
+}
+
 // loopReadiness reports ready when the entry has the configuration that its peers have.
 func (e *Entry) loopReadiness(ctx context.Context) error {
 	e.Readiness.Meet(conditionServing)
@@ -174,7 +181,7 @@
 		wait: s.GetPlatform().GetNoticeWait().AsDuration(), log: clobserve.Component(e.Logger, "fleet"),
 	}
 	e.fleet.init()
-	e.buildSlots(store, transport)
+	e.buildSlots(store, transport, m)
 	e.evidence = &evidence{
 		node: e.node, transport: transport, views: e.views, timeout: transport.Timeout, log: clobserve.Component(e.Logger, "rollout"),
 		onSuspend: e.gate.suspend,
@@ -216,7 +223,7 @@
 	}
 }
 
-func (e *Entry) buildSlots(store clstore.Store, t *clpeer.Transport) {
+func (e *Entry) buildSlots(store clstore.Store, t *clpeer.Transport, m *metrics) {
 	s := e.Settings
 	slotCfg := clslot.DefaultConfig()
 	slotCfg.GrantLifetime = s.GetSlots().GetLifetime().AsDuration()
@@ -238,7 +245,7 @@
 		node: e.node, fleet: e.fleet, views: e.views, observer: e.Observer, store: store, slotCfg: slotCfg,
 		ttl: s.GetLease().GetTtl().AsDuration(), margin: s.GetLease().GetMargin().AsDuration(),
 		groups: s.GetSlots().GetSlotGroups(), interval: s.GetEndpoint().GetLoadInterval().AsDuration(),
-		log: clobserve.Component(e.Logger, "slots"), onLoad: e.gate.report,
+		log: clobserve.Component(e.Logger, "slots"), onLoad: e.gate.report, metrics: m,
 	}
 	e.grantors.init()
 	e.demander = &demander{
@@ -266,6 +273,8 @@
 	}
 	r := s.GetRequests()
 	e.app = fiber.New(fiber.Config{
+		// Strings of a request are kept past its handler, by streams for instance.
+		Immutable:             true,
 		DisableStartupMessage: true, BodyLimit: int(r.GetBodyLimit()), ReadBufferSize: int(r.GetHeaderLimit()),
 		IdleTimeout: r.GetIdleTimeout().AsDuration(), ReadTimeout: r.GetReadTimeout().AsDuration(),
 		Concurrency: int(r.GetMaxConnections()), ErrorHandler: sendFiberError,
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -57,7 +57,8 @@
 		interval time.Duration
 		log      *zap.Logger
 		// onLoad is called with each load report.
-		onLoad func(id string, l clendpoint.Load)
+		onLoad  func(id string, l clendpoint.Load)
+		metrics *metrics
 
 		mu    sync.Mutex
 		table []*group
@@ -267,6 +268,8 @@
 	gr.grantor.Report(id, clslot.Load{
 		BootID: l.BootID, ProducedAt: l.ProducedAt, Running: l.Running + l.Waiting, Cold: l.Cold,
 	}, now)
+	s.metrics.limit.WithLabelValues(id).Set(float64(gr.grantor.Limit(id)))
+	s.metrics.counted.WithLabelValues(id).Set(float64(gr.grantor.Counted(id, now)))
 	s.mu.Unlock()
 	s.onLoad(id, l)
 }
--- a/clentry/metrics.go
+++ b/clentry/metrics.go
@@ -18,6 +18,8 @@
 	firstToken *prometheus.HistogramVec
 	duration   *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
+	limit      *prometheus.GaugeVec
+	counted    *prometheus.GaugeVec
 }
 
 func newMetrics(m *clobserve.Metrics) *metrics {
@@ -29,6 +31,8 @@
 		refusals:   m.Counter(name("refusals", "total"), "Requests refused, by problem code and run state.", "code", "run"),
 		firstToken: m.Histogram(name("first_token", "seconds"), "Time from the attempt to the first byte of content.", firstTokenBuckets, "service"),
 		duration:   m.Histogram(name("request", "seconds"), "Time from arrival to the end of the answer.", prometheus.ExponentialBuckets(0.001, 2, 18), "service"),
+		limit:      m.Gauge(name("endpoint_limit", "count"), "Requests at once that the grantor allows at an endpoint.", "endpoint"),
+		counted:    m.Gauge(name("endpoint_counted", "count"), "Requests at once that the grantor must assume at an endpoint.", "endpoint"),
 		storeCalls: m.Counter(name("object_calls", "total"), "Calls to the object API for leases and bookings, by operation and result.", "op", "result"),
 	}
 }
