--- /dev/null
+++ b/clharness/fleet.go
@@ -0,0 +1,299 @@
+// This file defines the fleet of processes.
+
+package clharness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/go-faster/errors"
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+)
+
+type (
+	// Fleet runs the processes of one deployment. Exported fields are set before Start.
+	Fleet struct {
+		Profile Profile
+		// BinDir holds the built commands.
+		BinDir string
+		// WorkDir takes settings files and logs.
+		WorkDir string
+
+		Platform  *StandIn
+		Endpoints []*StandIn
+		Pairs     []*Pair
+	}
+
+	// StandIn is a simulated outside system.
+	StandIn struct {
+		*Process
+		Addr netip.AddrPort
+		// Admin stays reachable while the stand-in refuses connections.
+		Admin      netip.AddrPort
+		DataCentre string
+		Service    string
+		Version    string
+
+		args []string
+	}
+
+	// Pair is an entry and a control process on one instance.
+	Pair struct {
+		Index      int
+		DataCentre string
+		Entry      *Process
+		Control    *Process
+
+		caller, entryPeer, entryMetrics       netip.AddrPort
+		operator, controlPeer, controlMetrics netip.AddrPort
+	}
+
+	operatorTransport struct{ next http.RoundTripper }
+)
+
+const (
+	peerToken     = "harness-peer-token-0123"
+	operatorToken = "harness-operator-token-0123"
+	startTimeout  = 20 * time.Second
+	stopTimeout   = 30 * time.Second
+	callTimeout   = 10 * time.Second
+)
+
+// RoundTrip adds the operator's token.
+func (t operatorTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	return t.next.RoundTrip(r)
+}
+
+// Start starts everything, applies the configuration and waits until all
+// entries are ready. The caller must call Close, also after an error.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for i := range f.Profile.Engines {
+		if _, err := f.AddEngine(f.Profile.DataCentres[i%len(f.Profile.DataCentres)], OldVersion); err != nil {
+			return err
+		}
+	}
+	for i := range f.Profile.Plains {
+		if _, err := f.addPlain(f.Profile.DataCentres[i%len(f.Profile.DataCentres)]); err != nil {
+			return err
+		}
+	}
+	for i := range f.Profile.Pairs {
+		if err := f.addPair(i); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.Pairs {
+		if err := f.startPair(p); err != nil {
+			return err
+		}
+	}
+	if err := f.Apply(ctx, f.Profile.Config()); err != nil {
+		return err
+	}
+	for _, p := range f.Pairs {
+		if err := f.WaitReady(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	var g errgroup.Group
+	end := func(p *Process) {
+		if p != nil {
+			g.Go(func() error {
+				p.Kill()
+				return nil
+			})
+		}
+	}
+	for _, p := range f.Pairs {
+		end(p.Entry)
+		end(p.Control)
+	}
+	for _, e := range f.Endpoints {
+		end(e.Process)
+	}
+	if f.Platform != nil {
+		end(f.Platform.Process)
+	}
+	_ = g.Wait() // Kill does not fail.
+}
+
+func (f *Fleet) startStandIn(s *StandIn, name string, args ...string) error {
+	var err error
+	if !s.Addr.IsValid() {
+		if s.Addr, err = freeAddr(); err != nil {
+			return err
+		}
+		if s.Admin, err = freeAddr(); err != nil {
+			return err
+		}
+	}
+	s.args = args
+	full := append([]string{args[0], "--listen", s.Addr.String(), "--admin-listen", s.Admin.String()}, args[1:]...)
+	if s.Process, err = startProcess(f.WorkDir, name, filepath.Join(f.BinDir, "chestnutstand"), full...); err != nil {
+		return err
+	}
+	return waitFor(startTimeout, "start of "+name, func() bool { return reachable("http://" + s.Addr.String() + "/stats") })
+}
+
+func (f *Fleet) startPlatform() error {
+	f.Platform = &StandIn{}
+	return f.startStandIn(f.Platform, "platform", "platform")
+}
+
+// AddEngine starts an engine and registers it with the platform.
+func (f *Fleet) AddEngine(dataCentre, version string, args ...string) (*StandIn, error) {
+	s := &StandIn{DataCentre: dataCentre, Service: f.Profile.EngineService, Version: version}
+	all := append([]string{
+		"engine", "--service", s.Service, "--version", version,
+		"--tokens-per-second", fmt.Sprint(f.Profile.TokensPerSecond), "--cold-slots", fmt.Sprint(f.Profile.ColdSlots),
+	}, f.Profile.EngineArgs...)
+	return s, f.addEndpoint(s, fmt.Sprintf("engine-%d-%s", len(f.Endpoints), version), append(all, args...))
+}
+
+func (f *Fleet) addPlain(dataCentre string) (*StandIn, error) {
+	s := &StandIn{DataCentre: dataCentre, Service: f.Profile.PlainService, Version: OldVersion}
+	args := []string{"booking", "--service", s.Service, "--version", OldVersion}
+	if f.Profile.Deduplicates {
+		args = append(args, "--deduplicate")
+	}
+	return s, f.addEndpoint(s, fmt.Sprintf("plain-%d", len(f.Endpoints)), append(args, f.Profile.PlainArgs...))
+}
+
+func (f *Fleet) addEndpoint(s *StandIn, name string, args []string) error {
+	f.Endpoints = append(f.Endpoints, s)
+	if err := f.startStandIn(s, name, args...); err != nil {
+		return err
+	}
+	return f.register(s)
+}
+
+func (f *Fleet) register(s *StandIn) error {
+	return f.Platform.admin("/admin/instances", clplatform.Instance{
+		ID: s.Name, DataCentre: s.DataCentre, Class: "standard", Reclaimable: true, State: clplatform.InstanceLive,
+		Service: s.Service, Version: s.Version, Endpoint: s.Addr,
+	})
+}
+
+// addPair chooses the pair's addresses, which its peers' settings name as seeds.
+func (f *Fleet) addPair(i int) error {
+	p := &Pair{Index: i, DataCentre: f.Profile.DataCentres[i%len(f.Profile.DataCentres)]}
+	for _, a := range []*netip.AddrPort{&p.caller, &p.entryPeer, &p.entryMetrics, &p.operator, &p.controlPeer, &p.controlMetrics} {
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		*a = addr
+	}
+	f.Pairs = append(f.Pairs, p)
+	return nil
+}
+
+func (f *Fleet) startPair(p *Pair) error {
+	if err := f.StartControl(p); err != nil {
+		return err
+	}
+	return f.StartEntry(p)
+}
+
+// StartEntry starts the pair's entry process.
+func (f *Fleet) StartEntry(p *Pair) error {
+	text := fmt.Sprintf("[listen]\ncaller = %s\npeer = %s\nmetrics = %s\n", p.caller, p.entryPeer, p.entryMetrics)
+	var err error
+	p.Entry, err = f.startDaemon(p, "entry", p.entryPeer, text)
+	return err
+}
+
+// StartControl starts the pair's control process.
+func (f *Fleet) StartControl(p *Pair) error {
+	text := fmt.Sprintf("[listen]\noperator = %s\npeer = %s\nmetrics = %s\n[operator]\ntokens = %s\n",
+		p.operator, p.controlPeer, p.controlMetrics, operatorToken)
+	var err error
+	p.Control, err = f.startDaemon(p, "control", p.controlPeer, text)
+	return err
+}
+
+func (f *Fleet) startDaemon(p *Pair, role string, peer netip.AddrPort, listen string) (*Process, error) {
+	name := fmt.Sprintf("%s-%d", role, p.Index)
+	seeds := strings.Join(lo.Map(f.Pairs, func(p *Pair, _ int) string { return p.entryPeer.String() }), ", ")
+	sections := map[string]string{
+		"process":  fmt.Sprintf("name = %s\ndata_centre = %s\nregion = %s\n", name, p.DataCentre, f.Profile.Region),
+		"peer":     fmt.Sprintf("advertised = %s\nseeds = %s\ntoken = %s\n", peer, seeds, peerToken),
+		"platform": fmt.Sprintf("object_api_url = http://%s\ncloud_api_url = http://%s\n", f.Platform.Addr, f.Platform.Addr),
+		"shutdown": "balancer_delay = 500ms\ndrain_timeout = 30s\n",
+	}
+	for section, text := range f.Profile.Settings {
+		if section, only, ok := strings.Cut(section, "@"); !ok || only == role {
+			sections[section] += text
+		}
+	}
+	text := listen
+	for section, lines := range sections {
+		text += "[" + section + "]\n" + lines
+	}
+	path := filepath.Join(f.WorkDir, name+".ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	return startProcess(f.WorkDir, name, filepath.Join(f.BinDir, "chestnutlead"), role, "--settings", path)
+}
+
+// WaitReady waits until the pair's entry reports ready.
+func (f *Fleet) WaitReady(p *Pair) error {
+	return waitFor(startTimeout, fmt.Sprintf("readiness of entry-%d", p.Index), func() bool {
+		return reachable("http://" + p.entryMetrics.String() + "/readyz")
+	})
+}
+
+// Targets returns the callers' base URLs of the pairs whose entry runs.
+func (f *Fleet) Targets() []string {
+	return lo.FilterMap(f.Pairs, func(p *Pair, _ int) (string, bool) { return p.URL(), p.Entry != nil && p.Entry.Running() })
+}
+
+// URL returns the callers' base URL of the pair's entry.
+func (p *Pair) URL() string { return "http://" + p.caller.String() }
+
+// MetricsURL returns the base URL of the entry's metrics and health.
+func (p *Pair) MetricsURL() string { return "http://" + p.entryMetrics.String() }
+
+// Operator returns a client of the pair's control process.
+func (p *Pair) Operator() clwire.Operator {
+	c := &http.Client{Timeout: callTimeout, Transport: operatorTransport{http.DefaultTransport}}
+	return clwire.NewOperatorProtobufClient("http://"+p.operator.String(), c)
+}
+
+// Apply applies a configuration through the first control process that answers.
+func (f *Fleet) Apply(ctx context.Context, r *clwire.ApplyRequest) error {
+	return waitFor(startTimeout, "acceptance of the configuration", func() bool {
+		_, err := f.Pairs[0].Operator().Apply(ctx, r)
+		return err == nil
+	})
+}
+
+func reachable(url string) bool {
+	c := &http.Client{Timeout: time.Second}
+	resp, err := c.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // Only the status matters.
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/clharness/process.go
@@ -0,0 +1,131 @@
+// This file defines one process of the fleet.
+
+package clharness
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Process is a running process; its output goes to a file in the work folder.
+type Process struct {
+	Name string
+	// LogPath holds the process's output.
+	LogPath string
+
+	cmd    *exec.Cmd
+	done   chan struct{}
+	mu     sync.Mutex
+	paused bool
+	err    error
+}
+
+const (
+	killWait  = 5 * time.Second
+	probeWait = 50 * time.Millisecond
+)
+
+// startProcess starts a binary with arguments.
+func startProcess(workDir, name, binary string, args ...string) (*Process, error) {
+	p := &Process{Name: name, LogPath: filepath.Join(workDir, name+".log"), done: make(chan struct{})}
+	log, err := os.OpenFile(p.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	p.cmd = exec.Command(binary, args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The child dies with the harness, so that an aborted run leaves nothing behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s; run `make build` first", name)
+	}
+	go p.run(log)
+	return p, nil
+}
+
+// run waits for the process's end.
+func (p *Process) run(log *os.File) {
+	p.err = p.cmd.Wait()
+	_ = log.Close() // The process has written all it had.
+	close(p.done)
+}
+
+// PID returns the process's number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Kill ends the process at once, as an unannounced failure does.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL) // It may have ended already.
+	<-p.done
+}
+
+// Stop asks the process to shut down and waits until it has ended.
+func (p *Process) Stop(timeout time.Duration) error {
+	p.Continue()
+	_ = p.cmd.Process.Signal(syscall.SIGTERM) // It may have ended already.
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(timeout):
+		p.Kill()
+		return errors.Errorf("%s did not end within %s of SIGTERM", p.Name, timeout)
+	}
+}
+
+// Pause freezes the process until Continue.
+func (p *Process) Pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = true
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // It may have ended already.
+}
+
+// Continue resumes a paused process.
+func (p *Process) Continue() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused {
+		p.paused = false
+		_ = p.cmd.Process.Signal(syscall.SIGCONT) // It may have ended already.
+	}
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// freeAddr returns a loopback address whose port was free a moment ago.
+func freeAddr() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// waitFor polls until ok returns true.
+func waitFor(timeout time.Duration, what string, ok func() bool) error {
+	deadline := time.Now().Add(timeout)
+	for !ok() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("%s did not happen within %s", what, timeout)
+		}
+		time.Sleep(probeWait)
+	}
+	return nil
+}
