--- a/clobserve/server.go
+++ b/clobserve/server.go
@@ -62,7 +62,8 @@
 	go s.run(app, served)
 	select {
 	case err := <-served:
-		return errors.Wrap(err, "serve metrics")
+		// Wrap returns an error even for nil, as a server that stops on its own is a failure.
+		return errors.Wrap(err, "the metrics server stopped")
 	case <-ctx.Done():
 	}
 	if err := app.ShutdownWithTimeout(shutdownTimeout); err != nil {
