Add make demo; honour each service's data centres

Cause: the demo had no command, and requests went to endpoints in data centres that a service's configuration does not list. Change: chestnutload demo and make demo; endpoints outside a service's data centres are not routed to; stream positions must be contiguous, while the stream's name may change when another endpoint takes it over, because the name says where the stream is held.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 test: ## Runs all tests.
 	go test ./...
+
+demo: build ## Runs the main job on two deployments with real processes; under 90 s.
+	$(BIN)/chestnutload demo
--- a/clentry/demand.go
+++ b/clentry/demand.go
@@ -237,7 +237,7 @@
 	v := g.views.load()
 	var list []candidate
 	for _, e := range g.fleet.all() {
-		if _, leaving := g.fleet.isLeaving(e.id); leaving || e.service != key.service || e.version != key.version || v.out[e.dataCentre] {
+		if _, leaving := g.fleet.isLeaving(e.id); leaving || e.service != key.service || e.version != key.version || v.out[e.dataCentre] || !v.admits(e) {
 			continue
 		}
 		l := g.fleet.load(e.id)
--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -101,7 +101,7 @@
 	defer stop()
 	e.build(work)
 	g, work := errgroup.WithContext(work)
-	e.startLoops(g, work)
+	e.startLoops(work, g)
 	g.Go(e.loopServe)
 	g.Go(func() error {
 		select {
@@ -117,7 +117,7 @@
 	return err
 }
 
-func (e *Entry) startLoops(g *errgroup.Group, ctx context.Context) {
+func (e *Entry) startLoops(ctx context.Context, g *errgroup.Group) {
 	for _, loop := range []func(context.Context) error{
 		e.node.Run, e.config.Run, e.fleet.loopList, e.fleet.loopNotices, e.gate.loopExpire, e.grantors.run,
 		e.demander.loop, e.evidence.loop, e.loopReadiness,
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -407,15 +407,27 @@
 func (g *gate) setEndpoints(set []endpoint, removed []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, e := range set {
-		g.table.Set(clroute.Endpoint{ID: e.id, Service: e.service, Version: e.version, DataCentre: e.dataCentre})
-	}
+	g.setAdmitted(set)
 	for _, id := range removed {
 		g.table.Remove(id)
 		g.holder.Revoke(id)
 	}
 }
 
+// setAdmitted puts the endpoints that the configuration admits into the table.
+func (g *gate) setAdmitted(set []endpoint) {
+	v := g.views.load()
+	for _, e := range set {
+		if v != nil && v.admits(e) {
+			g.table.Set(clroute.Endpoint{ID: e.id, Service: e.service, Version: e.version, DataCentre: e.dataCentre})
+			_, leaving := g.fleet.isLeaving(e.id)
+			g.table.SetLeaving(e.id, leaving)
+		} else {
+			g.table.Remove(e.id)
+		}
+	}
+}
+
 func (g *gate) setLeaving(id string, at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -434,6 +446,7 @@
 	for dc, out := range v.out {
 		g.table.SetDataCentre(dc, out)
 	}
+	g.setAdmitted(g.fleet.all())
 	g.reassign()
 }
 
--- a/clentry/handler.go
+++ b/clentry/handler.go
@@ -146,11 +146,11 @@
 // caller's credential is not among them.
 func passHeaders(c *fiber.Ctx) []clendpoint.Header {
 	var hs []clendpoint.Header
-	c.Request().Header.VisitAll(func(name, value []byte) {
+	for name, value := range c.Request().Header.All() {
 		if !hopHeaders[strings.ToLower(string(name))] {
 			hs = append(hs, clendpoint.Header{Name: string(name), Value: string(value)})
 		}
-	})
+	}
 	return hs
 }
 
--- a/clentry/view.go
+++ b/clentry/view.go
@@ -3,6 +3,7 @@
 package clentry
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -101,14 +102,9 @@
 	return true
 }
 
-// admits reports whether the service may run in the data centre.
-func admits(svc *clstate.Service, dataCentre string) bool {
-	for _, d := range svc.GetDataCentres() {
-		if d == dataCentre {
-			return true
-		}
-	}
-	return false
+// admits reports whether the endpoint's service may run in its data centre.
+func (v *view) admits(e endpoint) bool {
+	return slices.Contains(v.services[e.service].GetDataCentres(), e.dataCentre)
 }
 
 func requestTimeout(svc *clstate.Service) time.Duration {
--- a/clload/answer.go
+++ b/clload/answer.go
@@ -117,10 +117,12 @@
 	return contiguous(a.Events)
 }
 
-// contiguous checks the IDs "<stream>:<position>". An event without text may
-// repeat the position before it; events without an ID are passed over.
+// contiguous checks the positions of the IDs "<stream>:<position>". The stream's
+// name may change, because it says which endpoint holds the stream and a stream
+// may be handed over. An event without text may repeat the position before it;
+// events without an ID are passed over.
 func contiguous(events []Event) error {
-	stream, last := "", -1
+	last := -1
 	for _, ev := range events {
 		if ev.ID == "" {
 			continue
@@ -131,10 +133,10 @@
 			return errors.Errorf("event ID %q is not <stream>:<position>", ev.ID)
 		}
 		repeats := position == last && tokenText([]byte(ev.Data)) == ""
-		if last >= 0 && (ev.ID[:i] != stream || (position != last+1 && !repeats)) {
-			return errors.Errorf("event %q follows %s:%d", ev.ID, stream, last)
+		if last >= 0 && position != last+1 && !repeats {
+			return errors.Errorf("event %q follows position %d", ev.ID, last)
 		}
-		stream, last = ev.ID[:i], position
+		last = position
 	}
 	return nil
 }
--- a/clload/request.go
+++ b/clload/request.go
@@ -40,10 +40,13 @@
 	}
 
 	completionBody struct {
-		Model     string    `json:"model"`
-		Stream    bool      `json:"stream"`
-		MaxTokens int       `json:"max_tokens"`
-		Messages  []message `json:"messages"`
+		Model     string `json:"model"`
+		Stream    bool   `json:"stream"`
+		MaxTokens int    `json:"max_tokens"`
+		// Temperature 0 makes another run give the same tokens, so that a
+		// stream whose endpoint is gone can go on elsewhere.
+		Temperature float64   `json:"temperature"`
+		Messages    []message `json:"messages"`
 	}
 
 	bookingBody struct {
--- a/cmd/chestnutload/main.go
+++ b/cmd/chestnutload/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	cmd := &cli.Command{Name: "chestnutload", Usage: "open-loop load for entries", Commands: clload.Commands()}
+	cmd := &cli.Command{Name: "chestnutload", Usage: "open-loop load for entries", Commands: append(clload.Commands(), demoCommand())}
 	err := cmd.Run(ctx, os.Args)
 	stop()
 	if err != nil {
