Carry endpoints' limits over a change of grantor; wake the plan executor by a fact

Change: the lease has a payload; grantors leave the limits they found in it, and a successor takes a limit over if the endpoint has the same boot ID and is not cold. DecidePlan spreads a fact that wakes the holder. The handover at a simultaneous start still costs seconds; next.

--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -171,7 +171,7 @@
 	c.node.OnFacts = c.learn
 	c.node.Init()
 	op := &operatorServer{
-		plans: plans, leases: leases, configs: configs, editor: ed, node: c.node, instances: c.Instances, pace: pc, kick: c.executor.wake,
+		plans: plans, leases: leases, configs: configs, editor: ed, node: c.node, instances: c.Instances, pace: pc,
 	}
 	c.server = clpeer.NewServer(guardOperators(s.GetOperator().GetTokens(), clwire.NewOperatorServer(op)))
 }
@@ -200,8 +200,11 @@
 // learn takes facts of peers and of this process.
 func (c *Control) learn(facts []clmember.Fact) {
 	for _, f := range facts {
-		if f.Kind == clmember.VersionSuspended {
+		switch f.Kind {
+		case clmember.VersionSuspended:
 			c.executor.rollouts.learnSuspended(f)
+		case clpeer.PlanDecided:
+			c.executor.wake()
 		}
 	}
 }
--- a/clcontrol/operator.go
+++ b/clcontrol/operator.go
@@ -28,6 +28,7 @@
 	leasePrefix      = "lease/"
 	maxOperatorBytes = 1 << 20
 	operatorScheme   = "Bearer "
+	planFactLifetime = 30 * time.Second
 )
 
 // operatorServer implements the operators' twirp service.
@@ -39,8 +40,6 @@
 	node      *clpeer.Node
 	instances clplatform.Instances
 	pace      pace
-	// kick makes the executor look at the plans at once.
-	kick func()
 }
 
 var _ clwire.Operator = (*operatorServer)(nil)
@@ -149,7 +148,10 @@
 	if err != nil {
 		return nil, twirpError(err)
 	}
-	s.kick()
+	// The holder of the control lease may be another process.
+	s.node.AddFact(clmember.Fact{
+		ID: "plan/" + p.GetId(), Kind: clpeer.PlanDecided, Lifetime: planFactLifetime, Subject: p.GetId(), Urgent: true,
+	})
 	return &clwire.DecidePlanResponse{Plan: p}, nil
 }
 
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -21,6 +21,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -139,10 +140,14 @@
 		})
 		gr.factAt = time.Time{}
 		s.setEndpoints(gr)
+		gr.grantor.Recall(recalledLimits(gr.runner.Payload()))
 		s.log.Info("Slot group acquired.", zap.Uint32("group", gr.number), zap.Uint64("fencing", state.Fencing))
 	case state.Held:
 		gr.grantor.Renewed(state.Fencing, state.Until)
 		s.setEndpoints(gr)
+		if list := gr.grantor.Remember(); len(list) > 0 {
+			gr.runner.SetPayload(limitsPayload(list))
+		}
 	case state.Lapsed:
 		if !was.Lapsed {
 			s.log.Warn("Slot lease lapsed because the object API is unavailable. Granting continues at half.",
@@ -172,6 +177,30 @@
 	}
 }
 
+// limitsPayload encodes limits for the lease's payload.
+func limitsPayload(list []clslot.Remembered) []byte {
+	m := &clstate.SlotLimits{Limits: lo.Map(list, func(r clslot.Remembered, _ int) *clstate.SlotLimit {
+		return &clstate.SlotLimit{EndpointId: r.Endpoint, BootId: r.BootID, Limit: uint32(r.Limit)}
+	})}
+	b, err := proto.Marshal(m)
+	if err != nil { // Strings from JSON are valid UTF-8, so this cannot fail.
+		return nil
+	}
+	return b
+}
+
+// recalledLimits decodes a former holder's payload; one that cannot be decoded
+// costs a ramp-up from the cold limit.
+func recalledLimits(payload []byte) []clslot.Remembered {
+	m := &clstate.SlotLimits{}
+	if proto.Unmarshal(payload, m) != nil {
+		return nil
+	}
+	return lo.Map(m.GetLimits(), func(l *clstate.SlotLimit, _ int) clslot.Remembered {
+		return clslot.Remembered{Endpoint: l.GetEndpointId(), BootID: l.GetBootId(), Limit: int(l.GetLimit())}
+	})
+}
+
 func limitsOf(svc *clstate.Service) clslot.Limits {
 	l := clslot.Limits{Cold: int(svc.GetColdSlots()), Max: int(svc.GetMaxSlots()), WarmAfter: int(svc.GetWarmAfter())}
 	l.Cold = max(l.Cold, 1)
--- a/cllease/core.go
+++ b/cllease/core.go
@@ -61,6 +61,7 @@
 		// outage says that the last call failed.
 		outage   bool
 		halvings *uint32
+		payload  []byte
 	}
 )
 
@@ -116,6 +117,13 @@
 // which is sent at once. State shows it when the update is confirmed.
 func (c *Core) SetHalvings(n uint32) { c.halvings = &n }
 
+// SetPayload stores bytes for a successor with each later renewal and with the
+// release. A successor keeps what it found until it sets its own.
+func (c *Core) SetPayload(b []byte) { c.payload = b }
+
+// Payload returns the bytes in the content last read or confirmed.
+func (c *Core) Payload() []byte { return c.lease.GetPayload() }
+
 // Observed reports the outcome of a read: the object, or the kind of the failure.
 func (c *Core) Observed(now time.Time, o clstore.Object, kind clstore.Kind) {
 	c.outage = kind != clstore.KindNone && kind != clstore.KindNotFound
@@ -196,6 +204,9 @@
 	l := proto.CloneOf(c.lease)
 	l.Renewal++
 	l.Ttl = durationpb.New(c.cfg.TTL)
+	if c.payload != nil {
+		l.Payload = c.payload
+	}
 	renewAt := c.until.Add(c.cfg.Margin - c.cfg.TTL + c.cfg.RenewEvery)
 	switch {
 	case !c.wanted:
@@ -214,7 +225,7 @@
 	l := &clstate.Lease{
 		Holder: c.cfg.Holder, Ttl: durationpb.New(c.cfg.TTL),
 		Fencing: c.lease.GetFencing() + 1, Renewal: c.lease.GetRenewal() + 1,
-		AllowanceHalvings: c.lease.GetAllowanceHalvings(),
+		AllowanceHalvings: c.lease.GetAllowanceHalvings(), Payload: c.lease.GetPayload(),
 	}
 	if c.lease != nil && !c.lease.Released {
 		l.AllowanceHalvings++
@@ -265,7 +276,7 @@
 	c.lease, c.version = l, version
 	switch {
 	case !c.mine():
-		c.gone, c.halvings = true, nil
+		c.gone, c.halvings, c.payload = true, nil, nil
 	case ours:
 		c.fencing, c.gone = l.Fencing, false
 		c.until = c.sentAt.Add(c.cfg.TTL - c.cfg.Margin)
--- a/cllease/runner.go
+++ b/cllease/runner.go
@@ -78,6 +78,26 @@
 	r.change(func() { r.core.SetHalvings(n) })
 }
 
+// SetPayload stores bytes for a successor; see Core.SetPayload.
+func (r *Runner) SetPayload(b []byte) {
+	if r.init() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.SetPayload(b)
+}
+
+// Payload returns the bytes in the content last read or confirmed.
+func (r *Runner) Payload() []byte {
+	if r.init() != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Payload()
+}
+
 // Err returns the error of the object last read, or nil.
 func (r *Runner) Err() error {
 	if err := r.init(); err != nil {
--- a/clpeer/node.go
+++ b/clpeer/node.go
@@ -31,6 +31,8 @@
 	SlotGrantor = clmember.FactKind(clwire.FactKind_FACT_KIND_SLOT_GRANTOR)
 	// ControlHolder names the process that holds the control lease.
 	ControlHolder = clmember.FactKind(clwire.FactKind_FACT_KIND_CONTROL_HOLDER)
+	// PlanDecided names a plan that an operator has confirmed or rejected.
+	PlanDecided = clmember.FactKind(clwire.FactKind_FACT_KIND_PLAN_DECIDED)
 )
 
 type (
--- /dev/null
+++ b/clslot/recall_test.go
@@ -0,0 +1,49 @@
+package clslot_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clslot"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRecall guards against warm endpoints that fall back to their cold limit
+// whenever their grantor changes, and against a recalled limit for an endpoint
+// that has restarted or turned cold meanwhile.
+func TestRecall(t *testing.T) {
+	limits := clslot.Limits{Cold: 2, Max: 32, WarmAfter: 4}
+	tests := []struct {
+		name string
+		load clslot.Load
+		want int
+	}{
+		{"same boot", clslot.Load{BootID: "b1"}, 16},
+		{"same boot, cold", clslot.Load{BootID: "b1", Cold: true}, 2},
+		{"restarted", clslot.Load{BootID: "b2"}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := clslot.DefaultConfig()
+			now := time.Unix(1_700_000_000, 0)
+			former := clslot.NewGrantor(cfg)
+			former.SetEndpoint("e", limits)
+			former.Acquired(clslot.Lease{Fencing: 1, Until: now.Add(time.Hour), FormerLapsed: now})
+			now = now.Add(time.Second)
+			former.Report("e", clslot.Load{BootID: "b1", ProducedAt: now}, now)
+			for i := range 3 {
+				former.Demand("entry", clslot.Demand{Endpoint: "e", Sequence: uint64(i + 1), Healthy: 4, Wanted: 1}, now)
+			}
+			require.Equal(t, 16, former.Limit("e"))
+
+			next := clslot.NewGrantor(cfg)
+			next.SetEndpoint("e", limits)
+			next.Acquired(clslot.Lease{Fencing: 2, Until: now.Add(time.Hour), FormerLapsed: now})
+			next.Recall(former.Remember())
+			now = now.Add(time.Second)
+			tt.load.ProducedAt = now
+			next.Report("e", tt.load, now)
+			require.Equal(t, tt.want, next.Limit("e"))
+		})
+	}
+}
