--- a/cllease/main_test.go
+++ b/cllease/main_test.go
@@ -19,6 +19,7 @@
 			_ = flag.Set(name, value)
 		}
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
 }
