Test ramp-up, attribution and end of predecessors in clslot

Cause: the random test of the sum rule reached takeovers too rarely to notice the loss of some guards. Change: the random test also takes over during an outage and after a release; scenario tests cover predecessors' end, carried requests, ramp-up and holders.

--- /dev/null
+++ b/clslot/grantor_test.go
@@ -0,0 +1,174 @@
+// This file checks single rules of grantors, ramps and holders.
+
+package clslot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// testTerm is a grantor in a term that follows another.
+type testTerm struct {
+	g        *Grantor
+	now      time.Time
+	sequence uint64
+}
+
+func newTestTerm(l Limits, halvings, running int) *testTerm {
+	s := &testTerm{g: NewGrantor(DefaultConfig()), now: time.Unix(1000, 0)}
+	s.g.SetEndpoint("ep", l)
+	s.g.Acquired(Lease{Fencing: 2, Until: s.now.Add(time.Hour), Halvings: halvings, FormerLapsed: s.now})
+	s.report(time.Second, "b1", running, false)
+	return s
+}
+
+func (s *testTerm) report(after time.Duration, boot string, running int, cold bool) {
+	s.now = s.now.Add(after)
+	s.g.Report("ep", Load{BootID: boot, ProducedAt: s.now, Running: running, Cold: cold}, s.now)
+}
+
+func (s *testTerm) demand(from string, d Demand) Grant {
+	s.sequence++
+	d.Endpoint, d.Sequence = "ep", s.sequence
+	return s.g.Demand(from, d, s.now)
+}
+
+// fill asks until an entry gets no more, and uses all.
+func (s *testTerm) fill(from string, inUse int) int {
+	for {
+		g := s.demand(from, Demand{InUse: inUse, Held: inUse, Wanted: 100, Fencing: 2})
+		if g.Slots <= inUse {
+			return inUse
+		}
+		inUse = g.Slots
+	}
+}
+
+// TestPredecessorsEnd guards against lifting the halving while a predecessor's
+// grants or requests can be left.
+func TestPredecessorsEnd(t *testing.T) {
+	s := newTestTerm(Limits{Cold: 8, Max: 8}, 1, 0)
+	require.Equal(t, 4, s.fill("e1", 0), "half of the limit beside a predecessor")
+	s.g.PredecessorsEnded(s.now)
+	s.report(time.Second, "b1", 0, false)
+	require.Equal(t, 4, s.fill("e1", 4), "the predecessor's last grants may still be used")
+	s.report(4*time.Second, "b1", 8, false)
+	require.Equal(t, 4, s.fill("e1", 4), "four requests of the predecessor run")
+	s.report(time.Second, "b1", 1, false)
+	require.Equal(t, 7, s.fill("e1", 1), "one of them may be left")
+	s.now = s.now.Add(2 * time.Second)
+	for range 40 {
+		s.report(2*time.Second, "b1", 7, false)
+		s.fill("e1", 7)
+	}
+	require.Equal(t, 8, s.fill("e1", 7), "none can be left after the request timeout")
+}
+
+// TestAttribution guards against counting a carried request twice for ever, and
+// against taking it out of the unattributed ones without proof that it was in.
+func TestAttribution(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		halvings       int
+		fencing        uint64
+		lowered        int
+		counted, again int
+	}{
+		{"proven", 0, 2, 0, 8, 8},
+		{"report in between", 0, 2, 7, 12, 7},
+		{"no answer of this term", 0, 1, 0, 13, 13},
+		{"predecessor active", 1, 2, 0, 13, 13},
+	} {
+		s := newTestTerm(Limits{Cold: 8, Max: 8}, c.halvings, 8)
+		s.demand("e1", Demand{InUse: 5, Held: 5, Wanted: 5, Carried: 5, Fencing: 1})
+		require.Equal(t, 13, s.g.Counted("ep", s.now), c.name)
+		if c.lowered > 0 {
+			s.report(time.Second, "b1", c.lowered, false)
+		}
+		d := Demand{InUse: 5, Held: 5, Wanted: 5, Carried: 5, Fencing: c.fencing}
+		s.demand("e1", d)
+		require.Equal(t, c.counted, s.g.Counted("ep", s.now), c.name)
+		s.demand("e1", d)
+		s.demand("e1", d)
+		require.Equal(t, c.again, s.g.Counted("ep", s.now), c.name)
+	}
+}
+
+// TestRampUp guards against load on a cold endpoint and against one that never warms.
+func TestRampUp(t *testing.T) {
+	s := newTestTerm(testLimits, 0, 0)
+	answers := func(healthy, failed int, first time.Duration) func() {
+		return func() {
+			s.demand("e1", Demand{Healthy: healthy, Failed: failed, SlowestFirstToken: first * time.Millisecond})
+		}
+	}
+	load := func(after time.Duration, boot string, cold bool) func() {
+		return func() { s.report(after, boot, 0, cold) }
+	}
+	for _, c := range []struct {
+		name  string
+		event func()
+		limit int
+	}{
+		{"start", func() {}, 2},
+		{"too few answers", answers(3, 0, 300), 2},
+		{"enough answers", answers(1, 0, 300), 4},
+		{"a failure starts the count again", answers(3, 1, 300), 4},
+		{"three more", answers(3, 0, 300), 4},
+		{"one step for each report", answers(20, 0, 300), 8},
+		{"warm", answers(20, 0, 300), 8},
+		{"three times the usual time", answers(1, 0, 900), 8},
+		{"usual", answers(1, 0, 300), 8},
+		{"usual again", answers(1, 0, 300), 8},
+		{"several times the usual time", answers(1, 0, 3000), 2},
+		{"answers from before the reset", answers(20, 0, 300), 2},
+		{"answers from after it", answers(20, 0, 300), 4},
+		{"same boot", load(time.Second, "b1", false), 4},
+		{"restart", load(time.Second, "b2", false), 2},
+		{"old report of the former boot", load(-time.Second, "b1", false), 2},
+		{"answers of the former boot", answers(20, 0, 300), 2},
+		{"warm again", answers(20, 0, 300), 4},
+		{"answers at a lower limit do not count on", answers(1, 0, 300), 4},
+		{"cold without a restart", load(5*time.Second, "b2", true), 2},
+	} {
+		resets := s.g.endpoints["ep"].ramp.resets
+		c.event()
+		require.Equal(t, c.limit, s.g.Limit("ep"), c.name)
+		if c.name == "old report of the former boot" {
+			require.Equal(t, resets, s.g.endpoints["ep"].ramp.resets, c.name)
+		}
+	}
+}
+
+// TestHolder guards against slots used after their expiry, kept while idle, or
+// reported as carried after they ended.
+func TestHolder(t *testing.T) {
+	h, now := NewHolder(DefaultConfig()), time.Unix(1000, 0)
+	grant := func(slots int, fencing uint64) bool {
+		d := h.Demand("ep", 3, now)
+		return h.Apply(Grant{Endpoint: "ep", Sequence: d.Sequence, Slots: slots, Lifetime: 3 * time.Second, Fencing: fencing}, now)
+	}
+	require.True(t, grant(3, 5))
+	a, _ := h.Acquire("ep", now)
+	_, ok := h.Acquire("ep", now)
+	require.True(t, ok)
+	require.False(t, grant(3, 4), "a former grantor's grant")
+	require.True(t, grant(3, 6))
+	require.Equal(t, 2, h.Demand("ep", 0, now).Carried)
+	h.Release(a, Outcome{Healthy: true, FirstToken: time.Second}, now)
+	require.Equal(t, 1, h.Demand("ep", 0, now).Carried)
+	require.True(t, grant(3, 6))
+	require.Equal(t, 2, h.Available("ep", now))
+
+	now = now.Add(1100 * time.Millisecond)
+	require.Equal(t, []string{"ep"}, h.Due(now), "an idle slot is to be returned after a second")
+	require.Equal(t, 2, h.Demand("ep", 0, now).Held)
+	h.Revoke("ep")
+	require.Zero(t, h.Available("ep", now))
+	require.True(t, grant(3, 6))
+	now = now.Add(3 * time.Second)
+	require.Zero(t, h.Available("ep", now))
+	require.Equal(t, 1, h.InUse("ep"), "a running request keeps its slot past the expiry")
+}
--- a/clslot/property_test.go
+++ b/clslot/property_test.go
@@ -22,6 +22,11 @@
 			panic(err)
 		}
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("300"); err != nil {
+			panic(err)
+		}
+	}
 	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
 }
@@ -34,7 +39,7 @@
 		w := newWorld(t, seen)
 		actions := []func(){
 			w.stepTime, w.stepTime, w.stepCall, w.stepCall, w.stepCall, w.stepAcquire, w.stepAcquire, w.stepAcquire,
-			w.stepArrive, w.stepArrive, w.stepEnd, w.stepEnd, w.stepReport, w.stepReport, w.stepLease, w.stepLease,
+			w.stepArrive, w.stepArrive, w.stepEnd, w.stepReport, w.stepReport, w.stepLease, w.stepLease,
 			w.stepMessage, w.stepMessage, w.stepFault,
 		}
 		for range 1000 {
@@ -46,7 +51,7 @@
 	t.Log(seen)
 	for _, s := range []string{
 		"raised", "raised in outage", "raised at half", "raised after predecessors", "raised above cold",
-		"raised by successor", "raised with unattributed",
+		"raised by successor", "raised with unattributed", "attributed",
 	} {
 		require.NotZero(t, seen[s], "the runs never reached: %s", s)
 	}
@@ -168,24 +173,50 @@
 	switch {
 	case p.paused:
 	case l.holder == p && w.n(40) == 0 && !p.cut:
-		p.g.Lost()
-		l.holder, l.released, l.until = nil, true, w.now.Add(w.cfg.GrantLifetime)
+		w.release(p)
 	case l.holder == p || p.cut:
 		w.renew(p)
 	default:
-		p.g.Lost()
-		if !l.released && w.now.Before(l.until) {
-			return
-		}
-		if !l.released {
-			l.halvings++
-		}
-		l.holder, l.released = p, false
-		l.fencing++
-		formerLapsed := l.until
-		l.until = w.now.Add(leaseTTL)
-		p.g.Acquired(Lease{Fencing: l.fencing, Until: l.until, Halvings: l.halvings, FormerLapsed: formerLapsed})
+		w.acquire(p)
+	}
+}
+
+func (w *world) release(p *testGrantor) {
+	p.g.Lost()
+	w.lease.holder, w.lease.released, w.lease.until = nil, true, w.now.Add(w.cfg.GrantLifetime)
+}
+
+func (w *world) acquire(p *testGrantor) {
+	l := &w.lease
+	p.g.Lost()
+	if !l.released && w.now.Before(l.until) {
+		return
+	}
+	if !l.released {
+		l.halvings++
+	}
+	l.holder, l.released = p, false
+	l.fencing++
+	formerLapsed := l.until
+	l.until = w.now.Add(leaseTTL)
+	p.g.Acquired(Lease{Fencing: l.fencing, Until: l.until, Halvings: l.halvings, FormerLapsed: formerLapsed})
+}
+
+// stepTakeover changes the holder, by a release or while the former one is cut off.
+func (w *world) stepTakeover() {
+	p, o := w.lease.holder, w.grantor()
+	if p == nil || o == p || o.paused || p.paused {
+		return
+	}
+	if w.n(2) == 0 {
+		w.release(p)
+	} else {
+		p.cut = true
+		p.g.Unavailable()
+		w.advance(max(0, w.lease.until.Sub(w.now)))
 	}
+	o.cut = false
+	w.acquire(o)
 }
 
 func (w *world) renew(p *testGrantor) {
@@ -212,9 +243,9 @@
 }
 
 func (w *world) stepFault() {
-	faults := []func(){w.stepEntryFault, w.stepGrantorFault, w.stepEndpointFault}
+	faults := []func(){w.stepEntryFault, w.stepGrantorFault, w.stepEndpointFault, w.stepTakeover}
 	if w.n(3) == 0 {
-		faults[w.n(3)]()
+		faults[w.n(len(faults))]()
 	}
 }
 
--- a/clslot/world_test.go
+++ b/clslot/world_test.go
@@ -166,7 +166,13 @@
 		return
 	}
 	before := w.exposure()
+	led := m.to.g.endpoints["ep"]
+	led.expire(w.cfg, w.now)
+	unattributed := led.unattributed.slots
 	g := m.to.g.Demand(m.name, m.d, w.now)
+	if led.unattributed.slots < unattributed {
+		w.seen["attributed"]++
+	}
 	w.answers = append(w.answers, testAnswer{m.from, m.from.h, g})
 	if m.name != m.from.name {
 		w.answers = w.answers[:len(w.answers)-1]
@@ -176,7 +182,6 @@
 	if after <= before {
 		return
 	}
-	led := m.to.g.endpoints["ep"]
 	limit := led.ramp.limit
 	w.raises = append(w.raises, testRaise{w.now, limit})
 	w.count(m.to, led)
