Measure the capacity that slot leases leave unused

Cause: the sum rule counts slots that may be in use, so some stay idle. Holder.Held lists endpoints with a free slot.

--- /dev/null
+++ b/clslot/capacity_test.go
@@ -0,0 +1,231 @@
+// This file measures how much capacity the sum rule leaves unused.
+
+package clslot
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	capacityStep     = 10 * time.Millisecond
+	capacityReports  = time.Second
+	capacityDue      = 100 * time.Millisecond
+	capacityAskAgain = 50 * time.Millisecond
+	capacityWarmup   = 5 * time.Second
+	capacityEnd      = 20 * time.Second
+	capacityService  = 2 * time.Second
+	capacityPatience = 2 * time.Second
+	capacitySlots    = 8
+)
+
+type (
+	// capacityRun is a fleet whose entries share slots by leases or by a fixed split.
+	capacityRun struct {
+		entries, endpoints int
+		load, skew         float64
+		static             bool
+
+		rnd      *rand.Rand
+		now      time.Time
+		grantor  *Grantor
+		holders  []*Holder
+		owned    []int // slots of each entry in the fixed split
+		queues   [][]time.Time
+		askAgain []time.Time
+		weights  []float64
+		ends     map[int64][]capacityEndOf
+		running  map[string]int
+		reported map[string]int
+		ids      []string
+
+		busy, offered, refused, started, demands int
+		waited                                   time.Duration
+	}
+
+	capacityEndOf struct {
+		entry  int
+		ticket Ticket
+	}
+)
+
+// TestCapacityUnused prints the part of all slots that stays idle, and guards
+// against a bound that leaves more unused under overload than a fixed split.
+func TestCapacityUnused(t *testing.T) {
+	for _, skew := range []float64{0, 0.5} {
+		for _, load := range []float64{0.8, 1.3} {
+			leased, fixed := measureCapacity(t, 9, 15, skew, load)
+			if load > 1 && skew > 0 {
+				require.Less(t, leased, fixed)
+			}
+		}
+	}
+}
+
+// BenchmarkCapacityUnused measures the same at the design scale.
+func BenchmarkCapacityUnused(b *testing.B) {
+	for b.Loop() {
+		for _, load := range []float64{0.8, 1.3} {
+			leased, fixed := measureCapacity(b, 390, 600, 0.5, load)
+			b.ReportMetric(leased, fmt.Sprintf("unused-leased-load-%.1f", load))
+			b.ReportMetric(fixed, fmt.Sprintf("unused-fixed-load-%.1f", load))
+		}
+	}
+}
+
+func measureCapacity(t testing.TB, entries, endpoints int, skew, load float64) (leased, fixed float64) {
+	var unused [2]float64
+	for i, static := range []bool{false, true} {
+		r := &capacityRun{entries: entries, endpoints: endpoints, load: load, skew: skew, static: static}
+		unused[i] = r.run()
+		t.Logf("seed 1, %d entries, %d endpoints, skew %.1f, load %.1f, static %v: unused %.3f, refused %.3f, mean wait %v, demands per request %.2f",
+			entries, endpoints, skew, load, static, unused[i], float64(r.refused)/float64(r.offered),
+			(r.waited / time.Duration(max(1, r.started))).Round(time.Millisecond), float64(r.demands)/float64(r.started))
+	}
+	return unused[0], unused[1]
+}
+
+func (r *capacityRun) run() float64 {
+	r.rnd = rand.New(rand.NewPCG(1, 1))
+	r.now = time.Unix(1000, 0)
+	start := r.now
+	cfg := DefaultConfig()
+	r.grantor = NewGrantor(cfg)
+	r.grantor.Acquired(Lease{Fencing: 1, Until: r.now.Add(time.Hour), FormerLapsed: r.now.Add(-time.Hour)})
+	r.ends, r.running, r.reported = map[int64][]capacityEndOf{}, map[string]int{}, map[string]int{}
+	for i := range r.endpoints {
+		id := fmt.Sprint("ep-", i)
+		r.ids = append(r.ids, id)
+		r.grantor.SetEndpoint(id, Limits{Cold: capacitySlots, Max: capacitySlots})
+	}
+	r.owned = make([]int, r.entries)
+	for s := range r.endpoints * capacitySlots {
+		r.owned[s%r.entries]++
+	}
+	r.askAgain = make([]time.Time, r.entries)
+	r.queues = make([][]time.Time, r.entries)
+	sum := 0.0
+	for range r.entries {
+		r.holders = append(r.holders, NewHolder(cfg))
+		w := math.Exp(r.skew * r.rnd.NormFloat64())
+		r.weights = append(r.weights, w)
+		sum += w
+	}
+	perStep := r.load * float64(r.endpoints*capacitySlots) * capacityStep.Seconds() / capacityService.Seconds()
+	steps := 0
+	for ; r.now.Sub(start) < capacityEnd; r.now = r.now.Add(capacityStep) {
+		if r.now.Sub(start) == capacityWarmup {
+			steps, r.busy, r.offered, r.refused, r.started, r.demands, r.waited = 0, 0, 0, 0, 0, 0, 0
+		}
+		r.end()
+		r.report(start)
+		for e := range r.entries {
+			for mean := perStep * r.weights[e] / sum; r.rnd.Float64() < mean; mean-- {
+				r.queues[e] = append(r.queues[e], r.now)
+				r.offered++
+			}
+			r.serve(e)
+		}
+		for _, n := range r.running {
+			r.busy += n
+		}
+		steps++
+	}
+	return 1 - float64(r.busy)/float64(steps*r.endpoints*capacitySlots)
+}
+
+func (r *capacityRun) end() {
+	key := r.now.UnixNano()
+	for _, x := range r.ends[key] {
+		r.running[x.ticket.Endpoint]--
+		if r.static {
+			r.owned[x.entry]++
+		} else {
+			r.holders[x.entry].Release(x.ticket, Outcome{Healthy: true, FirstToken: time.Second}, r.now)
+		}
+	}
+	delete(r.ends, key)
+}
+
+func (r *capacityRun) report(start time.Time) {
+	if r.now.Sub(start)%capacityReports != 0 {
+		return
+	}
+	for _, id := range r.ids {
+		r.reported[id] = r.running[id]
+		r.grantor.Report(id, Load{BootID: "b", ProducedAt: r.now, Running: r.running[id]}, r.now)
+	}
+}
+
+// serve starts the waiting requests of an entry on slots that it has or gets.
+func (r *capacityRun) serve(e int) {
+	h := r.holders[e]
+	if !r.static && r.now.UnixNano()%int64(capacityDue) == 0 {
+		for _, id := range h.Due(r.now) {
+			r.call(e, id, 0)
+		}
+	}
+	for len(r.queues[e]) > 0 {
+		ticket, ok := r.acquire(e)
+		if !ok {
+			break
+		}
+		r.waited += r.now.Sub(r.queues[e][0])
+		r.started++
+		r.queues[e] = r.queues[e][1:]
+		r.running[ticket.Endpoint]++
+		service := time.Duration(r.rnd.ExpFloat64()*float64(capacityService))/capacityStep + 1
+		at := r.now.Add(service * capacityStep).UnixNano()
+		r.ends[at] = append(r.ends[at], capacityEndOf{e, ticket})
+	}
+	for len(r.queues[e]) > 0 && r.now.Sub(r.queues[e][0]) > capacityPatience {
+		r.queues[e] = r.queues[e][1:]
+		r.refused++
+	}
+}
+
+// acquire takes a slot that the entry holds, or asks for one at the less loaded
+// of two endpoints by their last reports, and once more where it was refused.
+func (r *capacityRun) acquire(e int) (Ticket, bool) {
+	if r.static {
+		r.owned[e]--
+		if r.owned[e] < 0 {
+			r.owned[e] = 0
+			return Ticket{}, false
+		}
+		return Ticket{Endpoint: "any"}, true
+	}
+	h := r.holders[e]
+	for _, id := range h.Held(r.now) {
+		if ticket, ok := h.Acquire(id, r.now); ok {
+			return ticket, true
+		}
+	}
+	for range 2 {
+		if r.now.Before(r.askAgain[e]) {
+			break
+		}
+		id := r.ids[r.rnd.IntN(len(r.ids))]
+		if other := r.ids[r.rnd.IntN(len(r.ids))]; r.reported[other] < r.reported[id] {
+			id = other
+		}
+		r.call(e, id, 1)
+		if ticket, ok := h.Acquire(id, r.now); ok {
+			return ticket, true
+		}
+	}
+	if !r.now.Before(r.askAgain[e]) {
+		r.askAgain[e] = r.now.Add(capacityAskAgain)
+	}
+	return Ticket{}, false
+}
+
+func (r *capacityRun) call(e int, id string, waiting int) {
+	r.demands++
+	r.holders[e].Apply(r.grantor.Demand(fmt.Sprint("entry-", e), r.holders[e].Demand(id, waiting, r.now), r.now), r.now)
+}
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -68,6 +68,18 @@
 	return max(0, e.slots-e.inUse)
 }
 
+// Held returns the endpoints at which Acquire can take a slot now, sorted.
+func (h *Holder) Held(now time.Time) []string {
+	var ids []string
+	for id := range h.endpoints {
+		if h.Available(id, now) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // InUse returns the running requests at an endpoint.
 func (h *Holder) InUse(endpoint string) int {
 	if e := h.endpoints[endpoint]; e != nil {
