--- a/clslot/property_test.go
+++ b/clslot/property_test.go
@@ -173,13 +173,18 @@
 	switch {
 	case p.paused:
 	case l.holder == p && w.n(40) == 0 && !p.cut:
-		"raised by successor", "raised with unattributed", "raised after resume", "attributed",
+		w.release(p)
+	case l.holder == p || p.cut:
+		w.renew(p)
+	default:
+		w.acquire(p)
 	}
 }
 
 func (w *world) release(p *testGrantor) {
 	p.g.Lost()
 	w.lease.holder, w.lease.released, w.lease.until = nil, true, w.now.Add(w.cfg.GrantLifetime)
+	w.lease.state, w.lease.complete = p.g.State(), true
 }
 
 func (w *world) acquire(p *testGrantor) {
@@ -196,6 +201,22 @@
 	formerLapsed := l.until
 	l.until = w.now.Add(leaseTTL)
 	p.g.Acquired(Lease{Fencing: l.fencing, Until: l.until, Halvings: l.halvings, FormerLapsed: formerLapsed})
+	w.inherit(p)
+}
+
+// inherit gives a new holder what the former one left; a payload can be lost.
+func (w *world) inherit(p *testGrantor) {
+	state, complete := w.lease.state, w.lease.complete
+	w.lease.state, w.lease.complete = nil, false
+	p.resumed = false
+	switch {
+	case w.n(4) == 0:
+	case complete:
+		p.g.Resume(state, w.now)
+		p.resumed = len(state) > 0
+	default:
+		p.g.Recall(state)
+	}
 }
 
 // stepTakeover changes the holder, by a release or while the former one is cut off.
