Store configuration changes through clrevision

Cause: the control process had its own check and its own handling of lost answers, which clrevision does better: it lists every problem and settles a lost answer by the proposal ID.

--- a/clcontrol/config.go
+++ b/clcontrol/config.go
@@ -8,48 +8,63 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clpeer"
+	"github.com/chestnutlead/chestnutlead/clrevision"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/timestamppb"
 )
 
 const (
 	pushFanout  = 4
 	pushTimeout = time.Second
+	// proposeTimeout bounds a change with its reads after a lost answer; it is
+	// below the operators' usual call timeout.
+	proposeTimeout = 8 * time.Second
 )
 
 // editor changes the configuration by conditional updates and spreads each
 // accepted revision.
 type editor struct {
-	store *store[*clstate.ConfigSnapshot]
-	node  *clpeer.Node
-	log   *zap.Logger
+	proposer *clrevision.Proposer
+	node     *clpeer.Node
+	log      *zap.Logger
 }
 
+// errNoChange ends a proposal that would change nothing.
+var errNoChange = errors.New("nothing to change")
+
 // change applies f to the current configuration; f reports whether it changed
 // anything. The returned snapshot is accepted, and peers have been told.
 func (e *editor) change(ctx context.Context, reason string, f func(*clstate.ConfigSnapshot) (bool, error)) (*clstate.ConfigSnapshot, error) {
-	changed := false
-	s, err := e.store.change(ctx, clpeer.ConfigKey, func(s *clstate.ConfigSnapshot) (bool, error) {
-		var err error
-		if changed, err = f(s); err != nil || !changed {
-			return false, err
-		}
-		s.Revision++
-		s.ProposalId = uuid.NewString()
-		s.ProposedAt = timestamppb.Now()
-		return true, validate(s)
+	return e.changeAt(ctx, 0, reason, f)
+}
+
+// changeAt is change for one revision only, unless that is 0.
+func (e *editor) changeAt(ctx context.Context, revision uint64, reason string, f func(*clstate.ConfigSnapshot) (bool, error)) (*clstate.ConfigSnapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var current *clstate.ConfigSnapshot
+	s, err := e.proposer.Propose(ctx, clrevision.Change{
+		ProposalID: uuid.NewString(), IfRevision: revision,
+		Apply: func(s *clstate.ConfigSnapshot) error {
+			current = clone(s)
+			changed, err := f(s)
+			if err == nil && !changed {
+				return errNoChange
+			}
+			return err
+		},
 	})
+	if errors.Is(err, errNoChange) {
+		return current, nil
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "change configuration")
 	}
-	if changed {
-		e.log.Info("Configuration accepted.", zap.Uint64("revision", s.GetRevision()), zap.String("reason", reason))
-		e.spread(ctx, s)
-	}
+	e.log.Info("Configuration accepted.", zap.Uint64("revision", s.GetRevision()), zap.String("reason", reason))
+	e.spread(ctx, s)
 	return s, nil
 }
 
--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
@@ -18,6 +17,7 @@
 	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clrevision"
 	"github.com/chestnutlead/chestnutlead/clsettings"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
@@ -59,7 +59,7 @@
 
 	// snapshots holds the applied configuration.
 	snapshots struct {
-		current atomic.Pointer[clstate.ConfigSnapshot]
+		clrevision.Holder[*clstate.ConfigSnapshot]
 	}
 )
 
@@ -69,19 +69,9 @@
 var Conditions = []string{conditionServing}
 
 // Current implements clpeer.Configs.
-func (s *snapshots) Current() *clstate.ConfigSnapshot { return s.current.Load() }
-
-// Apply implements clpeer.Configs.
-func (s *snapshots) Apply(c *clstate.ConfigSnapshot) bool {
-	for {
-		cur := s.current.Load()
-		if c.GetRevision() <= cur.GetRevision() {
-			return false
-		}
-		if s.current.CompareAndSwap(cur, c) {
-			return true
-		}
-	}
+func (s *snapshots) Current() *clstate.ConfigSnapshot {
+	c, _ := s.Holder.Current()
+	return c
 }
 
 // Listen opens the listeners and returns the operators' and the peers' address.
@@ -160,7 +150,7 @@
 	leases := &store[*clstate.Lease]{
 		objects: c.Objects, newT: func() *clstate.Lease { return new(clstate.Lease) }, mark: (*clstate.Lease).GetHolder,
 	}
-	ed := &editor{store: configs, node: c.node, log: clobserve.Component(c.Logger, "config")}
+	ed := &editor{proposer: &clrevision.Proposer{Store: c.lease.Store}, node: c.node, log: clobserve.Component(c.Logger, "config")}
 	c.executor = &executor{
 		plans: plans, editor: ed, node: c.node, lease: c.lease, instances: c.Instances, observer: c.Observer,
 		interval: s.GetPlans().GetInterval().AsDuration(), log: clobserve.Component(c.Logger, "plan"), kick: make(chan struct{}, 1),
--- a/clcontrol/operator.go
+++ b/clcontrol/operator.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clrevision"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/go-faster/errors"
@@ -65,10 +66,7 @@
 
 // Apply adds or replaces services, data centres and accounts.
 func (s *operatorServer) Apply(ctx context.Context, r *clwire.ApplyRequest) (*clwire.ApplyResponse, error) {
-	cfg, err := s.editor.change(ctx, "apply", func(c *clstate.ConfigSnapshot) (bool, error) {
-		if r.GetIfRevision() != 0 && r.GetIfRevision() != c.GetRevision() {
-			return false, conflict(clpeer.ConfigKey)
-		}
+	cfg, err := s.editor.changeAt(ctx, r.GetIfRevision(), "apply", func(c *clstate.ConfigSnapshot) (bool, error) {
 		before := clone(c)
 		c.Services = removeByName(replaceByName(c.Services, r.GetServices()), r.GetRemoveServices())
 		c.DataCentres = replaceByName(c.DataCentres, r.GetDataCentres())
@@ -216,13 +214,21 @@
 	}
 	var transitionErr *TransitionError
 	var intentErr *IntentError
-	var configErr *ConfigError
+	var invalidErr *clrevision.InvalidError
 	switch {
 	case errors.As(err, &transitionErr):
 		return twirp.NewError(twirp.Aborted, err.Error())
-	case errors.As(err, &intentErr), errors.As(err, &configErr):
+	case errors.As(err, &intentErr), errors.As(err, &invalidErr):
 		return twirp.NewError(twirp.InvalidArgument, err.Error())
 	}
+	switch clrevision.KindOf(err) {
+	case clrevision.KindConflict:
+		return twirp.NewError(twirp.Aborted, err.Error())
+	case clrevision.KindUnknown:
+		return twirp.NewError(twirp.DeadlineExceeded, "it is unknown whether the change took effect: "+err.Error())
+	case clrevision.KindUnavailable:
+		return twirp.NewError(twirp.Unavailable, "nothing was changed: "+err.Error())
+	}
 	switch clplatform.KindOf(err) {
 	case clplatform.KindConflict:
 		return twirp.NewError(twirp.Aborted, err.Error())
--- a/clpeer/calls.go
+++ b/clpeer/calls.go
@@ -71,10 +71,9 @@
 	if err == nil && resp.GetConfig() != nil {
 		n.ApplyConfig(resp.GetConfig())
 	}
-	if err != nil || resp.GetConfig() == nil {
-		n.mu.Lock()
-		n.core.FetchFailed()
-		n.mu.Unlock()
+	if err != nil {
+		// The core asks again as long as a peer is known to be ahead.
+		n.Log.Debug("Configuration cannot be fetched.", zap.String("peer", c.To.ID), zap.Error(err))
 	}
 }
 
