--- a/clroute/circuit.go
+++ b/clroute/circuit.go
@@ -18,6 +18,7 @@
 	// request is let through at a time.
 	circuit struct {
 		failures  int
+		trial     bool
 		openFor   time.Duration
 		openUntil time.Time
 	}
@@ -42,6 +43,7 @@
 // probe keeps others out while a trial request runs. If the trial's end is never
 // reported, another trial is let through after the same time.
 func (c *circuit) probe(cfg CircuitConfig, now time.Time) {
+	c.trial = true
 	c.openUntil = now.Add(max(c.openFor, cfg.OpenFor))
 }
 
@@ -52,9 +54,11 @@
 	if c.failures < cfg.Failures {
 		return
 	}
-	if c.openFor > 0 && now.Before(c.openUntil.Add(-c.openFor)) {
+	if !c.trial && now.Before(c.openUntil) {
+		// A request that was sent before the circuit opened says nothing new.
 		return
 	}
+	c.trial = false
 	c.openFor = min(max(2*c.openFor, cfg.OpenFor), cfg.OpenForMax)
 	c.openUntil = now.Add(c.openFor)
 }
--- a/clroute/pick.go
+++ b/clroute/pick.go
@@ -66,26 +66,13 @@
 		}
 		t.consider(r, ref, holders.blocks[i], nanos, &with, &without, &last)
 	}
-	// A stride that has no divisor in common with the length visits each
-	// endpoint once, from a random start and with random neighbours.
-	n := uint32(len(g.refs))
-	at, stride := rnd.Uint32N(n), strideFor(n, rnd)
-	for range n {
-		if with.n >= t.cfg.Sample {
-			break
-		}
-		ref := g.refs[at]
-		at += stride
-		if at >= n {
-			at -= n
-		}
-		if !holders.has(ref) {
-			t.consider(r, ref, 0, nanos, &with, &without, &last)
-		}
-	}
+	x := scan{t: t, r: r, holders: &holders, nanos: nanos, with: &with, without: &without, last: &last}
+	x.walk(g.ready, &with, rnd)
 	if with.n > 0 {
 		return t.choose(&with, r, rnd)
 	}
+	// Without a slot the walk finds where to ask for one, or why there is none.
+	x.walk(g.refs, &without, rnd)
 	c := Choice{Reason: last}
 	if without.n > 0 {
 		c = t.choose(&without, r, rnd)
@@ -94,6 +81,40 @@
 	return c
 }
 
+// scan is the walk of one decision.
+type scan struct {
+	t             *Table
+	r             *Request
+	holders       *holderSet
+	nanos         int64
+	with, without *candidates
+	last          *Reason
+}
+
+// walk considers endpoints until a sample is full. A stride that has no
+// divisor in common with the length visits each one once, from a random start
+// and with random neighbours.
+func (x *scan) walk(refs []int32, sample *candidates, rnd *rand.Rand) {
+	n := uint32(len(refs))
+	if n == 0 {
+		return
+	}
+	at, stride := rnd.Uint32N(n), strideFor(n, rnd)
+	for range n {
+		if sample.n >= x.t.cfg.Sample {
+			return
+		}
+		ref := refs[at]
+		at += stride
+		if at >= n {
+			at -= n
+		}
+		if !x.holders.has(ref) {
+			x.t.consider(x.r, ref, 0, x.nanos, x.with, x.without, x.last)
+		}
+	}
+}
+
 // consider applies the filters to an endpoint and adds it to the candidates with
 // or without a slot. last becomes the latest filter that any endpoint reached.
 func (t *Table) consider(r *Request, ref, blocks int32, nanos int64, with, without *candidates, last *Reason) {
--- a/clroute/prefix.go
+++ b/clroute/prefix.go
@@ -127,6 +127,16 @@
 	return h, ok && h.n > 0
 }
 
+// current reports whether a holder has not lost its cache since.
+func (h *holders) current(eps []hot) bool {
+	for k := range int(h.n) {
+		if eps[h.refs[k]].epoch == h.epochs[k] {
+			return true
+		}
+	}
+	return false
+}
+
 // lookup finds the endpoints that cache the longest prefixes. It finds the
 // longest indexed prefix by bisection, which is right if an endpoint that caches
 // a block also caches the ones before it, and then walks down.
@@ -134,7 +144,7 @@
 	low, high := 0, len(prefix)
 	for low < high {
 		mid := (low + high) / 2
-		if _, ok := x.find(prefix[mid]); ok {
+		if h, ok := x.find(prefix[mid]); ok && h.current(eps) {
 			low = mid + 1
 		} else {
 			high = mid
--- a/clroute/table.go
+++ b/clroute/table.go
@@ -59,11 +59,13 @@
 
 	groupKey struct{ service, version string }
 
-	// group lists the endpoints of one version of a service.
-	group struct{ refs []int32 }
+	// group lists the endpoints of one version of a service, and apart from them
+	// those at which this entry holds free slots, which are few in a large fleet.
+	group struct{ refs, ready []int32 }
 
 	hot struct {
 		slots    int32
+		ready    int32 // position in the group's ready list plus one
 		running  int32
 		waiting  int32
 		sent     int32
@@ -77,6 +79,7 @@
 
 	cold struct {
 		Endpoint
+		group      *group
 		bootID     string
 		reportedAt time.Time
 		// sends are the times of own sends that no report covers yet.
@@ -166,6 +169,8 @@
 		t.groups[key] = g
 	}
 	g.refs = append(g.refs, ref)
+	t.cold[ref].group = g
+	t.setSlots(ref, h.slots)
 }
 
 // Remove deletes an endpoint.
@@ -202,10 +207,35 @@
 // SetSlots sets the slots that this entry holds and has not in use.
 func (t *Table) SetSlots(id string, slots int) {
 	if ref, ok := t.refs[id]; ok {
-		t.hot[ref].slots = int32(max(slots, 0))
+		t.setSlots(ref, int32(max(slots, 0)))
 	}
 }
 
+// setSlots sets an endpoint's free slots and keeps the ready list in step.
+func (t *Table) setSlots(ref, slots int32) {
+	h, g := &t.hot[ref], t.cold[ref].group
+	h.slots = slots
+	switch {
+	case slots > 0 && h.ready == 0:
+		g.ready = append(g.ready, ref)
+		h.ready = int32(len(g.ready))
+	case slots == 0 && h.ready > 0:
+		t.unready(ref)
+	}
+}
+
+func (t *Table) unready(ref int32) {
+	h, g := &t.hot[ref], t.cold[ref].group
+	if h.ready == 0 {
+		return
+	}
+	last := g.ready[len(g.ready)-1]
+	g.ready[h.ready-1] = last
+	t.hot[last].ready = h.ready
+	g.ready = g.ready[:len(g.ready)-1]
+	h.ready = 0
+}
+
 // Report applies a load report; a report older than the last one is ignored.
 func (t *Table) Report(id string, l Load) {
 	ref, ok := t.refs[id]
@@ -242,7 +272,7 @@
 		return
 	}
 	h, c := &t.hot[ref], &t.cold[ref]
-	h.slots = max(h.slots-1, 0)
+	t.setSlots(ref, max(h.slots-1, 0))
 	// An endpoint whose reports stopped would otherwise collect sends for ever.
 	for len(c.sends) > 0 && (len(c.sends) >= maxUnreported || now.Sub(c.sends[0]) > maxUnreportedRetention) {
 		c.sends = c.sends[1:]
@@ -308,7 +338,8 @@
 func (t *Table) ungroup(ref int32) {
 	e := t.cold[ref].Endpoint
 	key := groupKey{e.Service, e.Version}
-	g := t.groups[key]
+	g := t.cold[ref].group
+	t.unready(ref)
 	for i, r := range g.refs {
 		if r == ref {
 			g.refs[i] = g.refs[len(g.refs)-1]
