Watch slot leases from two processes; look after endpoints that are not in use

A data centre that came back got no request for 5.1 s, because requests go to endpoints with slots and nobody asked for slots there. Change: the two first-ranked processes of a group watch its lease; no grant outlives its grantor's lease, so a successor after an expiry waits only for a load report; leases last 3 s (16 renewals a second for 8 groups with half a second to spare, well within several hundred writes); each version in use asks for a slot at one more endpoint every 250 ms.

--- a/cldemo/kesar.go
+++ b/cldemo/kesar.go
@@ -131,6 +131,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	open := begun.Load() - whole.Load()
+	if err := k.f.SaveMetrics("stop"); err != nil {
+		return err
+	}
 	stopErr := entry.Entry.Stop(stopTimeout)
 	streamErr := g.Wait()
 	seen := fmt.Sprintf("%d of %d whole, exit %s", whole.Load(), openStreams, lo.Ternary(stopErr == nil, "clean", fmt.Sprint(stopErr)))
--- a/clentry/demand.go
+++ b/clentry/demand.go
@@ -26,6 +26,10 @@
 	demandEvery = 20 * time.Millisecond
 	// deniedPause is how long an endpoint that granted nothing is not asked again.
 	deniedPause = 40 * time.Millisecond
+	// exploreEvery is the time between two looks at endpoints that are not used,
+	// and exploreWhile how long after a request a version is looked after.
+	exploreEvery = 250 * time.Millisecond
+	exploreWhile = 2 * time.Second
 )
 
 type (
@@ -214,10 +218,30 @@
 		if n := q.Len(); n > 0 {
 			g.spread(key, n, denied, wanted)
 		}
+		g.explore(key, denied, wanted, now)
 	}
 	return wanted
 }
 
+// explore asks for a slot at one endpoint after the other that this entry does
+// not use. Requests go to endpoints with slots, so one that has become live, or
+// whose data centre is back, would otherwise get none until the others are full.
+func (g *gate) explore(key queueKey, denied map[string]bool, wanted map[string]int, now time.Time) {
+	if now.Sub(g.usedAt[key]) > exploreWhile || now.Sub(g.exploredAt[key]) < exploreEvery {
+		return
+	}
+	g.exploredAt[key] = now
+	ids := g.candidates(key)
+	for range ids {
+		g.explored[key]++
+		id := ids[g.explored[key]%len(ids)]
+		if !denied[id] && g.holder.Available(id, now) == 0 && g.holder.InUse(id) == 0 {
+			wanted[id]++
+			return
+		}
+	}
+}
+
 // spread divides n waiting requests among the endpoints of a version, the
 // least loaded first.
 func (g *gate) spread(key queueKey, n int, denied map[string]bool, wanted map[string]int) {
--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -249,7 +249,8 @@
 			Ratio: float64(a.GetRetryBudgetPercent()) / 100, Window: retryWindow,
 			Floor: int(a.GetRetryFloorPerSecond()) * int(retryWindow/time.Second),
 		}),
-		suspended: make(map[queueKey]bool), pinned: make(map[string]int),
+		suspended: make(map[queueKey]bool), pinned: make(map[string]int), usedAt: make(map[queueKey]time.Time),
+		exploredAt: make(map[queueKey]time.Time), explored: make(map[queueKey]int),
 		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		queueCfg: cladmission.Config{MaxQueued: int(a.GetAccountQueueLimit())},
 	}
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -82,6 +82,11 @@
 		queues  map[queueKey]*cladmission.Queue[*waiter]
 		// suspended has versions that a fact suspends before the configuration does.
 		suspended map[queueKey]bool
+		// usedAt is when a version was last asked for, and exploredAt when a slot
+		// was last asked for at an endpoint that is not in use.
+		usedAt     map[queueKey]time.Time
+		exploredAt map[queueKey]time.Time
+		explored   map[queueKey]int
 		// pinned counts requests that wait for a slot at one endpoint.
 		pinned   map[string]int
 		rnd      *rand.Rand
@@ -101,6 +106,7 @@
 	if g.unservable(w, now) {
 		key = g.assignOld(w)
 	}
+	g.usedAt[key] = now
 	q := g.queue(key)
 	if q.Len() == 0 {
 		if p, reason := g.pick(w, now); p != nil || !waits(reason) {
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,7 +37,9 @@
 	releasePoll          = 5 * time.Millisecond
 	releasedFactLifetime = time.Minute
 	loadPollLimit        = 64
-	firstFencing         = 1
+	// candidates of each group watch its lease, so that one of them notices its
+	// expiry as soon as it happens.
+	candidates = 2
 )
 
 type (
@@ -123,7 +126,7 @@
 	state := gr.runner.Current(now)
 	// A holder keeps its groups when another process ranks higher, because each
 	// change of the grantor holds up grants.
-	wanted := state.Held || state.Lapsed || s.preferred(gr) && time.Since(s.started) >= joinSettle
+	wanted := state.Held || state.Lapsed || s.candidate(gr) && time.Since(s.started) >= joinSettle
 	if s.draining.Load() {
 		wanted = false
 	}
@@ -137,9 +140,12 @@
 	}
 }
 
-func (s *grantors) preferred(gr *group) bool {
-	owner, ok := s.node.Owner("slots-"+strconv.Itoa(int(gr.number)), clmember.Filter{Role: s.node.Member.Self.Role})
-	return ok && owner.ID == s.node.Member.Self.ID
+// candidate reports whether this process is among those that take the group's
+// lease when it is free.
+func (s *grantors) candidate(gr *group) bool {
+	self := s.node.Member.Self
+	rank := s.node.Rank("slots-"+strconv.Itoa(int(gr.number)), clmember.Filter{Role: self.Role})
+	return slices.ContainsFunc(rank[:min(candidates, len(rank))], func(m clmember.Member) bool { return m.ID == self.ID })
 }
 
 // drain hands all groups over to successors: it stops granting, leaves the
@@ -188,9 +194,9 @@
 	gr.state = state
 	switch {
 	case state.Held && (!was.Held && !was.Lapsed || was.Fencing != state.Fencing):
-		formerLapsed := now.Add(s.slotCfg.GrantLifetime)
-		if state.Fencing == firstFencing {
-			formerLapsed = now // There was no former holder.
+		formerLapsed := now // No grant outlives its grantor's lease.
+		if _, released := gr.runner.Inherited(); released {
+			formerLapsed = now.Add(s.slotCfg.GrantLifetime)
 		}
 		gr.grantor.Acquired(clslot.Lease{
 			Fencing: state.Fencing, Until: state.Until, Halvings: int(state.AllowanceHalvings),
--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"os"
@@ -288,6 +289,30 @@
 	})
 }
 
+// SaveMetrics writes the metrics of all running entries to the work folder.
+func (f *Fleet) SaveMetrics(name string) error {
+	c := &http.Client{Timeout: callTimeout}
+	for _, p := range f.Pairs {
+		if p.Entry == nil || !p.Entry.Running() {
+			continue
+		}
+		resp, err := c.Get(p.MetricsURL() + "/metrics")
+		if err != nil {
+			return errors.Wrap(err, "read metrics")
+		}
+		b, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // All that is needed was read.
+		if err != nil {
+			return errors.Wrap(err, "read metrics")
+		}
+		path := filepath.Join(f.WorkDir, fmt.Sprintf("metrics-%s-entry-%d.txt", name, p.Index))
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			return errors.Wrap(err, "write metrics")
+		}
+	}
+	return nil
+}
+
 func reachable(url string) bool {
 	c := &http.Client{Timeout: time.Second}
 	resp, err := c.Get(url)
--- a/clharness/profile.go
+++ b/clharness/profile.go
@@ -48,7 +48,7 @@
 		Name: "kesar", Region: "gujarat", DataCentres: []string{"ahmedabad", "surat", "vadodara"},
 		EngineService: "roster-llm", PlainService: "bookings", Engines: 10, Plains: 3,
 		Accounts: []string{"owners", "dispatch", "baristas", "cafes", "office"}, Pairs: 3,
-		TokensPerSecond: 200, ColdSlots: 2, MaxSlots: 32,
+		TokensPerSecond: 200, ColdSlots: 8, MaxSlots: 64,
 	}
 }
 
--- a/clsettings/settings_test.go
+++ b/clsettings/settings_test.go
@@ -83,7 +83,7 @@
 		{"[lease]\nttl = 0\n", []string{`[lease] ttl: "0" is not a duration`}},
 		{"[lease]\nttl = 1ms\n", []string{"[lease] ttl: 1ms is too low; set a value from 100ms to 5m"}},
 		{"[lease]\nttl = -1s\n", []string{"-1s is too low"}},
-		{"[lease]\nttl =\n", []string{"[lease] ttl: empty value; set a value, or remove the line to get 6s"}},
+		{"[lease]\nttl =\n", []string{"[lease] ttl: empty value; set a value, or remove the line to get 3s"}},
 		{"[lease]\nttl = 5s\nttl = 5s\n", []string{"[lease] ttl: set 2 times; keep one of the lines"}},
 		{"[lease]\nttl = 4s\nmargin = 3s\n", []string{"[lease] margin: is not below two thirds of ttl; set it below 2.666s"}},
 		{"[requests]\nbody_limit = 4mb\n", []string{`"4mb" is not a size`}},
