--- /dev/null
+++ b/clbench/control_process.go
@@ -0,0 +1,231 @@
+// This file defines the experiment on the control process.
+
+package clbench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clcontrol"
+	"github.com/chestnutlead/chestnutlead/clharness"
+	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/clpeer"
+	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clrollout"
+	"github.com/chestnutlead/chestnutlead/clsettings"
+	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+)
+
+const (
+	operatorToken  = "bench-operator-token-0123"
+	evidenceEvery  = 200 * time.Millisecond
+	evidenceRoutes = 3
+	controlTime    = 4 * time.Second
+	planWindow     = 6 * time.Second
+	movesDeadline  = 2 * time.Hour
+
+	controlSettings = "[process]\nname = control-0\ndata_centre = dc-0\nregion = region-0\n" +
+		"[listen]\noperator = 127.0.0.1:0\npeer = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n" +
+		"[peer]\ntoken = " + peerToken + "\n[operator]\ntokens = " + operatorToken + "\n" +
+		"[platform]\nobject_api_url = http://127.0.0.1:1\ncloud_api_url = http://127.0.0.1:1\n" +
+		"[shutdown]\nbalancer_delay = 0s\n"
+)
+
+type (
+	// controlBench is a control process over an object API in memory.
+	controlBench struct {
+		objects        *objects
+		operator, peer netip.AddrPort
+		cancel         context.CancelFunc
+		done           chan error
+	}
+
+	// noCloud is a platform without instances.
+	noCloud struct{ clplatform.Cloud }
+
+	bearer struct{ token string }
+)
+
+// RoundTrip adds the token.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// ListInstances implements clplatform.Instances.
+func (noCloud) ListInstances(context.Context) ([]clplatform.Instance, error) { return nil, nil }
+
+func startControl(ctx context.Context) (*controlBench, error) {
+	s, err := clsettings.ParseControl("control.ini", []byte(controlSettings))
+	if err != nil {
+		return nil, err
+	}
+	b := &controlBench{objects: newObjects(2 * time.Millisecond), done: make(chan error, 1)}
+	c := &clcontrol.Control{
+		Settings: s, Objects: b.objects, Instances: noCloud{}, Cloud: noCloud{}, Logger: zap.NewNop(),
+		Metrics: clobserve.NewMetrics(), Readiness: clobserve.NewReadiness(clcontrol.Conditions...),
+	}
+	if b.operator, b.peer, err = c.Listen(); err != nil {
+		return nil, err
+	}
+	ctx, b.cancel = context.WithCancel(ctx)
+	go func() { b.done <- c.Run(ctx) }()
+	time.Sleep(time.Second) // The process acquires its lease.
+	return b, nil
+}
+
+func (b *controlBench) close() {
+	b.cancel()
+	<-b.done
+}
+
+// runControlProcess measures plan sweeps and evidence reports.
+func runControlProcess(ctx context.Context, _ Options) (*Result, error) {
+	r := newResult("control_process")
+	for _, plans := range []int{10, 300, 1000, 4000} {
+		if err := sweepAt(ctx, r, plans); err != nil {
+			return r, err
+		}
+	}
+	for _, entries := range []int{9, 100, 390} {
+		if err := evidenceAt(ctx, r, entries); err != nil {
+			return r, err
+		}
+	}
+	r.note("Evidence calls are made from the same process over loopback, so their CPU is that of both ends.")
+	return r, nil
+}
+
+// sweepAt measures a holder of the control lease with finished plans.
+func sweepAt(ctx context.Context, r *Result, plans int) error {
+	b, err := startControl(ctx)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	bytes := 0
+	for i := range plans {
+		p := &clstate.Plan{
+			Id: strconv.Itoa(i), State: clstate.PlanState_PLAN_STATE_DONE, ProposedBy: "operator-1", DecidedBy: "operator-1",
+			CreatedAt: timestamppb.Now(), ChangedAt: timestamppb.Now(), UpdateId: "0123456789abcdef0123456789abcdef0123",
+			Intent: &clstate.Intent{Intent: &clstate.Intent_MoveVersion{MoveVersion: &clstate.MoveVersion{Service: "brew-llm", ToVersion: "v2", Deadline: timestamppb.Now()}}},
+		}
+		for s := range 5 {
+			p.Steps = append(p.Steps, &clstate.PlanStep{Description: fmt.Sprintf("raise the share of brew-llm v2 to step %d of 5", s), Finished: true, FinishedAt: timestamppb.Now()})
+		}
+		v, err := proto.Marshal(p)
+		if err != nil {
+			return err
+		}
+		bytes += len(v)
+		b.objects.put("plan/"+p.Id, v)
+	}
+	before, cpu := b.objects.count(func(*callCounts) {}), cpuSeconds()
+	time.Sleep(planWindow)
+	cpu = cpuSeconds() - cpu
+	after := b.objects.count(func(*callCounts) {})
+	x, t := float64(plans), planWindow.Seconds()
+	r.add("CPU of the lease holder with plans kept", "% of a core", "plans", x, 100*cpu/t)
+	r.add("bytes read by plan sweeps", "KB/s", "plans", x, float64((after.lists-before.lists)*bytes)/t/1e3)
+	r.add("object API calls of the lease holder", "1/s", "plans", x,
+		float64(after.lists+after.reads+after.writes-before.lists-before.reads-before.writes)/t)
+	return nil
+}
+
+// put stores a value without a call.
+func (o *objects) put(key string, value []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version++
+	o.values[key] = clplatform.Object{Key: key, Value: value, Version: o.version}
+}
+
+// startMove makes the process evaluate a version move.
+func (b *controlBench) startMove(ctx context.Context) error {
+	op := clwire.NewOperatorProtobufClient("http://"+b.operator.String(), &http.Client{Timeout: 5 * time.Second, Transport: bearer{operatorToken}})
+	if _, err := op.Apply(ctx, clharness.Kesar().Config()); err != nil {
+		return errors.Wrap(err, "apply the configuration")
+	}
+	resp, err := op.StateIntent(ctx, &clwire.StateIntentRequest{Operator: "bench", Intent: &clstate.Intent{Intent: &clstate.Intent_MoveVersion{MoveVersion: &clstate.MoveVersion{
+		Service: clharness.Kesar().EngineService, ToVersion: clharness.NewVersion, Deadline: timestamppb.New(time.Now().Add(movesDeadline)),
+	}}}})
+	if err != nil {
+		return errors.Wrap(err, "state the intent")
+	}
+	if _, err := op.DecidePlan(ctx, &clwire.DecidePlanRequest{Id: resp.GetPlan().GetId(), Confirm: true, Operator: "bench"}); err != nil {
+		return errors.Wrap(err, "confirm the plan")
+	}
+	time.Sleep(2 * time.Second) // The executor starts the move.
+	return nil
+}
+
+// evidenceAt measures the reports of entries during a version move.
+func evidenceAt(ctx context.Context, r *Result, entries int) error {
+	b, err := startControl(ctx)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	if err := b.startMove(ctx); err != nil {
+		return err
+	}
+	t := &clpeer.Transport{Token: peerToken, Timeout: time.Second}
+	var calls, failed, bytes atomic.Int64
+	cpu, end := cpuSeconds(), time.Now().Add(controlTime)
+	var g sync.WaitGroup
+	for i := range entries {
+		g.Add(1)
+		go func() {
+			defer g.Done()
+			time.Sleep(evidenceEvery * time.Duration(i) / time.Duration(entries))
+			for n := uint64(1); time.Now().Before(end); n++ {
+				req := evidenceOf(i, n)
+				if _, err := t.Peer(b.peer).ReportEvidence(ctx, req); err != nil {
+					failed.Add(1)
+				}
+				calls.Add(1)
+				bytes.Add(int64(proto.Size(req)))
+				time.Sleep(evidenceEvery)
+			}
+		}()
+	}
+	g.Wait()
+	cpu = cpuSeconds() - cpu
+	x, secs := float64(entries), controlTime.Seconds()
+	r.add("evidence reports received", "1/s", "entries", x, float64(calls.Load())/secs)
+	r.add("CPU of evidence reports, both ends", "% of a core", "entries", x, 100*cpu/secs)
+	r.add("CPU of one report, both ends", "us", "entries", x, 1e6*cpu/float64(calls.Load()))
+	r.add("bytes of one report without HTTP", "B", "entries", x, float64(bytes.Load())/float64(calls.Load()))
+	if n := failed.Load(); n > 0 {
+		r.note("%d of %d evidence calls of %d entries failed", n, calls.Load(), entries)
+	}
+	return nil
+}
+
+// evidenceOf returns what an entry sees of both versions on a few routes.
+func evidenceOf(entry int, sequence uint64) *clwire.ReportEvidenceRequest {
+	req := &clwire.ReportEvidenceRequest{From: fmt.Sprintf("entry-%03d-0a1b2c3d", entry), Sequence: sequence}
+	for route := range evidenceRoutes {
+		for _, version := range []string{clharness.OldVersion, clharness.NewVersion} {
+			counts := make([]uint32, len(clrollout.LatencyBoundsMS)+1)
+			counts[len(counts)/2] = 1
+			req.Evidence = append(req.Evidence, &clwire.RouteEvidence{
+				Service: clharness.Kesar().EngineService, Version: version, Route: fmt.Sprintf("route-%d", route),
+				MinuteUnix: time.Now().Unix() / 60 * 60, Succeeded: 1, LatencyCounts: counts,
+			})
+		}
+	}
+	return req
+}
--- a/cmd/chestnutload/main.go
+++ b/cmd/chestnutload/main.go
@@ -8,13 +8,14 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/chestnutlead/chestnutlead/clbench"
 	"github.com/chestnutlead/chestnutlead/clload"
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	cmd := &cli.Command{Name: "chestnutload", Usage: "open-loop load for entries", Commands: append(clload.Commands(), demoCommand())}
+	cmd := &cli.Command{Name: "chestnutload", Usage: "open-loop load for entries", Commands: append(clload.Commands(), demoCommand(), clbench.Command())}
 	err := cmd.Run(ctx, os.Args)
 	stop()
 	if err != nil {
