--- a/clslot/world_test.go
+++ b/clslot/world_test.go
@@ -32,6 +32,9 @@
 			until    time.Time
 			released bool
 			halvings int
+			// state is the payload; it is complete if the holder released the lease with it.
+			state    []EndpointState
+			complete bool
 		}
 		boot    int
 		cold    bool
@@ -51,6 +54,8 @@
 	testGrantor struct {
 		g           *Grantor
 		paused, cut bool
+		// resumed says that the present term began with a predecessor's complete state.
+		resumed bool
 	}
 
 	// testRaise is a grant that raised the exposure, with the grantor's limit.
@@ -166,7 +171,13 @@
 		return
 	}
 	before := w.exposure()
+	led := m.to.g.endpoints["ep"]
+	led.expire(w.cfg, w.now)
+	unattributed := led.unattributed.slots
 	g := m.to.g.Demand(m.name, m.d, w.now)
+	if led.unattributed.slots < unattributed {
+		w.seen["attributed"]++
+	}
 	w.answers = append(w.answers, testAnswer{m.from, m.from.h, g})
 	if m.name != m.from.name {
 		w.answers = w.answers[:len(w.answers)-1]
@@ -176,7 +187,6 @@
 	if after <= before {
 		return
 	}
-	led := m.to.g.endpoints["ep"]
 	limit := led.ramp.limit
 	w.raises = append(w.raises, testRaise{w.now, limit})
 	w.count(m.to, led)
@@ -203,6 +213,7 @@
 		"raised above cold":         led.ramp.limit > testLimits.Cold,
 		"raised by successor":       p.g.term.Fencing > 1,
 		"raised with unattributed":  led.unattributed.slots > 0,
+		"raised after resume":       p.resumed,
 	} {
 		if is {
 			w.seen[name]++
