Count the charges that a successor takes over

Cause: the merge of the handover of slot groups with the kept sum of charges left Resume writing charges without the sum. The comparison of sum and charges in TestSumRule found it (expected 2, actual 0).

Change: Resume sets the sum and looks for expired charges at the next event.

--- a/clslot/handover.go
+++ b/clslot/handover.go
@@ -79,12 +79,14 @@
 		e.ramp.limit = min(max(s.Limit, e.ramp.limits.Cold), e.ramp.limits.Max)
 		e.unattributed = pool{slots: s.Unattributed, since: now, version: e.unattributed.version + 1}
 		clear(e.entries)
+		e.charged, e.nextExpiry = 0, time.Time{}
 		for _, c := range s.Charges {
 			e.entries[c.Entry] = &charge{
 				slots: c.Slots, inUse: c.InUse, sequence: c.Sequence, resets: e.ramp.resets,
 				// The predecessor's grants end within GrantLifetime of its release.
 				expires: now.Add(g.cfg.GrantLifetime), claimed: true,
 			}
+			e.charged += c.Slots
 		}
 	}
 }
