Never say "not run" after an attempt of a booking was sent

Cause: a call of a service that removes duplicates is sent to a second endpoint when the first breaks off. If the second could not be reached either, the entry withdrew the claim and answered not_run, although the first endpoint had run the call. Ruled out: the booking record and the stand-in's count; a single attempt that breaks off was already answered with unknown. Change: the first failure of an attempt that may have reached an endpoint is kept; after it the claim is not withdrawn and the outcome is unknown.

--- a/clentry/once.go
+++ b/clentry/once.go
@@ -29,6 +29,9 @@
 	ledger *clbooking.Ledger
 	record *clstate.BookingRecord
 	path   string
+	// sent is the failure of the first attempt of which a byte may have
+	// reached an endpoint; from then on no refusal may say "not run".
+	sent error
 }
 
 // runOnce answers a non-repeatable call: it claims the key, sends the call at
@@ -156,6 +159,9 @@
 	if kindOf(err) == clendpoint.KindNotSent {
 		return o.again(err)
 	}
+	if o.sent == nil {
+		o.sent = err
+	}
 	if o.svc.GetDeduplicates() {
 		if r := o.mayRetry(err, true); r == nil {
 			next, r := o.h.gate.acquire(o.ctx, o.w)
@@ -164,23 +170,33 @@
 			}
 		}
 	}
-	return o.unknown(err)
+	return o.unknown(o.sent)
 }
 
-// again looks for another endpoint for a claimed call that was never sent.
+// again looks for another endpoint for a claimed call whose last attempt was
+// not sent.
 func (o *once) again(cause error) error {
 	if cause != nil {
-		if r := o.mayRetry(cause, false); r != nil {
-			return o.withdraw(r)
+		if r := o.mayRetry(cause, o.sent != nil); r != nil {
+			return o.giveUp(r)
 		}
 	}
 	pl, r := o.h.gate.acquire(o.ctx, o.w)
 	if r != nil {
-		return o.withdraw(r)
+		return o.giveUp(r)
 	}
 	return o.sendClaimed(pl)
 }
 
+// giveUp ends a claimed call that no endpoint answered. Its claim is withdrawn
+// only if no attempt was sent.
+func (o *once) giveUp(r *Refusal) error {
+	if o.sent != nil {
+		return o.unknown(o.sent)
+	}
+	return o.withdraw(r)
+}
+
 // withdraw releases the claim of a call that was never sent.
 func (o *once) withdraw(r *Refusal) error {
 	ctx, cancel := o.h.detached(withdrawTimeout)
