Never say "not run" for a booking whose record cannot be read

Cause: an entry that had lost the object API took a key made after its first failure as never sent. Another entry may still reach the object API and run the key. Ruled out: the clock margin for callers' keys; the keys of the test were made 2 s after the failure. Change: a booking that is refused because its record is unavailable has run unknown. Conclusion: one entry's view of an outage proves nothing about what the others sent.

--- a/clentry/once.go
+++ b/clentry/once.go
@@ -19,8 +19,6 @@
 	resendPoll      = 200 * time.Millisecond
 	withdrawTimeout = 2 * time.Second
 	maxKeyBytes     = 255
-	// keyClockMargin allows for callers whose clocks are ahead.
-	keyClockMargin = time.Second
 )
 
 // once is one attempt at a call that may run at most once.
@@ -58,7 +56,7 @@
 func (o *once) answerResendOr(key string, r *Refusal) error {
 	rec, err := o.ledger.Lookup(o.ctx, clbooking.KeyOf(o.cl.account.GetName(), o.svc.GetName(), key))
 	if err != nil {
-		return o.refuseUnrecorded(key, err)
+		return o.refuseUnrecorded(err)
 	}
 	if rec == nil || rec.GetState() == clstate.BookingState_BOOKING_STATE_RELEASED {
 		return r
@@ -86,7 +84,7 @@
 	o.record = rec
 	verdict, stored, err := o.ledger.Begin(o.ctx, rec)
 	if err != nil {
-		return o.unclaimed(key, err, pl)
+		return o.unclaimed(err, pl)
 	}
 	if verdict != clbooking.VerdictProceed {
 		o.h.gate.giveBack(pl)
@@ -100,7 +98,7 @@
 
 // unclaimed answers when the record cannot be written: the call is not sent,
 // unless the service removes duplicates itself and its setting says so.
-func (o *once) unclaimed(key string, err error, pl *place) error {
+func (o *once) unclaimed(err error, pl *place) error {
 	if o.svc.GetOnOutage() == clstate.OnOutage_ON_OUTAGE_PASS && o.svc.GetDeduplicates() &&
 		clbooking.KindOf(err) == clbooking.KindUnavailable && o.h.gate.renew(pl) {
 		o.h.log.Info("Booking record is unavailable. The call is passed to an endpoint that removes duplicates.",
@@ -109,26 +107,17 @@
 	}
 	o.h.gate.giveBack(pl)
 	o.h.log.Info("Booking record is unavailable. The call is not sent.", zap.String("request", o.w.id), zap.Error(err))
-	return o.refuseUnrecorded(key, err)
+	return o.refuseUnrecorded(err)
 }
 
-// refuseUnrecorded says "not run" only if no earlier request with the key can
-// have been sent either: a claim needs the object API, so this holds for a key
-// that was made after the object API failed. Other keys may have been sent
-// before, which cannot be looked up now.
-func (o *once) refuseUnrecorded(key string, err error) *Refusal {
-	r := &Refusal{
+// refuseUnrecorded never says "not run": another entry may reach the object API
+// although this one does not, and may have sent the call under the same key.
+func (o *once) refuseUnrecorded(err error) *Refusal {
+	return &Refusal{
 		Status: fiber.StatusServiceUnavailable, Code: "record_unavailable", Title: "Booking record unavailable",
-		Detail: "this request was not sent to an endpoint; whether an earlier one with the same key was is not known: " + err.Error(),
+		Detail: "this request was not sent to an endpoint; whether another one with the same key was is not known: " + err.Error(),
 		Remedy: "send the request again with the same key", Run: RunUnknown, RetryAfter: 2 * time.Second,
 	}
-	made, timed := clbooking.KeyTime(key, time.Now())
-	failing, since := o.h.ledgers.store.failingSince()
-	if timed && failing && made.After(since.Add(keyClockMargin)) {
-		r.Run = RunNot
-		r.Detail = "no request with this key was sent to an endpoint: " + err.Error()
-	}
-	return r
 }
 
 // passWithout sends the call without a record, with its key, to an endpoint
