--- a/cllease/core.go
+++ b/cllease/core.go
@@ -61,6 +61,11 @@
 		// outage says that the last call failed.
 		outage   bool
 		halvings *uint32
+		payload  []byte
+		// inherited is the payload in the content on which the lease was
+		// acquired, and released whether its holder had released it.
+		inherited []byte
+		released  bool
 	}
 )
 
@@ -112,10 +117,25 @@
 	c.wanted = wanted
 }
 
+// Released says that the content last seen does not name this process as the
+// holder, and that no update of it is under way that would.
+func (c *Core) Released() bool { return !c.mine() && !c.stale }
+
+// Reread makes the next step a read if another process holds the lease.
+func (c *Core) Reread() { c.stale = c.stale || !c.mine() }
+
 // SetHalvings stores a new count with the next update of the held lease,
 // which is sent at once. State shows it when the update is confirmed.
 func (c *Core) SetHalvings(n uint32) { c.halvings = &n }
 
+// SetPayload stores bytes for a successor with each later renewal and with the
+// release, as long as this process holds the lease.
+func (c *Core) SetPayload(b []byte) { c.payload = b }
+
+// Inherited returns the predecessor's payload at the last acquisition, and
+// whether it was stored with the predecessor's release.
+func (c *Core) Inherited() (payload []byte, released bool) { return c.inherited, c.released }
+
 // Observed reports the outcome of a read: the object, or the kind of the failure.
 func (c *Core) Observed(now time.Time, o clstore.Object, kind clstore.Kind) {
 	c.outage = kind != clstore.KindNone && kind != clstore.KindNotFound
@@ -196,6 +216,9 @@
 	l := proto.CloneOf(c.lease)
 	l.Renewal++
 	l.Ttl = durationpb.New(c.cfg.TTL)
+	if c.payload != nil {
+		l.Payload = c.payload
+	}
 	renewAt := c.until.Add(c.cfg.Margin - c.cfg.TTL + c.cfg.RenewEvery)
 	switch {
 	case !c.wanted:
@@ -216,6 +239,7 @@
 		Fencing: c.lease.GetFencing() + 1, Renewal: c.lease.GetRenewal() + 1,
 		AllowanceHalvings: c.lease.GetAllowanceHalvings(),
 	}
+	c.inherited, c.released = c.lease.GetPayload(), c.lease.GetReleased()
 	if c.lease != nil && !c.lease.Released {
 		l.AllowanceHalvings++
 	}
@@ -265,7 +289,7 @@
 	c.lease, c.version = l, version
 	switch {
 	case !c.mine():
-		c.gone, c.halvings = true, nil
+		c.gone, c.halvings, c.payload = true, nil, nil
 	case ours:
 		c.fencing, c.gone = l.Fencing, false
 		c.until = c.sentAt.Add(c.cfg.TTL - c.cfg.Margin)
--- a/cllease/runner.go
+++ b/cllease/runner.go
@@ -78,6 +78,42 @@
 	r.change(func() { r.core.SetHalvings(n) })
 }
 
+// SetPayload stores bytes for a successor; see Core.SetPayload.
+func (r *Runner) SetPayload(b []byte) {
+	if r.init() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.SetPayload(b)
+}
+
+// Inherited returns what the predecessor left; see Core.Inherited.
+func (r *Runner) Inherited() (payload []byte, released bool) {
+	if r.init() != nil {
+		return nil, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Inherited()
+}
+
+// Released says whether this process's lease has been given back; see Core.Released.
+func (r *Runner) Released() bool {
+	if r.init() != nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Released()
+}
+
+// Reread makes a process that waits for the lease read it at once, for instance
+// because it was told of a release.
+func (r *Runner) Reread() {
+	r.change(func() { r.core.Reread() })
+}
+
 // Err returns the error of the object last read, or nil.
 func (r *Runner) Err() error {
 	if err := r.init(); err != nil {
--- a/clslot/grantor.go
+++ b/clslot/grantor.go
@@ -35,9 +35,11 @@
 
 	// ledger counts what may run at one endpoint.
 	ledger struct {
-		ramp    ramp
-		removed bool
-		entries map[string]*charge
+		ramp ramp
+		// recalled is a former grantor's limit, until the first report of the term.
+		recalled EndpointState
+		removed  bool
+		entries  map[string]*charge
 		// unattributed are requests that no entry's charge covers.
 		unattributed pool
 		// ready says that a report newer than the former term has been counted.
@@ -209,7 +211,11 @@
 	if !cold {
 		// An endpoint that is not cold and runs this many bears them.
 		e.ramp.limit = min(max(e.ramp.limit, l.Running), e.ramp.limits.Max)
+		if e.recalled.BootID == l.BootID && l.BootID != "" {
+			e.ramp.limit = min(max(e.ramp.limit, e.recalled.Limit), e.ramp.limits.Max)
+		}
 	}
+	e.recalled = EndpointState{}
 }
 
 // Demand answers one entry's demand for one endpoint. from must be unique for
