--- a/clentry/once.go
+++ b/clentry/once.go
@@ -19,8 +19,6 @@
 	resendPoll      = 200 * time.Millisecond
 	withdrawTimeout = 2 * time.Second
 	maxKeyBytes     = 255
-	// keyClockMargin allows for callers whose clocks are ahead.
-	keyClockMargin = time.Second
 )
 
 // once is one attempt at a call that may run at most once.
@@ -29,6 +27,9 @@
 	ledger *clbooking.Ledger
 	record *clstate.BookingRecord
 	path   string
+	// sent is the failure of the first attempt of which a byte may have
+	// reached an endpoint; from then on no refusal may say "not run".
+	sent error
 }
 
 // runOnce answers a non-repeatable call: it claims the key, sends the call at
@@ -55,7 +56,7 @@
 func (o *once) answerResendOr(key string, r *Refusal) error {
 	rec, err := o.ledger.Lookup(o.ctx, clbooking.KeyOf(o.cl.account.GetName(), o.svc.GetName(), key))
 	if err != nil {
-		return o.refuseUnrecorded(key, err)
+		return o.refuseUnrecorded(err)
 	}
 	if rec == nil || rec.GetState() == clstate.BookingState_BOOKING_STATE_RELEASED {
 		return r
@@ -83,7 +84,7 @@
 	o.record = rec
 	verdict, stored, err := o.ledger.Begin(o.ctx, rec)
 	if err != nil {
-		return o.unclaimed(key, err, pl)
+		return o.unclaimed(err, pl)
 	}
 	if verdict != clbooking.VerdictProceed {
 		o.h.gate.giveBack(pl)
@@ -97,7 +98,7 @@
 
 // unclaimed answers when the record cannot be written: the call is not sent,
 // unless the service removes duplicates itself and its setting says so.
-func (o *once) unclaimed(key string, err error, pl *place) error {
+func (o *once) unclaimed(err error, pl *place) error {
 	if o.svc.GetOnOutage() == clstate.OnOutage_ON_OUTAGE_PASS && o.svc.GetDeduplicates() &&
 		clbooking.KindOf(err) == clbooking.KindUnavailable && o.h.gate.renew(pl) {
 		o.h.log.Info("Booking record is unavailable. The call is passed to an endpoint that removes duplicates.",
@@ -106,26 +107,17 @@
 	}
 	o.h.gate.giveBack(pl)
 	o.h.log.Info("Booking record is unavailable. The call is not sent.", zap.String("request", o.w.id), zap.Error(err))
-	return o.refuseUnrecorded(key, err)
+	return o.refuseUnrecorded(err)
 }
 
-// refuseUnrecorded says "not run" only if no earlier request with the key can
-// have been sent either: a claim needs the object API, so this holds for a key
-// that was made after the object API failed. Other keys may have been sent
-// before, which cannot be looked up now.
-func (o *once) refuseUnrecorded(key string, err error) *Refusal {
-	r := &Refusal{
+// refuseUnrecorded never says "not run": another entry may reach the object API
+// although this one does not, and may have sent the call under the same key.
+func (o *once) refuseUnrecorded(err error) *Refusal {
+	return &Refusal{
 		Status: fiber.StatusServiceUnavailable, Code: "record_unavailable", Title: "Booking record unavailable",
-		Detail: "this request was not sent to an endpoint; whether an earlier one with the same key was is not known: " + err.Error(),
+		Detail: "this request was not sent to an endpoint; whether another one with the same key was is not known: " + err.Error(),
 		Remedy: "send the request again with the same key", Run: RunUnknown, RetryAfter: 2 * time.Second,
 	}
-	made, timed := clbooking.KeyTime(key, time.Now())
-	failing, since := o.h.ledgers.store.failingSince()
-	if timed && failing && made.After(since.Add(keyClockMargin)) {
-		r.Run = RunNot
-		r.Detail = "no request with this key was sent to an endpoint: " + err.Error()
-	}
-	return r
 }
 
 // passWithout sends the call without a record, with its key, to an endpoint
@@ -156,6 +148,9 @@
 	if kindOf(err) == clendpoint.KindNotSent {
 		return o.again(err)
 	}
+	if o.sent == nil {
+		o.sent = err
+	}
 	if o.svc.GetDeduplicates() {
 		if r := o.mayRetry(err, true); r == nil {
 			next, r := o.h.gate.acquire(o.ctx, o.w)
@@ -164,23 +159,33 @@
 			}
 		}
 	}
-	return o.unknown(err)
+	return o.unknown(o.sent)
 }
 
-// again looks for another endpoint for a claimed call that was never sent.
+// again looks for another endpoint for a claimed call whose last attempt was
+// not sent.
 func (o *once) again(cause error) error {
 	if cause != nil {
-		if r := o.mayRetry(cause, false); r != nil {
-			return o.withdraw(r)
+		if r := o.mayRetry(cause, o.sent != nil); r != nil {
+			return o.giveUp(r)
 		}
 	}
 	pl, r := o.h.gate.acquire(o.ctx, o.w)
 	if r != nil {
-		return o.withdraw(r)
+		return o.giveUp(r)
 	}
 	return o.sendClaimed(pl)
 }
 
+// giveUp ends a claimed call that no endpoint answered. Its claim is withdrawn
+// only if no attempt was sent.
+func (o *once) giveUp(r *Refusal) error {
+	if o.sent != nil {
+		return o.unknown(o.sent)
+	}
+	return o.withdraw(r)
+}
+
 // withdraw releases the claim of a call that was never sent.
 func (o *once) withdraw(r *Refusal) error {
 	ctx, cancel := o.h.detached(withdrawTimeout)
