--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -66,6 +66,7 @@
 		grantors *grantors
 		demander *demander
 		evidence *evidence
+		caches   *caches
 		ledgers  *ledgers
 		handler  *handler
 		config   *clpeer.ConfigSource
@@ -122,6 +123,7 @@
 func (e *Entry) startLoops(ctx context.Context, g *errgroup.Group) {
 	for _, loop := range []func(context.Context) error{
 		e.node.Run, e.config.Run, e.fleet.loopList, e.fleet.loopNotices, e.gate.loopExpire, e.grantors.run,
+		e.caches.loop,
 		e.demander.loop, e.evidence.loop, e.loopReadiness,
 	} {
 		g.Go(func() error { return loop(ctx) })
@@ -199,6 +201,10 @@
 		onSuspend: e.gate.suspend,
 	}
 	e.evidence.init()
+	e.caches = &caches{
+		gate: e.gate, fleet: e.fleet, observer: e.Observer, interval: s.GetEndpoint().GetLoadInterval().AsDuration(),
+		log: clobserve.Component(e.Logger, "cache"),
+	}
 	b := s.GetBooking()
 	e.ledgers = &ledgers{
 		node: e.node, transport: transport, store: store, partitions: b.GetPartitions(), maxAnswer: int(b.GetAnswerLimit()),
--- a/clentry/view.go
+++ b/clentry/view.go
@@ -107,6 +107,10 @@
 	return slices.Contains(v.services[e.service].GetDataCentres(), e.dataCentre)
 }
 
+func isEngine(svc *clstate.Service) bool {
+	return svc.GetKind() == clstate.ServiceKind_SERVICE_KIND_ENGINE
+}
+
 func requestTimeout(svc *clstate.Service) time.Duration {
 	if d := svc.GetRequestTimeout().AsDuration(); d > 0 {
 		return d
