--- /dev/null
+++ b/clentry/decode_test.go
@@ -0,0 +1,123 @@
+package clentry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEventReader guards against events that are merged, dropped or taken as
+// whole when the stream is cut off.
+func TestEventReader(t *testing.T) {
+	long := strings.Repeat("x", 3*eventBufferBytes)
+	tests := []struct {
+		name string
+		in   string
+		want []string
+		err  error
+	}{
+		{"two events", "id: 1\ndata: a\n\ndata: b\n\n", []string{"a", "b"}, io.EOF},
+		{"carriage returns", "data: a\r\n\r\n", []string{"a"}, io.EOF},
+		{"two data lines", "data: a\ndata: b\n\n", []string{"a\nb"}, io.EOF},
+		{"no space", "data:a\n\n", []string{"a"}, io.EOF},
+		{"comments and empty events", ": ping\n\nevent: x\n\ndata: a\n\n", []string{"a"}, io.EOF},
+		{"empty data", "data:\n\n", []string{""}, io.EOF},
+		{"cut off in a line", "data: a\n\ndata: b", []string{"a"}, io.EOF},
+		{"cut off before the end", "data: a\n\ndata: b\n", []string{"a"}, io.EOF},
+		{"longer than the buffer", "data: " + long + "\n\n", []string{long}, io.EOF},
+		{"too long", "data: " + strings.Repeat("x", maxEventBytes) + "\n\n", nil, errEventTooLong},
+		{"too many lines", strings.Repeat("data: xxxxxxxx\n", maxEventBytes/8), nil, errEventTooLong},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newEventReader(strings.NewReader(tt.in))
+			var got []string
+			for {
+				ev, err := r.next()
+				if err != nil {
+					require.ErrorIs(t, err, tt.err)
+					break
+				}
+				got = append(got, string(ev.data))
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// FuzzEventReader guards against panics, endless loops and unbounded events on
+// any input from an endpoint.
+func FuzzEventReader(f *testing.F) {
+	for _, s := range []string{"data: a\n\n", "data\n\n", ":\r\n\r\n", "event: error\ndata: {}\n\n", "\n\n\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := newEventReader(bytes.NewReader(in))
+		size := 0
+		for {
+			ev, err := r.next()
+			if err != nil {
+				break
+			}
+			require.NotNil(t, ev.data)
+			size += len(ev.data)
+			_, _ = tokenOf(ev.data)
+		}
+		require.LessOrEqual(t, size, len(in))
+	})
+}
+
+// FuzzStreamPosition guards against positions that are read otherwise than
+// they were written, or below zero.
+func FuzzStreamPosition(f *testing.F) {
+	for _, s := range []string{"e1~s-1:7", "e~:0", ":", "~:-1", "a~b~c:1"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		p, ok := parseStreamPosition(s)
+		if !ok {
+			return
+		}
+		require.GreaterOrEqual(t, p.position, 0)
+		again, ok := parseStreamPosition(p.String())
+		require.True(t, ok)
+		require.Equal(t, p, again)
+	})
+}
+
+// TestTokenOf guards against events that count as tokens without text, which
+// would shift stream positions.
+func TestTokenOf(t *testing.T) {
+	tests := []struct {
+		name, data, token string
+		ok                bool
+	}{
+		{"completion", `{"choices":[{"text":" a"}]}`, " a", true},
+		{"chat", `{"choices":[{"delta":{"content":" b"}}]}`, " b", true},
+		{"usage", `{"choices":[],"usage":{}}`, "", false},
+		{"no JSON", `[DONE]`, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			token, ok := tokenOf([]byte(tt.data))
+			require.Equal(t, tt.ok, ok)
+			require.Equal(t, tt.token, token)
+		})
+	}
+}
+
+// TestRouteName guards against paths with identifiers that become routes of
+// their own, for which no version would ever gather enough evidence.
+func TestRouteName(t *testing.T) {
+	tests := []struct{ method, path, want string }{
+		{"POST", "/bookings", "POST /bookings"},
+		{"GET", "/bookings/123/items", "GET /bookings"},
+		{"GET", "/", "GET /"},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, routeName(tt.method, tt.path))
+	}
+}
