Shorten the recovery simulation of cladmission

Cause: the simulation took 27 s under the race detector. Change: 18 endpoints instead of 30 and 150 s instead of 180 s.

--- a/cladmission/recovery_test.go
+++ b/cladmission/recovery_test.go
@@ -15,7 +15,7 @@
 // cold endpoint is slow, and crashes when it runs more than it can bear.
 const (
 	simStep       = 50 * time.Millisecond
-	simEndpoints  = 30
+	simEndpoints  = 18
 	simWarmRate   = 4.0 // requests a second
 	simColdRate   = 0.5
 	simColdBears  = 4
@@ -27,7 +27,7 @@
 	simReplaced   = 20 * time.Second
 	simLoad       = 0.7
 	simFault      = 60 * time.Second
-	simEnd        = 180 * time.Second
+	simEnd        = 150 * time.Second
 	simMeasured   = 30 * time.Second
 	simRecovered  = 0.95
 	simCallerWait = time.Second
