Test the time bounds of a grantor's term

Cause: with 300 runs the random test no longer noticed the removal of the settle time or of the lease's bound on a grant's lifetime. Change: a scenario test checks both.

--- a/clslot/grantor_test.go
+++ b/clslot/grantor_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// TestTermBounds guards against grants before the former term's requests are in
+// a report, and against grants that outlast the lease.
+func TestTermBounds(t *testing.T) {
+	s := newTestTerm(testLimits, 0, 0)
+	s.g.Acquired(Lease{Fencing: 3, Until: s.now.Add(4 * time.Second), FormerLapsed: s.now})
+	s.report(400*time.Millisecond, "b1", 0, false)
+	require.Equal(t, RefusedNotReady, s.demand("e1", Demand{Wanted: 1}).Refused)
+	s.report(200*time.Millisecond, "b1", 0, false)
+	require.Equal(t, 3*time.Second, s.demand("e1", Demand{Wanted: 1}).Lifetime)
+	s.now = s.now.Add(3 * time.Second)
+	require.Equal(t, 400*time.Millisecond, s.demand("e1", Demand{Wanted: 1}).Lifetime)
+	s.now = s.now.Add(400 * time.Millisecond)
+	require.Equal(t, RefusedNotGrantor, s.demand("e1", Demand{Wanted: 1}).Refused)
+}
+
 // TestPredecessorsEnd guards against lifting the halving while a predecessor's
 // grants or requests can be left.
 func TestPredecessorsEnd(t *testing.T) {
