--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -27,6 +27,9 @@
 		BinDir string
 		// WorkDir takes settings files and logs.
 		WorkDir string
+		// ObjectAPI has addresses by process name that replace the platform's, for
+		// processes that lose the platform alone.
+		ObjectAPI map[string]string
 
 		Platform  *StandIn
 		Endpoints []*StandIn
@@ -235,13 +238,14 @@
 	name := fmt.Sprintf("%s-%d", role, p.Index)
 	seeds := strings.Join(lo.Map(f.Pairs, func(p *Pair, _ int) string { return p.entryPeer.String() }), ", ")
 	sections := map[string]string{
-		"process":  fmt.Sprintf("name = %s\ndata_centre = %s\nregion = %s\n", name, p.DataCentre, f.Profile.Region),
-		"peer":     fmt.Sprintf("advertised = %s\nseeds = %s\ntoken = %s\n", peer, seeds, peerToken),
-		"platform": fmt.Sprintf("object_api_url = http://%s\ncloud_api_url = http://%s\n", f.Platform.Addr, f.Platform.Addr),
+		"process": fmt.Sprintf("name = %s\ndata_centre = %s\nregion = %s\n", name, p.DataCentre, f.Profile.Region),
+		"peer":    fmt.Sprintf("advertised = %s\nseeds = %s\ntoken = %s\n", peer, seeds, peerToken),
+		"platform": fmt.Sprintf("object_api_url = http://%s\ncloud_api_url = http://%s\n",
+			lo.ValueOr(f.ObjectAPI, name, f.Platform.Addr.String()), f.Platform.Addr),
 		"shutdown": "balancer_delay = 500ms\ndrain_timeout = 30s\n",
 	}
 	for section, text := range f.Profile.Settings {
-		if section, only, ok := strings.Cut(section, "@"); !ok || only == role {
+		if section, only, ok := strings.Cut(section, "@"); !ok || only == role || only == name {
 			sections[section] += text
 		}
 	}
--- a/clharness/process.go
+++ b/clharness/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,14 @@
 const (
 	killWait  = 5 * time.Second
 	probeWait = 50 * time.Millisecond
+	firstPort = 12000
+	portCount = 20000
+)
+
+var (
+	// portOffset keeps harnesses that run at the same time apart.
+	portOffset = os.Getpid() * 101 % portCount
+	portsGiven atomic.Int64
 )
 
 // startProcess starts a binary with arguments.
@@ -108,14 +117,21 @@
 	}
 }
 
-// freeAddr returns a loopback address whose port was free a moment ago.
+// freeAddr returns a loopback address that no process listens on. Its port is
+// below those that outgoing connections get, and is given out once: a port from
+// the system's own choice may be taken again before its process binds it, or
+// while the process is being restarted.
 func freeAddr() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	for range portCount {
+		port := firstPort + (portOffset+int(portsGiven.Add(1)))%portCount
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			continue // Another process has it.
+		}
+		return addr, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, errors.Errorf("no port from %d to %d is free", firstPort, firstPort+portCount-1)
 }
 
 // waitFor polls until ok returns true.
--- a/clharness/profile.go
+++ b/clharness/profile.go
@@ -32,7 +32,8 @@
 	EngineArgs, PlainArgs []string
 	// ColdSlots and MaxSlots bound the engines' requests at once.
 	ColdSlots, MaxSlots uint32
-	// Settings are lines by section that the daemons' settings get in addition.
+	// Settings are lines by section that the daemons' settings get in addition;
+	// "section@role" and "section@name" limit them to one role or one process.
 	Settings map[string]string
 }
 
--- a/clharness/standin.go
+++ b/clharness/standin.go
@@ -35,6 +35,9 @@
 // Silence makes all open connections of the stand-in silent; new ones work.
 func (s *StandIn) Silence() error { return s.admin("/admin/actions/silence", struct{}{}) }
 
+// Crash aborts all connections of the stand-in and gives it a new boot ID.
+func (s *StandIn) Crash() error { return s.admin("/admin/actions/crash", struct{}{}) }
+
 // TurnCold makes an engine cold without a restart.
 func (s *StandIn) TurnCold() error { return s.admin("/admin/actions/turn_cold", struct{}{}) }
 
