--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -66,6 +66,7 @@
 		grantors *grantors
 		demander *demander
 		evidence *evidence
+		caches   *caches
 		ledgers  *ledgers
 		handler  *handler
 		config   *clpeer.ConfigSource
@@ -122,6 +123,7 @@
 func (e *Entry) startLoops(ctx context.Context, g *errgroup.Group) {
 	for _, loop := range []func(context.Context) error{
 		e.node.Run, e.config.Run, e.fleet.loopList, e.fleet.loopNotices, e.gate.loopExpire, e.grantors.run,
+		e.caches.loop,
 		e.demander.loop, e.evidence.loop, e.loopReadiness,
 	} {
 		g.Go(func() error { return loop(ctx) })
@@ -199,6 +201,10 @@
 		onSuspend: e.gate.suspend,
 	}
 	e.evidence.init()
+	e.caches = &caches{
+		gate: e.gate, fleet: e.fleet, observer: e.Observer, interval: s.GetEndpoint().GetLoadInterval().AsDuration(),
+		log: clobserve.Component(e.Logger, "cache"),
+	}
 	b := s.GetBooking()
 	e.ledgers = &ledgers{
 		node: e.node, transport: transport, store: store, partitions: b.GetPartitions(), maxAnswer: int(b.GetAnswerLimit()),
@@ -249,7 +255,8 @@
 			Ratio: float64(a.GetRetryBudgetPercent()) / 100, Window: retryWindow,
 			Floor: int(a.GetRetryFloorPerSecond()) * int(retryWindow/time.Second),
 		}),
-		suspended: make(map[queueKey]bool), pinned: make(map[string]int),
+		suspended: make(map[queueKey]bool), pinned: make(map[string]int), usedAt: make(map[queueKey]time.Time),
+		exploredAt: make(map[queueKey]time.Time), explored: make(map[queueKey]int),
 		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		queueCfg: cladmission.Config{MaxQueued: int(a.GetAccountQueueLimit())},
 	}
