Place instances and give orders from the control process

Cause: placement and orders were decided by cores that nothing called. Change: the holder of the control lease plans instances for services with a placement target, starts them, and drains instances that are not needed before it stops them; it orders engines to load the version that they were started for, with the lease's fencing number and a check directly before each order.

--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -43,6 +43,7 @@
 		Instances clplatform.Instances
 		Cloud     clplatform.Cloud
 		Observer  clendpoint.Observer
+		Orderer   clendpoint.Orderer
 		Logger    *zap.Logger
 		Metrics   *clobserve.Metrics
 		Readiness *clobserve.Readiness
@@ -54,6 +55,8 @@
 		config   *clpeer.ConfigSource
 		lease    *cllease.Runner
 		executor *executor
+		placing  *placement
+		orders   *orders
 		server   *http.Server
 	}
 
@@ -96,7 +99,7 @@
 	}
 	c.build()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context) error{c.node.Run, c.config.Run, c.lease.Run, c.executor.loop} {
+	for _, loop := range []func(context.Context) error{c.node.Run, c.config.Run, c.lease.Run, c.executor.loop, c.placing.loop, c.orders.loop} {
 		g.Go(func() error { return loop(ctx) })
 	}
 	g.Go(c.loopServe)
@@ -157,6 +160,15 @@
 	}
 	pc := pace{dwell: s.GetPlans().GetRolloutDwell().AsDuration(), margin: s.GetPlans().GetRolloutMargin().AsDuration()}
 	c.executor.rollouts = newRollouts(pc, c.executor.wake)
+	c.placing = &placement{
+		node: c.node, lease: c.lease, cloud: c.Cloud, list: c.Instances, observer: c.Observer,
+		interval: s.GetPlans().GetPlacementInterval().AsDuration(), backoff: s.GetPlans().GetRefusedBackoff().AsDuration(),
+		log: clobserve.Component(c.Logger, "placement"),
+	}
+	c.orders = &orders{
+		node: c.node, lease: c.lease, list: c.Instances, observer: c.Observer, orderer: c.Orderer,
+		log: clobserve.Component(c.Logger, "order"),
+	}
 	c.node.Evidence = c.executor.rollouts
 	c.node.OnFacts = c.learn
 	c.node.Init()
@@ -174,7 +186,7 @@
 				ID: s.GetProcess().GetName() + "-" + uuid.NewString()[:8], Address: s.GetPeer().AdvertisedAddr(addrOf(c.peer)),
 				DataCentre: s.GetProcess().GetDataCentre(), Region: s.GetProcess().GetRegion(), Role: Role,
 			},
-			Seeds: s.GetPeer().SeedAddrs(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Seeds: s.GetPeer().SeedAddrs(), Rand: newRand(),
 			ProbeInterval: s.GetPeer().GetProbeInterval().AsDuration(), ProbeTimeout: s.GetPeer().GetProbeTimeout().AsDuration(),
 			SuspicionBase: s.GetPeer().GetSuspectTimeout().AsDuration(), SyncInterval: s.GetPeer().GetSyncInterval().AsDuration(),
 		},
@@ -205,3 +217,6 @@
 		Subject: "control", Detail: fmt.Sprintf("%s %d", self.Address, fencing), Urgent: true,
 	}
 }
+
+// newRand returns a generator of its own for one core.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/cmd/chestnutlead/daemons.go
+++ b/cmd/chestnutlead/daemons.go
@@ -136,8 +136,9 @@
 	if err != nil {
 		return err
 	}
+	endpoints := do.MustInvoke[*clendpoint.HTTP](i)
 	c := &clcontrol.Control{
-		Settings: s, Objects: p.objects, Instances: p.cloud, Cloud: p.cloud, Observer: do.MustInvoke[*clendpoint.HTTP](i),
+		Settings: s, Objects: p.objects, Instances: p.cloud, Cloud: p.cloud, Observer: endpoints, Orderer: endpoints,
 		Logger: l, Metrics: do.MustInvoke[*clobserve.Metrics](i), Readiness: do.MustInvoke[*clobserve.Readiness](i),
 	}
 	return runWithHealth(ctx, i, s.GetListen().MetricsAddr(), c.Run)
