--- a/clrollout/detector.go
+++ b/clrollout/detector.go
@@ -25,6 +25,9 @@
 		fromStart, later []float64
 		// onsetWeight is the weight of each time of onset; all sum to one.
 		onsetWeight float64
+		// minute and gained bound what one minute of unpaired counts adds.
+		minute int64
+		gained []float64
 	}
 )
 
@@ -51,12 +54,20 @@
 }
 
 // addUnpaired counts events of the new version alone, against a rate that the
-// old version would not have exceeded.
-func (d *detector) addUnpaired(n, events, rate float64) {
+// old version would not have exceeded. One minute adds at most unpairedGain,
+// so that a short incident, which cannot be told from a fault without the old
+// version's figures, does not condemn the version.
+func (d *detector) addUnpaired(minute int64, n, events, rate float64) {
+	if minute != d.minute || d.gained == nil {
+		d.minute, d.gained = minute, make([]float64, len(d.effects))
+	}
 	rate = min(rate, maxRate)
 	for i, theta := range d.effects {
 		worse := raiseOdds(rate, theta)
-		d.advance(i, events*math.Log(worse/rate)+(n-events)*math.Log((1-worse)/(1-rate)))
+		l := events*math.Log(worse/rate) + (n-events)*math.Log((1-worse)/(1-rate))
+		l = min(l, unpairedGain-d.gained[i])
+		d.gained[i] += max(l, 0)
+		d.advance(i, l)
 	}
 }
 
--- a/clrollout/evaluator.go
+++ b/clrollout/evaluator.go
@@ -48,6 +48,8 @@
 		bad *detector
 		// step sums the cells of the current step of the share.
 		step cell
+		// total sums the cells of all steps.
+		total cell
 		// reference is the last step's sum in which the old version had traffic.
 		reference cell
 	}
@@ -85,6 +87,10 @@
 	// of a slow answer quadruple before the version is blamed.
 	failureDrift = 2
 	latencyDrift = 4
+	// unpairedGain is a third of what is needed on the first route (log(4/0.005)
+	// and the weight of two times three effects), so that a fault at the full
+	// share is found in its fourth minute and one bad minute is forgiven.
+	unpairedGain = 3
 	// onsetPeriod is the spacing of the times of onset that are tested.
 	onsetPeriod = 60
 )
@@ -162,14 +168,14 @@
 		r.tests[0].add(cell{
 			float64(p.from.Succeeded) + float64(p.from.Failed), float64(p.from.Failed),
 			float64(p.to.Succeeded) + float64(p.to.Failed), float64(p.to.Failed),
-		}, drifts[0], full)
+		}, m, drifts[0], full)
 		// The bound comes from former periods only, because one chosen by the
 		// period's own latencies would bias the comparison.
 		if bound, ok := r.bound(); ok {
 			var c cell
 			c.oldN, c.oldEvents = above(p.from.LatencyCounts, bound)
 			c.newN, c.newEvents = above(p.to.LatencyCounts, bound)
-			r.tests[1].add(c, drifts[1], full)
+			r.tests[1].add(c, m, drifts[1], full)
 		}
 		for i, n := range p.from.LatencyCounts {
 			r.history[i] += float64(n)
@@ -179,8 +185,9 @@
 }
 
 // add compares one cell.
-func (t *test) add(c cell, drift float64, full bool) {
+func (t *test) add(c cell, minute int64, drift float64, full bool) {
 	t.step = t.step.plus(c)
+	t.total = t.total.plus(c)
 	if !full {
 		t.bad.add(c)
 		return
@@ -188,9 +195,15 @@
 	if t.reference.oldN < minHistory {
 		return
 	}
-	rate := (t.reference.oldEvents + 0.5) / (t.reference.oldN + 1)
-	rate += 2 * math.Sqrt(rate*(1-rate)/t.reference.oldN)
-	t.bad.addUnpaired(c.newN, c.newEvents, raiseOdds(min(rate, maxRate), drift))
+	t.bad.addUnpaired(minute, c.newN, c.newEvents, t.reference.drifted(drift))
+}
+
+// drifted returns the highest rate that the old version might have now, after
+// the time of the cell.
+func (c cell) drifted(drift float64) float64 {
+	rate := (c.oldEvents + 0.5) / (c.oldN + 1)
+	rate += 2 * math.Sqrt(rate*(1-rate)/(c.oldN+1))
+	return raiseOdds(min(rate, maxRate), drift)
 }
 
 // setShare starts the count for another share.
--- a/clrollout/rollout.go
+++ b/clrollout/rollout.go
@@ -96,9 +96,12 @@
 	// may pass a step.
 	MissedBadRate = 0.05
 	// MinRequests of the new version on each route are needed to pass a step.
-	MinRequests = 100
-	// minorRouteShare is the share of requests below which routes are judged
-	// good together: alone they would take too long. Each is still tested for bad.
+	MinRequests = 150
+	// Routes with less than majorRouteShare of the requests are judged good
+	// together in each step, if they have that share together, because they
+	// would else hold the share at 5% for hours. Before the end each with at least minorRouteShare must be good on
+	// the sum of all steps. Every route is tested for bad alone.
+	majorRouteShare = 0.15
 	minorRouteShare = 0.02
 
 	minDwell = 2 * time.Minute
@@ -216,37 +219,51 @@
 func (r *Rollout) judge() (Verdict, string) {
 	var total float64
 	for _, rt := range r.eval.order {
-		total += rt.tests[0].step.newN + rt.tests[0].step.oldN
+		total += rt.requests()
 	}
 	if total == 0 {
 		return Undecided, "there is no evidence yet"
 	}
 	var minor [len(metrics)]cell
+	minorTotal := 0.0
 	for _, rt := range r.eval.order {
-		n := rt.tests[0].step.newN + rt.tests[0].step.oldN
-		for j := range rt.tests {
-			c := rt.tests[j].comparable(r.eval.full)
-			if n < minorRouteShare*total {
-				minor[j] = minor[j].plus(c)
-			} else if why := notGood(c, j); why != "" {
+		share := rt.requests() / total
+		if share < majorRouteShare {
+			minorTotal += rt.requests()
+		}
+		for j, t := range rt.tests {
+			why := ""
+			if share < majorRouteShare {
+				minor[j] = minor[j].plus(t.comparable(r.eval.full, j))
+			} else {
+				why = notGood(t.comparable(r.eval.full, j), j)
+			}
+			if why == "" && r.eval.full && share >= minorRouteShare {
+				why = notGood(t.total, j)
+			}
+			if why != "" {
 				return Undecided, fmt.Sprintf("route %q: %s", rt.name, why)
 			}
 		}
 	}
 	for j, c := range minor {
-		if why := notGood(c, j); c.newN >= MinRequests && why != "" {
+		if why := notGood(c, j); minorTotal >= majorRouteShare*total && why != "" {
 			return Undecided, "minor routes: " + why
 		}
 	}
 	return Good, "the step is good"
 }
 
+// requests returns the requests of both versions in the current step.
+func (r *route) requests() float64 { return r.tests[0].step.newN + r.tests[0].step.oldN }
+
 // comparable returns the step's sums; without old traffic, those of the
 // former step stand in for the old version.
-func (t *test) comparable(full bool) cell {
+func (t *test) comparable(full bool, metric int) cell {
 	c := t.step
 	if full {
-		c.oldN, c.oldEvents = t.reference.oldN, t.reference.oldEvents
+		c.oldN = t.reference.oldN
+		c.oldEvents = c.oldN * t.reference.drifted(drifts[metric])
 	}
 	return c
 }
