--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -160,17 +161,24 @@
 
 func (f *Fleet) startPlatform() error {
 	f.Platform = &StandIn{}
-	return f.startStandIn(f.Platform, "platform", "platform")
+	offers, err := json.Marshal(f.Profile.Offers)
+	if err != nil {
+		return err
+	}
+	return f.startStandIn(f.Platform, "platform", "platform", "--offers", string(offers))
 }
 
 // AddEngine starts an engine and registers it with the platform.
 func (f *Fleet) AddEngine(dataCentre, version string, args ...string) (*StandIn, error) {
 	s := &StandIn{DataCentre: dataCentre, Service: f.Profile.EngineService, Version: version}
-	all := append([]string{
-		"engine", "--service", s.Service, "--version", version,
+	return s, f.addEndpoint(s, fmt.Sprintf("engine-%d-%s", len(f.Endpoints), version), append(f.engineArgs(version), args...))
+}
+
+func (f *Fleet) engineArgs(version string) []string {
+	return append([]string{
+		"engine", "--service", f.Profile.EngineService, "--version", version,
 		"--tokens-per-second", fmt.Sprint(f.Profile.TokensPerSecond), "--cold-slots", fmt.Sprint(f.Profile.ColdSlots),
 	}, f.Profile.EngineArgs...)
-	return s, f.addEndpoint(s, fmt.Sprintf("engine-%d-%s", len(f.Endpoints), version), append(all, args...))
 }
 
 func (f *Fleet) addPlain(dataCentre string) (*StandIn, error) {
--- a/clharness/profile.go
+++ b/clharness/profile.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
@@ -30,6 +31,11 @@
 	TokensPerSecond float64
 	// EngineArgs and PlainArgs are further arguments of the stand-ins.
 	EngineArgs, PlainArgs []string
+	// Offers are what the cloud API sells, for services with a Placement.
+	Offers []clplatform.Offer
+	// Placement is the capacity of the engine service; nil leaves its
+	// instances to the harness.
+	Placement *clstate.PlacementTarget
 	// ColdSlots and MaxSlots bound the engines' requests at once.
 	ColdSlots, MaxSlots uint32
 	// Settings are lines by section that the daemons' settings get in addition;
@@ -90,6 +96,7 @@
 		},
 		ActiveVersion: OldVersion, DataCentres: p.DataCentres,
 		ColdSlots: p.ColdSlots, MaxSlots: p.MaxSlots, WarmAfter: 4, RequestTimeout: durationpb.New(time.Minute),
+		Placement: p.Placement,
 	}
 }
 
--- a/clharness/standin.go
+++ b/clharness/standin.go
@@ -52,6 +52,12 @@
 	return f.Platform.admin("/admin/reclaims", req)
 }
 
+// ReclaimDataCentre announces that a data centre's reclaimable instances will
+// be taken away; RunInstances ends their processes.
+func (f *Fleet) ReclaimDataCentre(name string, notice time.Duration) error {
+	return f.Platform.admin("/admin/reclaims", clstandin.ReclaimRequest{DataCentre: name, NoticeMs: int(notice.Milliseconds())})
+}
+
 // EngineStats returns an engine's statistics.
 func (s *StandIn) EngineStats() (clstandin.EngineStats, error) {
 	var st clstandin.EngineStats
