Add specifications of bookings, leases and revisions

Cause: tests sample interleavings; the safety arguments should hold for all within a bound. Change: three Promela specifications, a script that checks them exhaustively and requires 21 variants with one guard removed to fail, `make model`, and docs/model.md, which names the functions that implement each part. Limits: expiry, several segments, allowance halvings and differing clock rates are not modelled.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 test: ## Runs all tests.
 	go test ./...
+
+model: ## Checks the specifications and that their variants with one guard removed fail.
+	model/check.sh
