--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,8 @@
 test: ## Runs all tests.
 	go test ./...
 
+model: ## Checks the specifications and that their variants with one guard removed fail.
+	model/check.sh
 demo: build ## Runs the main job on two deployments with real processes; under 90 s.
 	$(BIN)/chestnutload demo
 
