--- a/clbench/entry.go
+++ b/clbench/entry.go
@@ -84,6 +84,7 @@
 			r.figure(fmt.Sprintf("latency that the entry adds at %d/s, percentile %g, run %d", entryRate, q, i+1), "ms", added)
 		}
 		r.figure(fmt.Sprintf("direct latency at %d/s, median, run %d", entryRate, i+1), "ms", float64(d.latency.ValueAtQuantile(50))/1e3)
+		r.figure(fmt.Sprintf("direct latency at %d/s, percentile 99, run %d", entryRate, i+1), "ms", float64(d.latency.ValueAtQuantile(99))/1e3)
 		noteFailures(r, "direct", d)
 		noteFailures(r, "through the entry", t)
 	}
--- a/clbench/slots.go
+++ b/clbench/slots.go
@@ -11,14 +11,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clroute"
 	"github.com/chestnutlead/chestnutlead/clslot"
+	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
-
-	"github.com/chestnutlead/chestnutlead/clpeer"
 )
 
 const (
@@ -128,6 +127,8 @@
 	return w
 }
 
+func entryID(i int) string { return fmt.Sprintf("entry-%03d-0a1b2c3d", i) }
+
 func groupOf(id string) int { return int(xxhash.Sum64String(id) % slotGroups) }
 
 func (w *slotWorld) grantor(id string) *clslot.Grantor { return w.grantors[groupOf(id)] }
@@ -204,10 +205,10 @@
 		}
 	}
 	for group, ids := range lo.GroupBy(wanted, groupOf) {
-		req := &clwire.GrantSlotsRequest{From: "entry-000-0a1b2c3d"}
+		req := &clwire.GrantSlotsRequest{From: entryID(entry)}
 		for _, id := range ids {
 			d := h.Demand(id, waiting[id], w.now)
-			g := w.grantors[group].Demand(strconv.Itoa(entry), d, w.now)
+			g := w.grantors[group].Demand(entryID(entry), d, w.now)
 			h.Apply(g, w.now)
 			req.Demands = append(req.Demands, &clwire.SlotDemand{
 				EndpointId: id, Sequence: d.Sequence, InUse: uint32(d.InUse), Held: uint32(d.Held), Fencing: d.Fencing, Wanted: uint32(d.Wanted),
@@ -237,15 +238,38 @@
 	r.add("message bytes of grant calls per entry, without HTTP", "KB/s", size, x, float64(w.counts.bytes)/t/x/1e3)
 	r.add("grant calls served by each of 8 grantors", "1/s", size, x, float64(w.counts.calls)/t/slotGroups)
 	r.add("requests that found no slot held", "%", size, x, 100*float64(w.counts.waited)/float64(max(w.counts.started, 1)))
+	r.add("state that each grantor leaves with its lease", "KB", size, x, w.stateBytes()/1e3)
+	start := cpuSeconds()
+	w.stateBytes()
+	r.add("CPU of encoding that state once", "ms", size, x, 1e3*(cpuSeconds()-start)/slotGroups)
 	r.add("CPU of the simulated slots of all, per entry", "ms/s", size, x, 1e3*cpu/virtualTime.Seconds()/x)
 }
 
+// stateBytes returns the mean size of what an entry writes with the lease of a
+// slot group; the encoding is that of package clentry.
+func (w *slotWorld) stateBytes() float64 {
+	sum := 0
+	for _, g := range w.grantors {
+		m := &clstate.SlotLedger{Endpoints: lo.Map(g.State(), func(s clslot.EndpointState, _ int) *clstate.SlotLedgerEndpoint {
+			return &clstate.SlotLedgerEndpoint{
+				EndpointId: s.Endpoint, BootId: s.BootID, Limit: uint32(s.Limit), Unattributed: uint32(s.Unattributed),
+				Charges: lo.Map(s.Charges, func(c clslot.EntryCharge, _ int) *clstate.SlotLedgerCharge {
+					return &clstate.SlotLedgerCharge{Entry: c.Entry, Slots: uint32(c.Slots), InUse: uint32(c.InUse), Sequence: c.Sequence}
+				}),
+			}
+		})}
+		b, _ := proto.Marshal(m) // Strings made here are valid.
+		sum += len(b)
+	}
+	return float64(sum) / float64(len(w.grantors))
+}
+
 // slotMemory measures what grantors, holders and tables keep.
 func slotMemory(r *Result) {
 	cfg, now := clslot.DefaultConfig(), time.Unix(1_800_000_000, 0)
 	for _, entries := range []int{9, 100, 390} {
 		const endpoints = 75
-		names := lo.Times(entries, func(i int) string { return fmt.Sprintf("entry-%03d-0a1b2c3d", i) })
+		names := lo.Times(entries, entryID)
 		before := heapBytes()
 		g := clslot.NewGrantor(cfg)
 		for i := range endpoints {
@@ -321,6 +345,5 @@
 		r.add("CPU of a grant call, both ends", "us", "demands in the call", float64(demands), 1e6*(cpuSeconds()-cpu)/calls)
 		r.add("bytes of a grant call, both ways", "B", "demands in the call", float64(demands), float64(now.sent+now.received-before.sent-before.received)/calls)
 	}
-	f.nodes[0].Log = zap.NewNop()
 	return nil
 }
