Leave only limits with the renewal of a slot lease

Cause: a grantor encoded its whole state, with a charge for each endpoint and entry, every 100 ms under the lock that grants wait for, and wrote it with each renewal every 2 s. A successor uses of that only the limits, unless the grantor had stopped before it released the lease.

Change: renewals carry the limits, and the state with charges comes with the release alone. The payload says whether it is complete, and a successor resumes grants at once only from a complete one. This also closes a gap: a process whose loops ended without a drain released its lease with a state of up to 100 ms before, which was taken for complete.

Encoding at renewals only was ruled out as the whole answer, since the bytes would have stayed.

--- a/clbench/slots.go
+++ b/clbench/slots.go
@@ -238,19 +238,23 @@
 	r.add("message bytes of grant calls per entry, without HTTP", "KB/s", size, x, float64(w.counts.bytes)/t/x/1e3)
 	r.add("grant calls served by each of 8 grantors", "1/s", size, x, float64(w.counts.calls)/t/slotGroups)
 	r.add("requests that found no slot held", "%", size, x, 100*float64(w.counts.waited)/float64(max(w.counts.started, 1)))
-	r.add("state that each grantor leaves with its lease", "KB", size, x, w.stateBytes()/1e3)
-	start := cpuSeconds()
-	w.stateBytes()
-	r.add("CPU of encoding that state once", "ms", size, x, 1e3*(cpuSeconds()-start)/slotGroups)
+	cpuBefore := cpuSeconds()
+	released := w.stateBytes((*clslot.Grantor).State)
+	cpuReleased := cpuSeconds()
+	renewed := w.stateBytes((*clslot.Grantor).Limits)
+	r.add("state that each grantor leaves with the release of its lease", "KB", size, x, released/1e3)
+	r.add("CPU of encoding that state", "ms", size, x, 1e3*(cpuReleased-cpuBefore)/slotGroups)
+	r.add("limits that each grantor leaves with a renewal", "KB", size, x, renewed/1e3)
+	r.add("CPU of encoding those limits", "ms", size, x, 1e3*(cpuSeconds()-cpuReleased)/slotGroups)
 	r.add("CPU of the simulated slots of all, per entry", "ms/s", size, x, 1e3*cpu/virtualTime.Seconds()/x)
 }
 
 // stateBytes returns the mean size of what an entry writes with the lease of a
 // slot group; the encoding is that of package clentry.
-func (w *slotWorld) stateBytes() float64 {
+func (w *slotWorld) stateBytes(states func(*clslot.Grantor) []clslot.EndpointState) float64 {
 	sum := 0
 	for _, g := range w.grantors {
-		m := &clstate.SlotLedger{Endpoints: lo.Map(g.State(), func(s clslot.EndpointState, _ int) *clstate.SlotLedgerEndpoint {
+		m := &clstate.SlotLedger{Endpoints: lo.Map(states(g), func(s clslot.EndpointState, _ int) *clstate.SlotLedgerEndpoint {
 			return &clstate.SlotLedgerEndpoint{
 				EndpointId: s.Endpoint, BootId: s.BootID, Limit: uint32(s.Limit), Unattributed: uint32(s.Unattributed),
 				Charges: lo.Map(s.Charges, func(c clslot.EntryCharge, _ int) *clstate.SlotLedgerCharge {
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -163,7 +163,7 @@
 		held = append(held, gr)
 		gr.grantor.Lost()
 		gr.state = cllease.State{}
-		gr.runner.SetPayload(encodeStates(gr.grantor.State()))
+		gr.runner.SetPayload(encodeStates(gr.grantor.State(), true))
 		gr.runner.SetWanted(false)
 	}
 	s.mu.Unlock()
@@ -209,7 +209,9 @@
 	case state.Held:
 		gr.grantor.Renewed(state.Fencing, state.Until)
 		s.setEndpoints(gr)
-		gr.runner.SetPayload(encodeStates(gr.grantor.State()))
+		// Only the limits hold for a successor to a grantor that did not stop. The
+		// charges of hundreds of entries would make each renewal large.
+		gr.runner.SetPayload(encodeStates(gr.grantor.Limits(), false))
 	case state.Lapsed:
 		if !was.Lapsed {
 			s.log.Warn("Slot lease lapsed because the object API is unavailable. Granting continues at half.",
@@ -242,8 +244,8 @@
 // inherit takes over what the former holder left with the lease.
 func inherit(gr *group, now time.Time) {
 	payload, released := gr.runner.Inherited()
-	states := decodeStates(payload)
-	if released {
+	states, complete := decodeStates(payload)
+	if released && complete {
 		gr.grantor.Resume(states, now)
 	} else {
 		gr.grantor.Recall(states)
--- a/clentry/handover.go
+++ b/clentry/handover.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-func encodeStates(states []clslot.EndpointState) []byte {
-	m := &clstate.SlotLedger{Endpoints: lo.Map(states, func(s clslot.EndpointState, _ int) *clstate.SlotLedgerEndpoint {
+// encodeStates encodes states; complete says that they were taken after the
+// grantor had stopped.
+func encodeStates(states []clslot.EndpointState, complete bool) []byte {
+	m := &clstate.SlotLedger{Complete: complete, Endpoints: lo.Map(states, func(s clslot.EndpointState, _ int) *clstate.SlotLedgerEndpoint {
 		return &clstate.SlotLedgerEndpoint{
 			EndpointId: s.Endpoint, BootId: s.BootID, Limit: uint32(s.Limit), Unattributed: uint32(s.Unattributed),
 			Charges: lo.Map(s.Charges, func(c clslot.EntryCharge, _ int) *clstate.SlotLedgerCharge {
@@ -27,10 +29,10 @@
 
 // decodeStates returns nothing for a payload that cannot be decoded, which
 // costs a ramp-up from the cold limit.
-func decodeStates(payload []byte) []clslot.EndpointState {
+func decodeStates(payload []byte) (_ []clslot.EndpointState, complete bool) {
 	m := &clstate.SlotLedger{}
 	if proto.Unmarshal(payload, m) != nil {
-		return nil
+		return nil, false
 	}
 	return lo.Map(m.GetEndpoints(), func(e *clstate.SlotLedgerEndpoint, _ int) clslot.EndpointState {
 		return clslot.EndpointState{
@@ -39,5 +41,5 @@
 				return clslot.EntryCharge{Entry: c.GetEntry(), Slots: int(c.GetSlots()), InUse: int(c.GetInUse()), Sequence: c.GetSequence()}
 			}),
 		}
-	})
+	}), m.GetComplete()
 }
--- a/clslot/handover.go
+++ b/clslot/handover.go
@@ -34,7 +34,7 @@
 func (g *Grantor) State() []EndpointState {
 	var list []EndpointState
 	for id, e := range g.endpoints {
-		if e.ready && !e.removed && e.ramp.bootID != "" && e.halvings == 0 {
+		if e.reported() {
 			list = append(list, e.state(id))
 		}
 	}
@@ -42,6 +42,24 @@
 	return list
 }
 
+// Limits returns the limits of the endpoints that were reported in the present
+// term, for a successor's Recall.
+func (g *Grantor) Limits() []EndpointState {
+	var list []EndpointState
+	for id, e := range g.endpoints {
+		if e.reported() {
+			list = append(list, EndpointState{Endpoint: id, BootID: e.ramp.bootID, Limit: e.ramp.limit})
+		}
+	}
+	slices.SortFunc(list, func(a, b EndpointState) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
+
+// reported says that the limit was found in the present term.
+func (e *ledger) reported() bool {
+	return e.ready && !e.removed && e.ramp.bootID != "" && e.halvings == 0
+}
+
 func (e *ledger) state(id string) EndpointState {
 	s := EndpointState{Endpoint: id, BootID: e.ramp.bootID, Limit: e.ramp.limit, Unattributed: e.unattributed.slots}
 	for entry, c := range e.entries {
--- a/clslot/recall_test.go
+++ b/clslot/recall_test.go
@@ -39,7 +39,7 @@
 			next := clslot.NewGrantor(cfg)
 			next.SetEndpoint("e", limits)
 			next.Acquired(clslot.Lease{Fencing: 2, Until: now.Add(time.Hour), FormerLapsed: now})
-			next.Recall(former.State())
+			next.Recall(former.Limits())
 			now = now.Add(time.Second)
 			tt.load.ProducedAt = now
 			next.Report("e", tt.load, now)
