Let entries that start during an outage learn the endpoints from peers

Cause: an entry that starts while the platform is down learned the configuration from its peers but no endpoints, because only the platform lists them; it became ready after 10 s and refused every request. Readiness also did not compare the revision with that of the other peers. Ruled out: the configuration, which had arrived; facts, which name leaving endpoints only. Change: the Peer service has ListEndpoints, by which an entry whose list of instances cannot be read asks a random live entry; the newer list wins by the age of its read from the platform. An entry is ready once it has the highest revision of the live members that answer. Conclusion: a start during an outage depends on peers alone.

--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -137,14 +137,15 @@
 	return nil
 }
 
-// loopReadiness reports ready when the entry has the configuration that its
-// peers have and knows who grants the endpoints' slots. After a while it does
+// loopReadiness reports ready when the entry has the highest revision of the
+// peers that answer and knows the endpoints and who grants the endpoints' slots. After a while it does
 // so without grantors, so that callers get refusals from it and not silence.
 func (e *Entry) loopReadiness(ctx context.Context) error {
 	e.Readiness.Meet(conditionServing)
 	started := time.Now()
+	configured := false
 	for {
-		configured := e.views.load() != nil
+		configured = configured || e.views.load() != nil && e.node.CatchUp(ctx)
 		if configured {
 			e.Readiness.Meet(conditionConfig)
 		}
@@ -303,7 +304,7 @@
 
 // connect wires what the parts tell each other.
 func (e *Entry) connect() {
-	e.node.Bookings, e.node.Slots = e.ledgers, e.grantors
+	e.node.Bookings, e.node.Slots, e.node.Endpoints = e.ledgers, e.grantors, e.fleet
 	e.node.OnFacts = e.learn
 	e.node.OnMembers = func([]clmember.Member) {}
 	e.fleet.onChange = func(set []endpoint, removed []string) {
--- a/clentry/fleet.go
+++ b/clentry/fleet.go
@@ -22,8 +22,11 @@
 	// listReadsPerSecond bounds the reads of the list of instances by all processes together.
 	listReadsPerSecond = 20
 	noticeRetryDelay   = time.Second
-	noticeRankKey      = "notices"
-	noticeReaders      = 2
+	// peerListDelay is added to the age of a list learned from a peer; it exceeds
+	// the rounding of the age and an ordinary call's time.
+	peerListDelay = 100 * time.Millisecond
+	noticeRankKey = "notices"
+	noticeReaders = 2
 )
 
 type (
@@ -49,7 +52,10 @@
 		// onLeaving is called when an endpoint is known to leave; at is zero if the time is unknown.
 		onLeaving func(id string, at time.Time)
 
-		mu        sync.Mutex
+		mu sync.Mutex
+		// read is when the applied list was read from the platform, by this entry
+		// or the one it was learned from; zero if there is none.
+		read      time.Time
 		endpoints map[string]endpoint
 		leaving   map[string]time.Time
 		loads     map[string]clendpoint.Load
@@ -68,9 +74,10 @@
 		list, err := f.instances.ListInstances(ctx)
 		switch {
 		case err == nil:
-			f.apply(list)
+			f.apply(list, time.Now())
 		case ctx.Err() == nil:
-			f.log.Warn("List of instances cannot be read. The known endpoints stay.", zap.Error(err))
+			f.log.Warn("List of instances cannot be read. The known endpoints stay, or a peer's are taken.", zap.Error(err))
+			f.askPeer(ctx)
 		}
 		if err := pause(ctx, f.listInterval()); err != nil {
 			return nil
@@ -84,8 +91,10 @@
 	return max(f.interval, time.Duration(members)*time.Second/listReadsPerSecond)
 }
 
-func (f *fleet) apply(list []clplatform.Instance) {
+// apply takes a list that was read from the platform at the given time.
+func (f *fleet) apply(list []clplatform.Instance, read time.Time) {
 	f.mu.Lock()
+	f.read = read
 	seen := make(map[string]bool, len(list))
 	var set []endpoint
 	var removed []string
--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/go-faster/errors"
@@ -285,6 +286,17 @@
 	return clwire.NewOperatorProtobufClient("http://"+p.operator.String(), c)
 }
 
+// EntryPeer returns a client of the service that the pair's entry offers to peers.
+func (p *Pair) EntryPeer() clwire.Peer { return peerClient(p.entryPeer) }
+
+// ControlPeer returns a client of the service that the pair's control process
+// offers to peers.
+func (p *Pair) ControlPeer() clwire.Peer { return peerClient(p.controlPeer) }
+
+func peerClient(addr netip.AddrPort) clwire.Peer {
+	return (&clpeer.Transport{Token: peerToken, Timeout: time.Second}).Peer(addr)
+}
+
 // Apply applies a configuration through the first control process that answers.
 func (f *Fleet) Apply(ctx context.Context, r *clwire.ApplyRequest) error {
 	return waitFor(startTimeout, "acceptance of the configuration", func() bool {
--- a/clpeer/calls.go
+++ b/clpeer/calls.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -131,6 +133,42 @@
 	return result
 }
 
+// CatchUp asks every live member for its applied revision, fetches the highest
+// if it is above the own one, and reports whether this process now has the
+// highest of those that answered.
+func (n *Node) CatchUp(ctx context.Context) bool {
+	revisions := n.Revisions(ctx)
+	highest, id := n.Configs.Current().GetRevision(), ""
+	for member, r := range revisions {
+		if r > highest {
+			highest, id = r, member
+		}
+	}
+	if id == "" {
+		return ctx.Err() == nil
+	}
+	for _, m := range n.Members() {
+		if m.ID == id {
+			n.callFetchConfig(ctx, clmember.Call{To: m})
+		}
+	}
+	return n.Configs.Current().GetRevision() >= highest
+}
+
+// ListEndpoints asks a random live member of the role which endpoints it knows.
+func (n *Node) ListEndpoints(ctx context.Context, role string) (*clwire.ListEndpointsResponse, error) {
+	members := lo.Filter(n.Members(), func(m clmember.Member, _ int) bool { return m.Live() && m.Role == role })
+	if len(members) == 0 {
+		return nil, errors.New("no peer is known that could be asked; check peer.seeds")
+	}
+	m := members[rand.IntN(len(members))]
+	resp, err := n.Transport.Peer(m.Address).ListEndpoints(ctx, &clwire.ListEndpointsRequest{})
+	if err != nil {
+		return nil, errors.Wrap(err, "ask "+m.ID+" for its endpoints")
+	}
+	return resp, nil
+}
+
 // TellAll sends a fact to every live member of a role and waits until each has
 // answered, failed, or ctx has ended. It returns how many have answered. It is
 // for facts that must be known before this process acts on; AddFact spreads
--- a/clpeer/node.go
+++ b/clpeer/node.go
@@ -67,8 +67,14 @@
 		ReportEvidence(context.Context, *clwire.ReportEvidenceRequest) (*clwire.ReportEvidenceResponse, error)
 	}
 
+	// Endpoints tells peers which endpoints this process knows.
+	Endpoints interface {
+		ListEndpoints() *clwire.ListEndpointsResponse
+	}
+
 	// Node runs the membership core over twirp. Fields are set before Run;
-	// Bookings, Slots and Evidence are nil in processes that do not offer them.
+	// Bookings, Slots, Evidence and Endpoints are nil in processes that do not
+	// offer them.
 	Node struct {
 		Member    clmember.Config
 		Transport *Transport
@@ -77,6 +83,7 @@
 		Bookings  Bookings
 		Slots     Slots
 		Evidence  Evidence
+		Endpoints Endpoints
 		// OnFacts is called with new and renewed facts, in order, by one goroutine at a time.
 		OnFacts func([]clmember.Fact)
 		// OnMembers is called with members that are new or changed.
--- a/clpeer/server.go
+++ b/clpeer/server.go
@@ -128,6 +128,14 @@
 	return s.n.Evidence.ReportEvidence(ctx, r)
 }
 
+// ListEndpoints returns the endpoints that this process knows.
+func (s *server) ListEndpoints(context.Context, *clwire.ListEndpointsRequest) (*clwire.ListEndpointsResponse, error) {
+	if s.n.Endpoints == nil {
+		return nil, notOffered("questions about endpoints")
+	}
+	return s.n.Endpoints.ListEndpoints(), nil
+}
+
 func notOffered(what string) error {
 	return twirp.NewError(twirp.Unimplemented, "this process does not take "+what+"; ask a process of the other role")
 }
