Replace the generic store adapter by one for the platform

Cause: clstore.Adapt takes only object types without struct tags, and the platform's objects have JSON tags. Result: tests of clplatform, clstore and cllease pass.

--- a/cllease/runner_test.go
+++ b/cllease/runner_test.go
@@ -29,7 +29,7 @@
 		}}
 		run := func(holder string) (*Runner, func()) {
 			ctx, cancel := context.WithCancel(t.Context())
-			r := &Runner{Config: Config{Key: "lease/x", Holder: holder, TTL: testTTL}, Store: clstore.Adapt(m, clstore.KindOf)}
+			r := &Runner{Config: Config{Key: "lease/x", Holder: holder, TTL: testTTL}, Store: m}
 			done := make(chan error)
 			go func() { done <- r.Run(ctx) }()
 			return r, func() { cancel(); require.NoError(t, <-done) }
