Offer profiles on the metrics port

Cause: where an entry's time goes could not be seen in a running process. Change: /debug/pprof/ on the metrics port.

--- a/clobserve/server.go
+++ b/clobserve/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/gofiber/fiber/v2/middleware/pprof"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 )
@@ -83,6 +84,8 @@
 	app.Get("/metrics", adaptor.HTTPHandler(handler))
 	app.Get("/livez", s.livez)
 	app.Get("/readyz", s.readyz)
+	// Profiles of the running process, under /debug/pprof/.
+	app.Use(pprof.New())
 	return app
 }
 
