--- a/clbench/slots.go
+++ b/clbench/slots.go
@@ -46,7 +46,9 @@
 		tickets map[int64][]slotRequest
 		running map[string]int
 		waiting []map[string]int
-		counts  slotCounts
+		// parts has the endpoints that each entry uses while they have slots.
+		parts  [][]string
+		counts slotCounts
 	}
 
 	slotRequest struct {
@@ -118,11 +120,12 @@
 	for range entries {
 		w.holders = append(w.holders, clslot.NewHolder(cfg))
 		w.waiting = append(w.waiting, map[string]int{})
+		w.parts = append(w.parts, clroute.Subset(entryID(len(w.parts)), w.ids, clroute.SubsetSize))
 	}
 	w.load()
 	// The requests that run in a steady state are there from the start.
 	for range int(requestsPerWorker * requestTakes.Seconds() * float64(endpoints)) {
-		w.waiting[w.rnd.IntN(entries)][w.ids[w.rnd.IntN(endpoints)]]++
+		w.wait(w.rnd.IntN(entries))
 	}
 	return w
 }
@@ -169,18 +172,20 @@
 
 // arrive starts a request at an endpoint with a free slot here, or lets it wait.
 func (w *slotWorld) arrive(entry int) {
-	for range 16 {
-		if w.start(entry, w.ids[w.rnd.IntN(len(w.ids))]) {
-			return
-		}
-	}
-	for _, at := range w.rnd.Perm(len(w.ids)) {
-		if w.start(entry, w.ids[at]) {
+	part := w.parts[entry]
+	for _, at := range w.rnd.Perm(len(part)) {
+		if w.start(entry, part[at]) {
 			return
 		}
 	}
 	w.counts.waited++
-	w.waiting[entry][w.ids[w.rnd.IntN(len(w.ids))]]++
+	w.wait(entry)
+}
+
+// wait queues a request for a slot in the entry's part of the endpoints.
+func (w *slotWorld) wait(entry int) {
+	part := w.parts[entry]
+	w.waiting[entry][part[w.rnd.IntN(len(part))]]++
 }
 
 func (w *slotWorld) start(entry int, id string) bool {
@@ -219,6 +224,11 @@
 			for waiting[id] > 0 && w.start(entry, id) {
 				waiting[id]--
 			}
+			if n := waiting[id]; n > 0 && h.Available(id, w.now) == 0 {
+				// The endpoint is full; any other is the reserve.
+				delete(waiting, id)
+				waiting[w.ids[w.rnd.IntN(len(w.ids))]] += n
+			}
 			if waiting[id] == 0 {
 				delete(waiting, id)
 			}
--- a/clcontrol/executor.go
+++ b/clcontrol/executor.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	planSweepEvery  = 2 * time.Second
+	planSweepEvery  = 10 * time.Second
 	revisionTimeout = time.Second
 	loadTimeout     = time.Second
 	// planRetention is how long finished plans are kept for operators to look at.
--- a/clentry/demand.go
+++ b/clentry/demand.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clpeer"
+	"github.com/chestnutlead/chestnutlead/clroute"
 	"github.com/chestnutlead/chestnutlead/clslot"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
@@ -231,7 +232,7 @@
 		return
 	}
 	g.exploredAt[key] = now
-	ids := g.candidates(key)
+	ids := g.ownPart(g.candidates(key))
 	for range ids {
 		g.explored[key]++
 		id := ids[g.explored[key]%len(ids)]
@@ -245,8 +246,14 @@
 // spread divides n waiting requests among the endpoints of a version, the
 // least loaded first.
 func (g *gate) spread(key queueKey, n int, denied map[string]bool, wanted map[string]int) {
-	ids := g.candidates(key)
-	ids = lo.Filter(ids, func(id string, _ int) bool { return !denied[id] })
+	free := func(id string, _ int) bool { return !denied[id] }
+	all := g.candidates(key)
+	own := g.ownPart(all)
+	ids := lo.Filter(own, free)
+	if len(ids) == 0 && len(own) < len(all) {
+		// The entry's own part is full; the others are its reserve.
+		ids = lo.Filter(all, free)
+	}
 	if len(ids) == 0 {
 		return
 	}
@@ -260,6 +267,15 @@
 	}
 }
 
+// ownPart keeps the order of the endpoints, but only those of the entry's part.
+func (g *gate) ownPart(ids []string) []string {
+	if len(ids) <= clroute.SubsetSize {
+		return ids
+	}
+	part := lo.Keyify(clroute.Subset(g.self, ids, clroute.SubsetSize))
+	return lo.Filter(ids, func(id string, _ int) bool { return lo.HasKey(part, id) })
+}
+
 // candidates returns the endpoints of a version that may get new work, the
 // least loaded first. Endpoints with equal loads come in an order that differs
 // between entries, so that entries do not ask for the same slots first.
