--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -277,6 +277,12 @@
 // URL returns the callers' base URL of the pair's entry.
 func (p *Pair) URL() string { return "http://" + p.caller.String() }
 
+// OperatorURL returns the operators' base URL of the pair's control process.
+func (p *Pair) OperatorURL() string { return "http://" + p.operator.String() }
+
+// PeerURL returns the peers' base URL of the pair's entry.
+func (p *Pair) PeerURL() string { return "http://" + p.entryPeer.String() }
+
 // MetricsURL returns the base URL of the entry's metrics and health.
 func (p *Pair) MetricsURL() string { return "http://" + p.entryMetrics.String() }
 
