--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 WIRE_PROTOS := clwire/peer.proto clwire/operator.proto
 PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
 
-.PHONY: help build tools generate generate-check format-check lint test model demo bench ci
+.PHONY: help build tools generate generate-check format-check lint test model demo bench
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -43,6 +43,7 @@
 
 model: ## Checks the specifications and that their variants with one guard removed fail.
 	model/check.sh
+
 demo: build ## Runs the main job on two deployments with real processes; under 90 s.
 	$(BIN)/chestnutload demo
 
--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	return f.startStandIn(f.Platform, "platform", "platform", "--offers", string(offers))
+	return f.startStandIn(f.Platform, "platform", append([]string{"platform", "--offers", string(offers)}, f.Profile.PlatformArgs...)...)
 }
 
 // AddEngine starts an engine and registers it with the platform.
@@ -285,6 +285,12 @@
 // URL returns the callers' base URL of the pair's entry.
 func (p *Pair) URL() string { return "http://" + p.caller.String() }
 
+// OperatorURL returns the operators' base URL of the pair's control process.
+func (p *Pair) OperatorURL() string { return "http://" + p.operator.String() }
+
+// PeerURL returns the peers' base URL of the pair's entry.
+func (p *Pair) PeerURL() string { return "http://" + p.entryPeer.String() }
+
 // MetricsURL returns the base URL of the entry's metrics and health.
 func (p *Pair) MetricsURL() string { return "http://" + p.entryMetrics.String() }
 
--- a/clharness/profile.go
+++ b/clharness/profile.go
@@ -29,8 +29,8 @@
 	Pairs int
 	// TokensPerSecond is the engines' rate.
 	TokensPerSecond float64
-	// EngineArgs and PlainArgs are further arguments of the stand-ins.
-	EngineArgs, PlainArgs []string
+	// EngineArgs, PlainArgs and PlatformArgs are further arguments of the stand-ins.
+	EngineArgs, PlainArgs, PlatformArgs []string
 	// Offers are what the cloud API sells, for services with a Placement.
 	Offers []clplatform.Offer
 	// Placement is the capacity of the engine service; nil leaves its
