--- a/clharness/placement_test.go
+++ b/clharness/placement_test.go
@@ -18,7 +18,7 @@
 
 const (
 	placedEndpoints = 4
-	reclaimNotice   = 2 * time.Second
+	placementNotice = 2 * time.Second
 )
 
 func placedProfile() clharness.Profile {
@@ -60,7 +60,7 @@
 	// One data centre is reclaimed and refuses new starts.
 	gone := f.Profile.DataCentres[0]
 	require.NoError(t, f.Platform.SetFaults(clstandin.Faults{RefuseStarts: []clstandin.StartRefusal{{DataCentre: gone}}}))
-	require.NoError(t, f.ReclaimDataCentre(gone, reclaimNotice))
+	require.NoError(t, f.ReclaimDataCentre(gone, placementNotice))
 	eventually(t, healWithin, "the target is met without "+gone, func() bool {
 		live, err := f.LiveIn()
 		require.NoError(t, err)
