Move the cache of a stream whose endpoint leaves

Cause: a stream on a leaving endpoint was always computed again elsewhere from the tokens already sent. Change: if the rest does not fit the time left and the transfer does, the new engine fetches the stream's KV cache from the old one before the stream goes on there; the time of a transfer is learnt per token. A place whose slot could not be renewed is no longer given back twice.

--- a/clendpoint/resume.go
+++ b/clendpoint/resume.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"net/url"
 	"strconv"
 
@@ -26,6 +27,18 @@
 	}
 }
 
+// ImportCall returns the call with which an engine fetches the KV cache of a
+// stream from another engine; Endpoint and Timeouts are left to the caller.
+func ImportCall(from netip.AddrPort, streamID string) (Call, error) {
+	body, err := json.Marshal(map[string]string{"from": from.String(), "stream": streamID})
+	if err != nil {
+		return Call{}, errors.Wrap(err, "encode cache source")
+	}
+	return Call{
+		Method: "POST", Path: "/v1/kv", Header: []Header{{Name: "Content-Type", Value: "application/json"}}, Body: body,
+	}, nil
+}
+
 // ContinueBody returns the body of a completion request whose answer goes on
 // after the given tokens.
 func ContinueBody(body []byte, tokens []string) ([]byte, error) {
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -52,6 +52,8 @@
 		choice   clroute.Choice
 		ticket   clslot.Ticket
 		bootID   string
+		// lost says that the ticket could not be renewed, so that no slot is taken.
+		lost bool
 	}
 
 	waiter struct {
@@ -371,7 +373,11 @@
 }
 
 // giveBack frees a place at which nothing was sent.
-func (g *gate) giveBack(p *place) { g.release(p, clslot.Outcome{}, clroute.Result{}) }
+func (g *gate) giveBack(p *place) {
+	if !p.lost {
+		g.release(p, clslot.Outcome{}, clroute.Result{})
+	}
+}
 
 // renew replaces a ticket that has waited too long for its request to be sent.
 func (g *gate) renew(p *place) bool {
@@ -383,7 +389,7 @@
 	}
 	g.holder.Release(p.ticket, clslot.Outcome{}, now)
 	ticket, ok := g.holder.Acquire(p.endpoint.id, now)
-	p.ticket = ticket
+	p.ticket, p.lost = ticket, !ok
 	g.refreshSlots(p.endpoint.id, now)
 	return ok
 }
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -57,7 +57,9 @@
 	skip   int
 	resume *streamPosition
 	began  time.Time
-	moved  bool
+	// handover is what is to be done while the endpoint leaves.
+	handover clroute.HandoverOption
+	moved    bool
 }
 
 // setPosition prepares to go on with a stream after the caller's last event.
@@ -334,11 +336,14 @@
 		return nil
 	}
 	old := g.cur
+	if g.handover == clroute.HandoverExport {
+		g.h.transfers.move(g.ctx, g.h.runner.client, old.p.endpoint, p.endpoint, g.streamID, g.w.route.Tokens+g.position())
+	}
 	if g.base > 0 {
 		g.skip = g.position()
 	}
 	c, err := g.call()
-	if err != nil {
+	if err != nil || !g.h.gate.renew(p) {
 		g.h.gate.giveBack(p)
 		return nil
 	}
@@ -352,7 +357,7 @@
 	old.settle(errHandedOver)
 	g.attach(a)
 	g.h.log.Info("Stream handed over.", zap.String("request", g.w.id), zap.String("from", old.p.endpoint.id),
-		zap.String("to", p.endpoint.id), zap.Int("position", g.position()))
+		zap.String("to", p.endpoint.id), zap.Stringer("handover", g.handover), zap.Int("position", g.position()))
 	return nil
 }
 
@@ -371,9 +376,12 @@
 	if leavesAt.IsZero() {
 		return false
 	}
+	tokens := g.w.route.Tokens + g.position()
 	option, recomputed := clroute.ChooseHandover(clroute.Handover{
-		Left: leavesAt.Sub(now), Remainder: g.remainder(now), Tokens: g.w.route.Tokens + g.position(),
+		Left: leavesAt.Sub(now), Remainder: g.remainder(now), Tokens: tokens,
+		CanExport: g.streamID != "", Transfer: g.h.transfers.expected(tokens),
 	})
+	g.handover = option
 	if option == clroute.HandoverFinish {
 		return false
 	}
--- a/clentry/handler.go
+++ b/clentry/handler.go
@@ -39,6 +39,7 @@
 	timeouts    clendpoint.Timeouts
 	ready       func() bool
 	tracker     *tracker
+	transfers   *transfers
 	resendWait  time.Duration
 	// closing refuses new requests on connections that stay open.
 	closing atomic.Bool
--- /dev/null
+++ b/clentry/transfer.go
@@ -0,0 +1,72 @@
+// This file defines transfers of KV caches between engines.
+
+package clentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"go.uber.org/zap"
+)
+
+const (
+	// transferTimeout bounds one transfer; the stream goes on without it.
+	transferTimeout = 2 * time.Second
+	// firstTransferPerToken is assumed until a transfer was measured.
+	firstTransferPerToken = 100 * time.Microsecond
+	transferWeight        = 0.2
+)
+
+// transfers moves caches and learns how long that takes.
+type transfers struct {
+	log *zap.Logger
+
+	mu       sync.Mutex
+	perToken time.Duration
+}
+
+// expected returns how long the cache of so many tokens takes to move.
+func (t *transfers) expected(tokens int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.perToken == 0 {
+		return firstTransferPerToken * time.Duration(tokens)
+	}
+	return t.perToken * time.Duration(tokens)
+}
+
+// move makes an engine fetch the cache of a stream from another one. A failure
+// costs only that the tokens are computed again.
+func (t *transfers) move(ctx context.Context, client clendpoint.Client, from, to endpoint, streamID string, tokens int) {
+	c, err := clendpoint.ImportCall(from.addr, streamID)
+	if err != nil {
+		return
+	}
+	c.Endpoint = to.addr
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	started := time.Now()
+	a, err := client.Do(ctx, c)
+	if err != nil {
+		t.log.Info("Cache cannot be moved. Its tokens are computed again.", zap.String("from", from.id), zap.String("to", to.id), zap.Error(err))
+		return
+	}
+	_ = a.Body.Close() // The status says whether the cache arrived.
+	if a.Status >= 300 {
+		t.log.Info("Cache was refused. Its tokens are computed again.", zap.String("from", from.id), zap.String("to", to.id), zap.Int("status", a.Status))
+		return
+	}
+	t.learn(time.Since(started) / time.Duration(max(tokens, 1)))
+}
+
+func (t *transfers) learn(perToken time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.perToken == 0 {
+		t.perToken = perToken
+		return
+	}
+	t.perToken += time.Duration(transferWeight * float64(perToken-t.perToken))
+}
