Rank the members for slot groups once a second

Cause: each entry ranked all members for each of 8 slot groups every 100 ms to see whether it is one of the two that watch the group's lease.

Change: the result is kept for a second.

The two watchers of a group are known before its holder fails, so a failure of the holder alone is noticed no later; if both candidates fail too, the next ones notice up to a second later.

--- a/clbench/failure.go
+++ b/clbench/failure.go
@@ -79,6 +79,12 @@
 		w.step()
 	}
 	r.add("calls per member before", "1/s", nodesSize, x, float64(w.calls-calls)/w.now.Sub(steady).Seconds()/x)
+	const rankings = 2000
+	cpu := cpuSeconds()
+	for i := range rankings {
+		w.cores[0].Rank("slots-"+strconv.Itoa(i%slotGroups), clmember.Filter{Role: "entry"})
+	}
+	r.add("CPU of one ranking of all members", "us", nodesSize, x, 1e6*(cpuSeconds()-cpu)/rankings)
 	for i := range w.lost {
 		w.lost[i] = i%dataCentres == dataCentres-1
 	}
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -27,6 +27,9 @@
 
 const (
 	grantorTick = 100 * time.Millisecond
+	// rankEvery bounds how often a process ranks the members for each group: one
+	// ranking of 390 members takes 0.27 ms.
+	rankEvery = time.Second
 	// grantorFactLifetime outlasts the gaps between renewals of the fact.
 	grantorFactLifetime = 2 * time.Minute
 	grantorFactEvery    = 30 * time.Second
@@ -50,6 +53,9 @@
 		grantor *clslot.Grantor
 		state   cllease.State
 		factAt  time.Time
+		// candidate is the result of the ranking at rankedAt.
+		candidate bool
+		rankedAt  time.Time
 	}
 
 	// grantors runs the groups that this process holds the leases of.
@@ -126,7 +132,7 @@
 	state := gr.runner.Current(now)
 	// A holder keeps its groups when another process ranks higher, because each
 	// change of the grantor holds up grants.
-	wanted := state.Held || state.Lapsed || s.candidate(gr) && time.Since(s.started) >= joinSettle
+	wanted := state.Held || state.Lapsed || s.candidate(gr, now) && time.Since(s.started) >= joinSettle
 	if s.draining.Load() {
 		wanted = false
 	}
@@ -142,10 +148,15 @@
 
 // candidate reports whether this process is among those that take the group's
 // lease when it is free.
-func (s *grantors) candidate(gr *group) bool {
+func (s *grantors) candidate(gr *group, now time.Time) bool {
+	if now.Sub(gr.rankedAt) < rankEvery {
+		return gr.candidate
+	}
+	gr.rankedAt = now
 	self := s.node.Member.Self
 	rank := s.node.Rank("slots-"+strconv.Itoa(int(gr.number)), clmember.Filter{Role: self.Role})
-	return slices.ContainsFunc(rank[:min(candidates, len(rank))], func(m clmember.Member) bool { return m.ID == self.ID })
+	gr.candidate = slices.ContainsFunc(rank[:min(candidates, len(rank))], func(m clmember.Member) bool { return m.ID == self.ID })
+	return gr.candidate
 }
 
 // drain hands all groups over to successors: it stops granting, leaves the
