Measure the steady state after the news of the start has spread

Cause: the control experiment began its steady state some seconds after all nodes knew all.

Change: it waits 0.2 s per node from the start on.

--- a/clbench/command.go
+++ b/clbench/command.go
@@ -33,8 +33,8 @@
 const runLimit = 4 * time.Minute
 
 var experiments = []experiment{
-	{"control", "membership, facts and configuration at 25 to 390 nodes", runControl},
 	{"connections", "memory of idle connections between peers", runConnections},
+	{"control", "membership, facts and configuration at 25 to 390 nodes", runControl},
 	{"booking", "object API calls and latency of booking records", runBooking},
 	{"slots", "demands, grants and their memory", runSlots},
 	{"entry", "latency, CPU and memory of an entry process", runEntry},
--- a/clbench/control.go
+++ b/clbench/control.go
@@ -24,6 +24,9 @@
 	factRounds = 3
 	pushFanout = 4
 	idleBound  = 3 * time.Second
+	// joinBacklog times the members is how long the news of their start is
+	// still sent: each node sends 32 changes twice a second, each up to 12 times.
+	joinBacklog = 200 * time.Millisecond
 )
 
 var nodeSizes = []int{25, 100, 200, 390}
@@ -61,6 +64,7 @@
 		return err
 	}
 	time.Sleep(settleTime + idleBound)
+	time.Sleep(time.Until(started.Add(time.Duration(size) * joinBacklog)))
 	f.steady(r, x)
 	r.add("heap and stacks per node, open connections included", "KB", nodesSize, x, (heapBytes()-before)/n/1e3)
 	return f.spread(ctx, r, x)
--- a/clbench/fleet.go
+++ b/clbench/fleet.go
@@ -36,6 +36,8 @@
 		nodes   []*benchNode
 		cancel  context.CancelFunc
 		done    sync.WaitGroup
+		// stopped returns an error when the experiment is to end.
+		stopped func() error
 	}
 
 	benchNode struct {
@@ -69,6 +71,7 @@
 func startFleet(ctx context.Context, size int, stagger, idleLimit time.Duration) (*nodeFleet, error) {
 	f := &nodeFleet{objects: newObjects(2 * time.Millisecond)}
 	ctx, f.cancel = context.WithCancel(ctx)
+	f.stopped = ctx.Err
 	var seeds []netip.AddrPort
 	for i := range size {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -131,6 +134,9 @@
 func (f *nodeFleet) wait(limit time.Duration, what string, ok func(*benchNode) bool) error {
 	deadline := time.Now().Add(limit)
 	for !lo.EveryBy(f.nodes, ok) {
+		if err := f.stopped(); err != nil {
+			return errors.Wrap(err, what)
+		}
 		if time.Now().After(deadline) {
 			return f.missed(limit, what, lo.Filter(f.nodes, func(n *benchNode, _ int) bool { return !ok(n) }))
 		}
