--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,5 @@
 
 bench: build ## Reruns the experiments behind docs/CAPACITY.md; under 5 minutes.
 	$(BIN)/chestnutload experiment control connections --report docs/bench/control.json & control=$$!; \
-	$(BIN)/chestnutload experiment booking slots entry routing control_process failure --report docs/bench/processes.json; rest=$$?; \
+	$(BIN)/chestnutload experiment booking slots entry routing failure control_process --report docs/bench/processes.json; rest=$$?; \
 	wait $$control && exit $$rest
