Share waiting, membership settings and the making of daemons

A request that was queued a second time kept its former place in the queue, so that its caller's end cancelled nothing and was noticed only when its time in the queue was over. Change: clwait.Every and clwait.Pause, clpeer.MemberConfig, one runDaemon; the callback is gone; a waiting request carries its present queue and ID.

--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,7 +21,6 @@
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -85,11 +83,9 @@
 	if c.peer, err = net.Listen("tcp", c.Settings.GetListen().PeerAddr().String()); err != nil {
 		return operator, peer, errors.Wrap(err, "listen for peers")
 	}
-	return addrOf(c.operator), addrOf(c.peer), nil
+	return clpeer.AddrOf(c.operator), clpeer.AddrOf(c.peer), nil
 }
 
-func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
-
 // Run serves until ctx ends; then it releases the control lease and returns.
 func (c *Control) Run(ctx context.Context) error {
 	if c.operator == nil {
@@ -181,21 +177,13 @@
 func (c *Control) buildNode(t *clpeer.Transport) {
 	s := c.Settings
 	c.node = &clpeer.Node{
-		Member: clmember.Config{
-			Self: clmember.Member{
-				ID: s.GetProcess().GetName() + "-" + uuid.NewString()[:8], Address: s.GetPeer().AdvertisedAddr(addrOf(c.peer)),
-				DataCentre: s.GetProcess().GetDataCentre(), Region: s.GetProcess().GetRegion(), Role: Role,
-			},
-			Seeds: s.GetPeer().SeedAddrs(), Rand: newRand(),
-			ProbeInterval: s.GetPeer().GetProbeInterval().AsDuration(), ProbeTimeout: s.GetPeer().GetProbeTimeout().AsDuration(),
-			SuspicionBase: s.GetPeer().GetSuspectTimeout().AsDuration(), SyncInterval: s.GetPeer().GetSyncInterval().AsDuration(),
-		},
+		Member:    clpeer.MemberConfig(s.GetProcess(), s.GetPeer(), Role, clpeer.AddrOf(c.peer)),
 		Transport: t, Listener: c.peer, Configs: &snapshots{}, Log: clobserve.Component(c.Logger, "peer"),
 	}
 	cfg := s.GetConfig()
 	c.config = &clpeer.ConfigSource{
 		Node: c.node, Objects: c.Objects, Watchers: int(cfg.GetWatchersPerDataCentre()), Wait: cfg.GetWatchWait().AsDuration(),
-		PeerSilence: cfg.GetPeerSilence().AsDuration(), Log: clobserve.Component(c.Logger, "config"), OnResult: func(error) {},
+		PeerSilence: cfg.GetPeerSilence().AsDuration(), Log: clobserve.Component(c.Logger, "config"),
 	}
 }
 
@@ -217,6 +205,3 @@
 		Subject: "control", Detail: fmt.Sprintf("%s %d", self.Address, fencing), Urgent: true,
 	}
 }
-
-// newRand returns a generator of its own for one core.
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/clcontrol/orders.go
+++ b/clcontrol/orders.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -49,20 +50,13 @@
 // loop looks at the engines in regular intervals until ctx ends.
 func (o *orders) loop(ctx context.Context) error {
 	o.known = make(map[string]engineState)
-	t := time.NewTicker(orderEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			if state := o.lease.Current(now); state.Held {
-				o.ledger.Begin(state.Fencing)
-				o.observe(ctx)
-				o.send(ctx)
-			}
+	return clwait.Every(ctx, orderEvery, func(now time.Time) {
+		if state := o.lease.Current(now); state.Held {
+			o.ledger.Begin(state.Fencing)
+			o.observe(ctx)
+			o.send(ctx)
 		}
-	}
+	})
 }
 
 // observe reads the engines' reports and notes which of them run another
--- a/clcontrol/placement.go
+++ b/clcontrol/placement.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutlead/chestnutlead/clplacement"
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
@@ -57,16 +58,7 @@
 
 // loop decides in regular intervals until ctx ends.
 func (p *placement) loop(ctx context.Context) error {
-	t := time.NewTicker(p.interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			p.round(ctx, now)
-		}
-	}
+	return clwait.Every(ctx, p.interval, func(now time.Time) { p.round(ctx, now) })
 }
 
 func (p *placement) round(ctx context.Context, now time.Time) {
@@ -78,7 +70,7 @@
 		return
 	}
 	if p.planner == nil || p.fencing != state.Fencing {
-		p.planner = clplacement.New(clplacement.Config{Rand: newRand(), MinBackoff: max(p.backoff, placementMinBackoff)})
+		p.planner = clplacement.New(clplacement.Config{Rand: clpeer.NewRand(), MinBackoff: max(p.backoff, placementMinBackoff)})
 		p.fencing, p.stopping = state.Fencing, make(map[string]stopping)
 	}
 	offers, err := p.cloud.Offers(ctx)
--- a/clcontrol/store.go
+++ b/clcontrol/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -93,7 +94,7 @@
 			// a second conditional update on the same version settles it.
 			return s.putAgain(ctx, key, v, ifVersion, cause)
 		}
-		if err := sleep(ctx, unknownReadPause); err != nil {
+		if err := clwait.Pause(ctx, unknownReadPause); err != nil {
 			break
 		}
 	}
@@ -152,17 +153,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // listNamed returns the values under a prefix by their keys.
 func (s *store[T]) listNamed(ctx context.Context, prefix string) (map[string]T, error) {
 	objects, err := s.objects.List(ctx, prefix)
--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clroute"
 	"github.com/chestnutlead/chestnutlead/clslot"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 )
@@ -194,7 +195,7 @@
 			r.gate.report(p.endpoint.id, l)
 			return l.BootID
 		}
-		if pause(ctx, bootProbeInterval) != nil {
+		if clwait.Pause(ctx, bootProbeInterval) != nil {
 			return ""
 		}
 	}
--- a/clentry/cache.go
+++ b/clentry/cache.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -32,16 +33,7 @@
 // loop polls until ctx ends.
 func (c *caches) loop(ctx context.Context) error {
 	c.after = make(map[string]uint64)
-	t := time.NewTicker(c.interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			c.round(ctx)
-		}
-	}
+	return clwait.Every(ctx, c.interval, func(time.Time) { c.round(ctx) })
 }
 
 func (c *caches) round(ctx context.Context) {
--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -20,9 +19,9 @@
 	"github.com/chestnutlead/chestnutlead/clsettings"
 	"github.com/chestnutlead/chestnutlead/clslot"
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v2"
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -86,11 +85,9 @@
 	if e.peer, err = net.Listen("tcp", e.Settings.GetListen().PeerAddr().String()); err != nil {
 		return caller, peer, errors.Wrap(err, "listen for peers")
 	}
-	return addrOf(e.caller), addrOf(e.peer), nil
+	return clpeer.AddrOf(e.caller), clpeer.AddrOf(e.peer), nil
 }
 
-func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
-
 // Run serves until ctx ends and all running requests have ended, or the drain
 // timeout has passed.
 func (e *Entry) Run(ctx context.Context) error {
@@ -154,7 +151,7 @@
 			e.log.Info("Entry is ready.", zap.Uint64("revision", e.views.Current().GetRevision()))
 			return nil
 		}
-		if pause(ctx, readinessInterval) != nil {
+		if clwait.Pause(ctx, readinessInterval) != nil {
 			return nil
 		}
 	}
@@ -221,24 +218,14 @@
 
 func (e *Entry) buildNode(t *clpeer.Transport) {
 	s := e.Settings
-	boot := uuid.NewString()
 	e.node = &clpeer.Node{
-		Member: clmember.Config{
-			Self: clmember.Member{
-				ID: s.GetProcess().GetName() + "-" + boot[:8], Address: s.GetPeer().AdvertisedAddr(addrOf(e.peer)),
-				DataCentre: s.GetProcess().GetDataCentre(), Region: s.GetProcess().GetRegion(), Role: Role,
-			},
-			Seeds: s.GetPeer().SeedAddrs(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			ProbeInterval: s.GetPeer().GetProbeInterval().AsDuration(), ProbeTimeout: s.GetPeer().GetProbeTimeout().AsDuration(),
-			SuspicionBase: s.GetPeer().GetSuspectTimeout().AsDuration(), SyncInterval: s.GetPeer().GetSyncInterval().AsDuration(),
-		},
+		Member:    clpeer.MemberConfig(s.GetProcess(), s.GetPeer(), Role, clpeer.AddrOf(e.peer)),
 		Transport: t, Listener: e.peer, Configs: e.views, Log: clobserve.Component(e.Logger, "peer"),
 	}
 	c := s.GetConfig()
 	e.config = &clpeer.ConfigSource{
 		Node: e.node, Objects: e.Objects, Watchers: int(c.GetWatchersPerDataCentre()), Wait: c.GetWatchWait().AsDuration(),
 		PeerSilence: c.GetPeerSilence().AsDuration(), Log: clobserve.Component(e.Logger, "config"),
-		OnResult: func(error) {},
 	}
 }
 
@@ -258,7 +245,7 @@
 		}),
 		suspended: make(map[queueKey]bool), pinned: make(map[string]int), usedAt: make(map[queueKey]time.Time),
 		exploredAt: make(map[queueKey]time.Time), explored: make(map[queueKey]int),
-		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rnd:      clpeer.NewRand(),
 		queueCfg: cladmission.Config{MaxQueued: int(a.GetAccountQueueLimit())},
 	}
 	e.grantors = &grantors{
--- a/clentry/evidence.go
+++ b/clentry/evidence.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clrollout"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -117,17 +118,8 @@
 
 // loop evaluates and sends evidence until ctx ends.
 func (e *evidence) loop(ctx context.Context) error {
-	t := time.NewTicker(evidenceEvery)
-	defer t.Stop()
 	var last uint64
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			last = e.step(ctx, now, last)
-		}
-	}
+	return clwait.Every(ctx, evidenceEvery, func(now time.Time) { last = e.step(ctx, now, last) })
 }
 
 // step handles the current batch: own evaluation once, sending until it is received.
--- a/clentry/fleet.go
+++ b/clentry/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"go.uber.org/zap"
 )
 
@@ -79,7 +80,7 @@
 			f.log.Warn("List of instances cannot be read. The known endpoints stay, or a peer's are taken.", zap.Error(err))
 			f.askPeer(ctx)
 		}
-		if err := pause(ctx, f.listInterval()); err != nil {
+		if err := clwait.Pause(ctx, f.listInterval()); err != nil {
 			return nil
 		}
 	}
@@ -151,14 +152,14 @@
 	var after uint64
 	for ctx.Err() == nil {
 		if !f.readsNotices() {
-			_ = pause(ctx, noticeRetryDelay) // The loop's condition ends it.
+			_ = clwait.Pause(ctx, noticeRetryDelay) // The loop's condition ends it.
 			continue
 		}
 		notices, err := f.cloud.Notices(ctx, after, f.wait)
 		if err != nil {
 			if ctx.Err() == nil && clplatform.KindOf(err) != clplatform.KindTimeout {
 				f.log.Warn("Reclaim notices cannot be read.", zap.Error(err))
-				_ = pause(ctx, noticeRetryDelay) // The loop's condition ends it.
+				_ = clwait.Pause(ctx, noticeRetryDelay) // The loop's condition ends it.
 			}
 			continue
 		}
@@ -242,14 +243,3 @@
 	defer f.mu.Unlock()
 	return f.loads[id]
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutlead/chestnutlead/clroute"
 	"github.com/chestnutlead/chestnutlead/clslot"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/gofiber/fiber/v2"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -56,8 +57,12 @@
 		lost bool
 	}
 
+	// waiter is a request in a queue; key and id say where, and change when it
+	// is queued again.
 	waiter struct {
 		w      *work
+		key    queueKey
+		id     cladmission.ID
 		result chan waitResult
 	}
 
@@ -117,23 +122,30 @@
 		}
 	}
 	wt := &waiter{w: w, result: make(chan waitResult, 1)}
-	id, refused := q.Offer(g.request(wt), now)
+	refused := g.offer(key, wt, now)
 	g.mu.Unlock()
 	if refused != nil {
 		return nil, refuseOverload(refused)
 	}
 	g.wake()
-	return g.await(ctx, wt, key, id)
+	return g.await(ctx, wt)
 }
 
-func (g *gate) await(ctx context.Context, wt *waiter, key queueKey, id cladmission.ID) (*place, *Refusal) {
+// offer puts a request into a queue.
+func (g *gate) offer(key queueKey, wt *waiter, now time.Time) *cladmission.Refusal {
+	id, refused := g.queue(key).Offer(g.request(wt), now)
+	wt.key, wt.id = key, id
+	return refused
+}
+
+func (g *gate) await(ctx context.Context, wt *waiter) (*place, *Refusal) {
 	select {
 	case r := <-wt.result:
 		return r.place, r.refusal
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	cancelled := g.queue(key).Cancel(id)
+	cancelled := g.queue(wt.key).Cancel(wt.id)
 	g.mu.Unlock()
 	if !cancelled {
 		// The result is being delivered; a place must not be lost.
@@ -265,7 +277,7 @@
 		if !ok {
 			return
 		}
-		if !g.admit(q, r, now) {
+		if !g.admit(key, r, now) {
 			return
 		}
 	}
@@ -273,7 +285,7 @@
 
 // admit finds a place for a request that was taken from the queue; it reports
 // whether the queue may go on.
-func (g *gate) admit(q *cladmission.Queue[*waiter], r cladmission.Request[*waiter], now time.Time) bool {
+func (g *gate) admit(key queueKey, r cladmission.Request[*waiter], now time.Time) bool {
 	wt := r.Value
 	if refusal := g.checkCrash(wt.w, now); refusal != nil {
 		wt.result <- waitResult{refusal: refusal}
@@ -281,7 +293,7 @@
 	}
 	p, reason := g.pick(wt.w, now)
 	if p == nil && waits(reason) {
-		if _, refused := q.Offer(r, now); refused != nil {
+		if refused := g.offer(key, wt, now); refused != nil {
 			wt.result <- waitResult{refusal: refuseOverload(refused)}
 		}
 		return false
@@ -299,24 +311,19 @@
 
 // loopExpire refuses queued requests that can no longer start in time.
 func (g *gate) loopExpire(ctx context.Context) error {
-	t := time.NewTicker(expireEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			g.mu.Lock()
-			for key, q := range g.queues {
-				for _, r := range q.Expire(now) {
-					r.Request.Value.result <- waitResult{refusal: refuseOverload(r.Refusal)}
-				}
-				g.pump(key, now)
-			}
-			g.crashes.Expire(now)
-			g.mu.Unlock()
+	return clwait.Every(ctx, expireEvery, g.expire)
+}
+
+func (g *gate) expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, q := range g.queues {
+		for _, r := range q.Expire(now) {
+			r.Request.Value.result <- waitResult{refusal: refuseOverload(r.Refusal)}
 		}
+		g.pump(key, now)
 	}
+	g.crashes.Expire(now)
 }
 
 // finishedAlone clears a suspect whose second run ended well.
@@ -343,7 +350,7 @@
 			return p, true
 		}
 		g.wake()
-		if pause(ctx, pinnedPause) != nil {
+		if clwait.Pause(ctx, pinnedPause) != nil {
 			return nil, false
 		}
 	}
@@ -487,7 +494,7 @@
 				break
 			}
 			r.Value.w.service = svc
-			if _, refused := g.queue(g.assign(r.Value.w)).Offer(r, now); refused != nil {
+			if refused := g.offer(g.assign(r.Value.w), r.Value, now); refused != nil {
 				r.Value.result <- waitResult{refusal: refuseOverload(refused)}
 			}
 		}
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutlead/chestnutlead/clslot"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -114,18 +115,11 @@
 }
 
 func (s *grantors) loop(ctx context.Context) error {
-	t := time.NewTicker(grantorTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			for _, gr := range s.table {
-				s.step(gr, now)
-			}
+	return clwait.Every(ctx, grantorTick, func(now time.Time) {
+		for _, gr := range s.table {
+			s.step(gr, now)
 		}
-	}
+	})
 }
 
 func (s *grantors) step(gr *group, now time.Time) {
@@ -179,7 +173,7 @@
 	}
 	s.mu.Unlock()
 	for _, gr := range held {
-		for !gr.runner.Released() && pause(ctx, releasePoll) == nil {
+		for !gr.runner.Released() && clwait.Pause(ctx, releasePoll) == nil {
 		}
 		n := strconv.Itoa(int(gr.number))
 		s.node.AddFact(clmember.Fact{
@@ -318,14 +312,7 @@
 
 // loopLoads reads the load reports of the endpoints whose slots this process grants.
 func (s *grantors) loopLoads(ctx context.Context) error {
-	t := time.NewTicker(s.interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return clwait.Every(ctx, s.interval, func(time.Time) {
 		var g errgroup.Group
 		g.SetLimit(loadPollLimit)
 		for _, e := range s.granted() {
@@ -335,7 +322,7 @@
 			})
 		}
 		_ = g.Wait() // pollLoad logs its failures.
-	}
+	})
 }
 
 func (s *grantors) granted() []endpoint {
--- a/clentry/once.go
+++ b/clentry/once.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutlead/chestnutlead/clbooking"
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v2"
 	"github.com/samber/lo"
@@ -233,7 +234,7 @@
 		if !o.holderLives(rec) {
 			return refuseOutcomeUnknown("the entry that sent an earlier request with this key is gone")
 		}
-		if time.Now().After(deadline) || pause(o.ctx, resendPoll) != nil {
+		if time.Now().After(deadline) || clwait.Pause(o.ctx, resendPoll) != nil {
 			r := refuseOutcomeUnknown("an earlier request with this key is still running")
 			r.RetryAfter = time.Second
 			return r
--- a/clpeer/config.go
+++ b/clpeer/config.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -34,9 +35,7 @@
 	// PeerSilence is how long no peer is heard before a process without a
 	// watch reads the platform.
 	PeerSilence time.Duration
-	// OnResult is called after each call with its error, or nil.
-	OnResult func(error)
-	Log      *zap.Logger
+	Log         *zap.Logger
 
 	version uint64
 }
@@ -85,22 +84,16 @@
 func (s *ConfigSource) watch(ctx context.Context) {
 	o, err := s.Objects.Watch(ctx, ConfigKey, s.version, s.Wait)
 	if clplatform.KindOf(err) == clplatform.KindTimeout {
-		s.OnResult(nil)
 		return
 	}
 	s.take(ctx, o, err)
 }
 
 func (s *ConfigSource) take(ctx context.Context, o clplatform.Object, err error) {
-	if clplatform.KindOf(err) == clplatform.KindNotFound {
-		s.OnResult(nil)
-		s.pause(ctx, configRetryDelay)
-		return
-	}
-	if ctx.Err() == nil {
-		s.OnResult(err)
-	}
 	if err != nil {
+		if ctx.Err() == nil && clplatform.KindOf(err) != clplatform.KindNotFound {
+			s.Log.Debug("Configuration cannot be read from the platform.", zap.Error(err))
+		}
 		s.pause(ctx, configRetryDelay)
 		return
 	}
@@ -116,11 +109,5 @@
 	}
 }
 
-func (s *ConfigSource) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
+// pause waits; the loop notices the end of ctx itself.
+func (s *ConfigSource) pause(ctx context.Context, d time.Duration) { _ = clwait.Pause(ctx, d) }
--- a/clpeer/node.go
+++ b/clpeer/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -147,16 +148,9 @@
 }
 
 func (n *Node) loopTick(ctx context.Context) error {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		n.do(func(now time.Time) clmember.Output { return n.core.Tick(now) })
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
+	tick := func(time.Time) { n.do(func(now time.Time) clmember.Output { return n.core.Tick(now) }) }
+	tick(time.Now())
+	return clwait.Every(ctx, tickInterval, tick)
 }
 
 func (n *Node) loopCalls(ctx context.Context) error {
--- a/cmd/chestnutlead/daemons.go
+++ b/cmd/chestnutlead/daemons.go
@@ -105,21 +105,12 @@
 	if err != nil {
 		return err
 	}
-	i := newInjector(s, clentry.Conditions)
-	p, err := do.Invoke[*platforms](i)
-	if err != nil {
-		return err
-	}
-	l, err := do.Invoke[*zap.Logger](i)
-	if err != nil {
-		return err
-	}
-	endpoints := do.MustInvoke[*clendpoint.HTTP](i)
-	e := &clentry.Entry{
-		Settings: s, Objects: p.objects, Instances: p.cloud, Cloud: p.cloud, Client: endpoints, Observer: endpoints,
-		Logger: l, Metrics: do.MustInvoke[*clobserve.Metrics](i), Readiness: do.MustInvoke[*clobserve.Readiness](i),
-	}
-	return runWithHealth(ctx, i, s.GetListen().MetricsAddr(), e.Run)
+	return runDaemon(ctx, s, clentry.Conditions, s.GetListen().MetricsAddr(), func(p *parts) daemon {
+		return &clentry.Entry{
+			Settings: s, Objects: p.platforms.objects, Instances: p.platforms.cloud, Cloud: p.platforms.cloud,
+			Client: p.endpoints, Observer: p.endpoints, Logger: p.logger, Metrics: p.metrics, Readiness: p.readiness,
+		}
+	})
 }
 
 func runControl(ctx context.Context, file string) error {
@@ -127,7 +118,31 @@
 	if err != nil {
 		return err
 	}
-	i := newInjector(s, clcontrol.Conditions)
+	return runDaemon(ctx, s, clcontrol.Conditions, s.GetListen().MetricsAddr(), func(p *parts) daemon {
+		return &clcontrol.Control{
+			Settings: s, Objects: p.platforms.objects, Instances: p.platforms.cloud, Cloud: p.platforms.cloud,
+			Observer: p.endpoints, Orderer: p.endpoints, Logger: p.logger, Metrics: p.metrics, Readiness: p.readiness,
+		}
+	})
+}
+
+// daemon serves until its context ends and it has drained.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
+// parts are what a daemon is made of.
+type parts struct {
+	platforms *platforms
+	endpoints *clendpoint.HTTP
+	logger    *zap.Logger
+	metrics   *clobserve.Metrics
+	readiness *clobserve.Readiness
+}
+
+// runDaemon makes the parts, and a daemon of them, and runs it.
+func runDaemon(ctx context.Context, s commonSettings, conditions []string, health netip.AddrPort, make func(*parts) daemon) error {
+	i := newInjector(s, conditions)
 	p, err := do.Invoke[*platforms](i)
 	if err != nil {
 		return err
@@ -136,12 +151,11 @@
 	if err != nil {
 		return err
 	}
-	endpoints := do.MustInvoke[*clendpoint.HTTP](i)
-	c := &clcontrol.Control{
-		Settings: s, Objects: p.objects, Instances: p.cloud, Cloud: p.cloud, Observer: endpoints, Orderer: endpoints,
-		Logger: l, Metrics: do.MustInvoke[*clobserve.Metrics](i), Readiness: do.MustInvoke[*clobserve.Readiness](i),
-	}
-	return runWithHealth(ctx, i, s.GetListen().MetricsAddr(), c.Run)
+	d := make(&parts{
+		platforms: p, endpoints: do.MustInvoke[*clendpoint.HTTP](i), logger: l,
+		metrics: do.MustInvoke[*clobserve.Metrics](i), readiness: do.MustInvoke[*clobserve.Readiness](i),
+	})
+	return runWithHealth(ctx, i, health, d.Run)
 }
 
 // runWithHealth runs a daemon beside its metrics and health server, which
