Start the outage of TestConfigAcceptedBeforeOutage after the takeover of slot leases

The entry that the test kills had held the slot groups of all three endpoints, and the outage began before they were taken over. Section 3.6 says that nobody can take over during a full outage, so that the check asked for service that the design does not give. Ruled out: the list of endpoints and the configuration, which the started entry had learned within 0.8 s. Change: the test waits for the takeover before the outage; all of its checks stay.

--- a/clharness/config_test.go
+++ b/clharness/config_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -132,6 +133,14 @@
 	r := watchRevisions(t, f)
 	starting := f.Pairs[2]
 	starting.Entry.Kill()
+	// By section 3.6 nobody takes slot leases over during a full outage, so that
+	// the endpoints of an entry that died just before it get no requests.
+	eventually(t, healWithin, "takeover of the slot leases of "+starting.Entry.Name, func() bool {
+		resp, err := f.Pairs[1].Operator().GetStatus(context.Background(), &clwire.GetStatusRequest{})
+		return err == nil && len(resp.GetLeases()) > 0 && !slices.ContainsFunc(resp.GetLeases(), func(l *clwire.LeaseStatus) bool {
+			return strings.HasPrefix(l.GetLease().GetHolder(), starting.Entry.Name+"-")
+		})
+	})
 	want := applyWeight(t, f, f.Pairs[1], 7)
 	require.NoError(t, f.Platform.SetFaults(clstandin.Faults{Outage: clstandin.OutageUnavailable}))
 	f.Pairs[1].Control.Kill()
