--- a/clbench/fleet.go
+++ b/clbench/fleet.go
@@ -115,7 +115,7 @@
 	}
 	n.source = &clpeer.ConfigSource{
 		Node: &n.Node, Objects: f.objects, Watchers: 2, Wait: 30 * time.Second, PeerSilence: 5 * time.Second,
-		OnResult: func(error) {}, Log: zap.NewNop(),
+		Log: zap.NewNop(),
 	}
 	return n
 }
