Reserve an endpoint, over all entries, for a suspect request

Cause: a suspect request ran alone only as far as its own entry knew. Under steady load no endpoint was ever idle, so that suspects waited 10 s and were refused; and two suspects of different entries could share an endpoint, so that the crash of one counted against the other. Change: an entry asks the grantor for an endpoint alone; the grantor gives no new slots there to others, and grants it when nothing else is charged. The reservation ends with the request, or after two lifetimes of a grant without a demand for it. Conclusion: aloneness has to be decided where the slots are counted.

--- a/clentry/demand.go
+++ b/clentry/demand.go
@@ -336,7 +336,7 @@
 		EndpointId: d.Endpoint, Sequence: d.Sequence, InUse: uint32(d.InUse), Held: uint32(d.Held),
 		Carried: uint32(d.Carried), Fencing: d.Fencing, Wanted: uint32(d.Wanted),
 		Healthy: uint32(d.Healthy), Failed: uint32(d.Failed),
-		SlowestFirstTokenMs: uint32(d.SlowestFirstToken.Milliseconds()),
+		SlowestFirstTokenMs: uint32(d.SlowestFirstToken.Milliseconds()), Exclusive: d.Exclusive,
 	}
 }
 
@@ -345,14 +345,14 @@
 		Endpoint: d.GetEndpointId(), Sequence: d.GetSequence(), InUse: int(d.GetInUse()), Held: int(d.GetHeld()),
 		Carried: int(d.GetCarried()), Fencing: d.GetFencing(), Wanted: int(d.GetWanted()),
 		Healthy: int(d.GetHealthy()), Failed: int(d.GetFailed()),
-		SlowestFirstToken: time.Duration(d.GetSlowestFirstTokenMs()) * time.Millisecond,
+		SlowestFirstToken: time.Duration(d.GetSlowestFirstTokenMs()) * time.Millisecond, Exclusive: d.GetExclusive(),
 	}
 }
 
 func grantToWire(g clslot.Grant) *clwire.SlotGrant {
 	return &clwire.SlotGrant{
 		EndpointId: g.Endpoint, Sequence: g.Sequence, Slots: uint32(g.Slots), LifetimeMs: g.Lifetime.Milliseconds(),
-		Fencing: g.Fencing, Refused: uint32(g.Refused),
+		Fencing: g.Fencing, Refused: uint32(g.Refused), Exclusive: g.Exclusive,
 	}
 }
 
@@ -360,7 +360,7 @@
 	return clslot.Grant{
 		Endpoint: g.GetEndpointId(), Sequence: g.GetSequence(), Slots: int(g.GetSlots()),
 		Lifetime: time.Duration(g.GetLifetimeMs()) * time.Millisecond, Fencing: g.GetFencing(),
-		Refused: clslot.Refusal(g.GetRefused()),
+		Refused: clslot.Refusal(g.GetRefused()), Exclusive: g.GetExclusive(),
 	}
 }
 
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -55,6 +55,8 @@
 		bootID   string
 		// lost says that the ticket could not be renewed, so that no slot is taken.
 		lost bool
+		// alone says that the endpoint is reserved for this request.
+		alone bool
 	}
 
 	// waiter is a request in a queue; key and id say where, and change when it
@@ -69,6 +71,8 @@
 	waitResult struct {
 		place   *place
 		refusal *Refusal
+		// suspect says that the request became a suspect while it waited.
+		suspect bool
 	}
 
 	// gate owns the decision cores of an entry, guarded by mu.
@@ -113,6 +117,10 @@
 	if g.unservable(w, now) {
 		key = g.assignOld(w)
 	}
+	if w.route.Alone {
+		g.mu.Unlock()
+		return g.acquireAlone(ctx, w, key)
+	}
 	g.usedAt[key] = now
 	q := g.queue(key)
 	if q.Len() == 0 {
@@ -141,6 +149,9 @@
 func (g *gate) await(ctx context.Context, wt *waiter) (*place, *Refusal) {
 	select {
 	case r := <-wt.result:
+		if r.suspect {
+			return g.acquireAlone(ctx, wt.w, wt.key)
+		}
 		return r.place, r.refusal
 	case <-ctx.Done():
 	}
@@ -259,6 +270,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.holder.Release(p.ticket, o, now)
+	if p.alone {
+		g.holder.Unreserve(p.endpoint.id)
+	}
 	r.Expected = p.choice.Expected
 	g.table.Ended(p.endpoint.id, r, now)
 	g.refreshSlots(p.endpoint.id, now)
@@ -291,6 +305,10 @@
 		wt.result <- waitResult{refusal: refusal}
 		return true
 	}
+	if wt.w.route.Alone {
+		wt.result <- waitResult{suspect: true}
+		return true
+	}
 	p, reason := g.pick(wt.w, now)
 	if p == nil && waits(reason) {
 		if refused := g.offer(key, wt, now); refused != nil {
@@ -375,6 +393,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.assign(w)
+	if w.route.Alone {
+		return nil, false
+	}
 	p, _ := g.pick(w, time.Now())
 	return p, p != nil
 }
@@ -383,6 +404,12 @@
 func (g *gate) giveBack(p *place) {
 	if !p.lost {
 		g.release(p, clslot.Outcome{}, clroute.Result{})
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.alone {
+		g.holder.Unreserve(p.endpoint.id)
 	}
 }
 
@@ -395,7 +422,13 @@
 		return true
 	}
 	g.holder.Release(p.ticket, clslot.Outcome{}, now)
-	ticket, ok := g.holder.Acquire(p.endpoint.id, now)
+	var ticket clslot.Ticket
+	var ok bool
+	if p.alone {
+		ticket, ok = g.holder.AcquireAlone(p.endpoint.id, now)
+	} else {
+		ticket, ok = g.holder.Acquire(p.endpoint.id, now)
+	}
 	p.ticket, p.lost = ticket, !ok
 	g.refreshSlots(p.endpoint.id, now)
 	return ok
--- /dev/null
+++ b/clslot/exclusive_test.go
@@ -0,0 +1,62 @@
+package clslot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestReserve guards against a suspect request that runs beside others, of its
+// own entry or of another one, and against a reservation that never ends.
+func TestReserve(t *testing.T) {
+	cfg := DefaultConfig()
+	now := time.Unix(1_700_000_000, 0)
+	g := NewGrantor(cfg)
+	g.SetEndpoint("e", Limits{Cold: 8, Max: 8, WarmAfter: 1})
+	g.Acquired(Lease{Fencing: 1, Until: now.Add(time.Hour), FormerLapsed: now})
+	now = now.Add(time.Second)
+	g.Report("e", Load{BootID: "b", ProducedAt: now}, now)
+	a, b := NewHolder(cfg), NewHolder(cfg)
+	ask := func(name string, h *Holder, waiting int) {
+		h.Apply(g.Demand(name, h.Demand("e", waiting, now), now), now)
+	}
+
+	ask("b", b, 1)
+	running, ok := b.Acquire("e", now)
+	require.True(t, ok)
+
+	a.Reserve("e", now)
+	ask("a", a, 0)
+	_, ok = a.AcquireAlone("e", now)
+	require.False(t, ok, "another entry's request is running")
+	ask("b", b, 3)
+	require.Zero(t, b.Available("e", now), "the endpoint is kept free")
+
+	b.Release(running, Outcome{Healthy: true}, now)
+	ask("b", b, 0) // takes b's idle slot away
+	ask("b", b, 0) // tells that it is gone
+	ask("a", a, 0)
+	_, ok = a.Acquire("e", now)
+	require.False(t, ok, "an ordinary request of the same entry")
+	alone, ok := a.AcquireAlone("e", now)
+	require.True(t, ok)
+	_, ok = a.AcquireAlone("e", now)
+	require.False(t, ok, "a second suspect")
+	ask("b", b, 1)
+	require.Zero(t, b.Available("e", now), "the endpoint is not shared")
+
+	a.Release(alone, Outcome{Healthy: true}, now)
+	a.Unreserve("e")
+	require.Contains(t, a.Due(now), "e", "the end of the reservation is told at once")
+	ask("a", a, 0)
+	ask("b", b, 1)
+	require.NotZero(t, b.Available("e", now))
+
+	// An entry that dies while it has the endpoint keeps it for a bounded time.
+	a.Reserve("e", now)
+	ask("a", a, 0)
+	now = now.Add(reservationLifetimes*cfg.GrantLifetime + time.Millisecond)
+	ask("b", b, 1)
+	require.NotZero(t, b.Available("e", now))
+}
--- a/clslot/grantor.go
+++ b/clslot/grantor.go
@@ -38,8 +38,11 @@
 		ramp ramp
 		// recalled is a former grantor's limit, until the first report of the term.
 		recalled EndpointState
-		removed  bool
-		entries  map[string]*charge
+		// reserved names the entry that asks for the endpoint alone, or has it.
+		reserved      string
+		reservedUntil time.Time
+		removed       bool
+		entries       map[string]*charge
 		// charged is the sum of the slots of entries. It is kept because hundreds
 		// of entries ask several times a second.
 		charged int
@@ -262,6 +265,7 @@
 		return r
 	}
 	r.Slots = e.share(d, allowance-(e.charged-c.slots))
+	r.Slots, r.Exclusive = e.restrict(from, d, r.Slots, e.charged-c.slots, now, g.cfg)
 	r.Lifetime = lifetime
 	e.setSlots(c, max(c.slots, r.Slots))
 	c.answered, c.fencing, c.poolVersion = true, g.term.Fencing, e.unattributed.version
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -51,6 +51,9 @@
 		healthy   int
 		failed    int
 		slowest   time.Duration
+		// reserving says that the endpoint is asked for alone, exclusive that it
+		// was given, and unreserved that the grantor is to be told of the end.
+		reserving, exclusive, unreserved bool
 	}
 )
 
@@ -62,7 +65,7 @@
 // Available returns the slots that Acquire can take now.
 func (h *Holder) Available(endpoint string, now time.Time) int {
 	e := h.endpoints[endpoint]
-	if e == nil || !now.Before(e.expires) {
+	if e == nil || !now.Before(e.expires) || e.reserving {
 		return 0
 	}
 	return max(0, e.slots-e.inUse)
@@ -93,12 +96,15 @@
 	if h.Available(endpoint, now) == 0 {
 		return Ticket{}, false
 	}
-	e := h.endpoints[endpoint]
+	return h.take(h.endpoints[endpoint], endpoint, now), true
+}
+
+func (h *Holder) take(e *holding, endpoint string, now time.Time) Ticket {
 	e.inUse++
 	e.roll(h.cfg, now)
 	e.peaks[0] = max(e.peaks[0], e.inUse)
 	e.usedAt = now
-	return Ticket{Endpoint: endpoint, SendBefore: now.Add(h.cfg.Settle), Fencing: e.fencing}, true
+	return Ticket{Endpoint: endpoint, SendBefore: now.Add(h.cfg.Settle), Fencing: e.fencing}
 }
 
 // Release ends the request of a ticket. It must be called once, after the
@@ -133,6 +139,9 @@
 		h.endpoints[endpoint] = e
 	}
 	wanted := e.wanted(h.cfg, waiting, now)
+	if e.reserving {
+		wanted = max(1, e.inUse)
+	}
 	if !now.Before(e.expires) {
 		e.slots = 0
 	}
@@ -142,7 +151,9 @@
 	d := Demand{
 		Endpoint: endpoint, Sequence: h.sequence, InUse: e.inUse, Held: e.slots, Carried: e.carried,
 		Fencing: e.fencing, Wanted: wanted, Healthy: e.healthy, Failed: e.failed, SlowestFirstToken: e.slowest,
+		Exclusive: e.reserving,
 	}
+	e.unreserved = false
 	e.healthy, e.failed, e.slowest = 0, 0, 0
 	return d
 }
@@ -163,6 +174,7 @@
 		e.fencing, e.carried = g.Fencing, e.inUse
 	}
 	e.slots, e.expires = g.Slots, e.sentAt.Add(g.Lifetime)
+	e.exclusive = g.Exclusive && e.reserving
 	return now.Before(e.expires)
 }
 
@@ -185,12 +197,12 @@
 		if !now.Before(e.expires) {
 			held = 0
 		}
-		if held == 0 && e.inUse == 0 && idle && e.healthy+e.failed == 0 {
+		if held == 0 && e.inUse == 0 && idle && e.healthy+e.failed == 0 && !e.reserving && !e.unreserved {
 			delete(h.endpoints, id)
 			continue
 		}
 		renew := e.expires.Sub(now) <= h.cfg.GrantLifetime/2 && (e.inUse > 0 || !idle)
-		if renew || held > e.wanted(h.cfg, 0, now) || held == 0 && e.healthy+e.failed > 0 {
+		if e.reserving && !e.exclusive || e.unreserved || renew || held > e.wanted(h.cfg, 0, now) || held == 0 && e.healthy+e.failed > 0 {
 			due = append(due, id)
 		}
 	}
--- a/clslot/slots.go
+++ b/clslot/slots.go
@@ -61,6 +61,8 @@
 		Healthy, Failed int
 		// SlowestFirstToken is the largest first-token time since the former demand.
 		SlowestFirstToken time.Duration
+		// Exclusive asks for the endpoint alone; see Holder.Reserve.
+		Exclusive bool
 	}
 
 	// Grant is the grantor's answer to a demand.
@@ -73,6 +75,8 @@
 		// Lifetime counts from the time at which the entry built the demand.
 		Lifetime time.Duration
 		Fencing  uint64
+		// Exclusive says that nobody else may have a request at the endpoint.
+		Exclusive bool
 		// Refused says why the grantor does not answer for the endpoint.
 		Refused Refusal
 	}
