Let a confirmed departure be called off until its time

Ruled out: the same for version moves, which are in the configuration before their plan is set to running. Change: a confirmed plan for a data centre can be rejected as long as its time has not come; the holder of the control lease drops a plan that somebody else has decided or concluded. Result: a new table test, whose first row failed before, passes.

--- a/clcontrol/executor.go
+++ b/clcontrol/executor.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -135,6 +136,12 @@
 	case *clstate.Intent_MoveVersion:
 		err = x.advanceMove(ctx, p, v.MoveVersion, now)
 	}
+	var stale *TransitionError
+	if errors.As(err, &stale) {
+		// Somebody else has decided or concluded the plan.
+		delete(x.active, p.GetId())
+		return
+	}
 	if err != nil {
 		x.log.Warn("Plan waits.", zap.String("plan", p.GetId()), zap.Error(err))
 	}
--- a/clcontrol/plan.go
+++ b/clcontrol/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clrollout"
@@ -85,15 +86,20 @@
 
 // transition moves p to the state, or fails without a change.
 func transition(p *clstate.Plan, to clstate.PlanState, updateID string, now time.Time) error {
-	for _, s := range allowedTransitions[p.GetState()] {
-		if s == to {
-			p.State = to
-			p.ChangedAt = timestamppb.New(now)
-			p.UpdateId = updateID
-			return nil
-		}
+	if !slices.Contains(allowedTransitions[p.GetState()], to) && !(to == clstate.PlanState_PLAN_STATE_REJECTED && waiting(p, now)) {
+		return &TransitionError{PlanID: p.GetId(), From: p.GetState(), To: to, By: p.GetDecidedBy()}
 	}
-	return &TransitionError{PlanID: p.GetId(), From: p.GetState(), To: to, By: p.GetDecidedBy()}
+	p.State = to
+	p.ChangedAt = timestamppb.New(now)
+	p.UpdateId = updateID
+	return nil
+}
+
+// waiting reports whether a confirmed plan waits for its time, so that it can
+// still be rejected. A data centre's plan is set to running before its first change.
+func waiting(p *clstate.Plan, now time.Time) bool {
+	at := p.GetIntent().GetSetDataCentre().GetAt()
+	return p.GetState() == clstate.PlanState_PLAN_STATE_CONFIRMED && at != nil && now.Before(at.AsTime())
 }
 
 // finishStep marks the step as finished; it reports whether that changed the plan.
--- a/clcontrol/plan_test.go
+++ b/clcontrol/plan_test.go
@@ -100,3 +100,34 @@
 		}
 	})
 }
+
+// TestRejectConfirmed guards against a departure that is confirmed for the
+// night and cannot be called off, and against a move that is called off while
+// the configuration already has it.
+func TestRejectConfirmed(t *testing.T) {
+	confirmed, running := clstate.PlanState_PLAN_STATE_CONFIRMED, clstate.PlanState_PLAN_STATE_RUNNING
+	atNight := func(in time.Duration) *clstate.Intent {
+		i := dataCentreOf("a", clstate.DataCentreState_DATA_CENTRE_STATE_OUT)
+		i.GetSetDataCentre().At = timestamppb.New(planNow.Add(in))
+		return i
+	}
+	tests := []struct {
+		name   string
+		intent *clstate.Intent
+		state  clstate.PlanState
+		ok     bool
+	}{
+		{"confirmed departure", atNight(time.Hour), confirmed, true},
+		{"its time has come", atNight(-time.Second), confirmed, false},
+		{"running departure", atNight(time.Hour), running, false},
+		{"departure at once", dataCentreOf("a", clstate.DataCentreState_DATA_CENTRE_STATE_OUT), confirmed, false},
+		{"confirmed move", moveOf("brew", "v2", time.Minute), confirmed, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := &clstate.Plan{Id: "p", Intent: tt.intent, State: tt.state}
+			err := transition(p, clstate.PlanState_PLAN_STATE_REJECTED, "u", planNow)
+			require.Equal(t, tt.ok, err == nil, "%v", err)
+		})
+	}
+}
