Never take the process tests from the cache

Cause: go test reported the tests with real processes as passed from its cache after clcontrol had changed: they build the commands themselves, which the cache does not see. Change: make test runs them with -count=1.

--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,9 @@
 	$(TOOLS)/staticcheck ./...
 	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
 
-test: ## Runs all tests, those with real processes by themselves.
+test: ## Runs all tests, those with real processes by themselves and never from the cache, which does not see the commands they build.
 	go test $$(go list ./... | grep -v '/clharness$$')
-	go test ./clharness
+	go test -count=1 ./clharness
 
 model: ## Checks the specifications and that their variants with one guard removed fail.
 	model/check.sh
