Read, encode and list stored messages in one way

Cause: a read through the whole change found two loops that list and decode objects, three encodings of one message after a lost answer, and two fields that nothing reads. Change: listKeyed serves both lists, so that the status shows leases in the order of their keys; put encodes once; work.retry and once.path are gone.

--- a/clcontrol/operator.go
+++ b/clcontrol/operator.go
@@ -169,9 +169,9 @@
 	} else {
 		resp.ObjectApi = err.Error()
 	}
-	if leases, err := s.leases.listNamed(ctx, leasePrefix); err == nil {
-		for name, l := range leases {
-			resp.Leases = append(resp.Leases, &clwire.LeaseStatus{Name: strings.TrimPrefix(name, leasePrefix), Lease: l})
+	if leases, err := s.leases.listKeyed(ctx, leasePrefix); err == nil {
+		for _, l := range leases {
+			resp.Leases = append(resp.Leases, &clwire.LeaseStatus{Name: strings.TrimPrefix(l.key, leasePrefix), Lease: l.value})
 		}
 	}
 	return resp, nil
--- a/clcontrol/store.go
+++ b/clcontrol/store.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutlead/chestnutlead/clplatform"
 	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -28,6 +29,12 @@
 		mark func(T) string
 	}
 
+	// keyed is a message with its object's key.
+	keyed[T proto.Message] struct {
+		key   string
+		value T
+	}
+
 	// stored is a message with its object's version; version 0 means absent.
 	stored[T proto.Message] struct {
 		value   T
@@ -51,19 +58,8 @@
 }
 
 func (s *store[T]) list(ctx context.Context, prefix string) ([]T, error) {
-	objects, err := s.objects.List(ctx, prefix)
-	if err != nil {
-		return nil, errors.Wrap(err, "list "+prefix)
-	}
-	values := make([]T, 0, len(objects))
-	for _, o := range objects {
-		v := s.newT()
-		if err := proto.Unmarshal(o.Value, v); err != nil {
-			return nil, errors.Wrap(err, "decode "+o.Key)
-		}
-		values = append(values, v)
-	}
-	return values, nil
+	items, err := s.listKeyed(ctx, prefix)
+	return lo.Map(items, func(i keyed[T], _ int) T { return i.value }), err
 }
 
 // put stores v if the object still has the given version. After a lost answer
@@ -77,10 +73,10 @@
 	if clplatform.KindOf(err) != clplatform.KindUnknown {
 		return err
 	}
-	return s.resolveUnknown(ctx, key, v, ifVersion, err)
+	return s.resolveUnknown(ctx, key, v, b, ifVersion, err)
 }
 
-func (s *store[T]) resolveUnknown(ctx context.Context, key string, v T, ifVersion uint64, cause error) error {
+func (s *store[T]) resolveUnknown(ctx context.Context, key string, v T, b []byte, ifVersion uint64, cause error) error {
 	for range unknownReadAttempts {
 		got, err := s.get(ctx, key)
 		if err == nil {
@@ -92,7 +88,7 @@
 			}
 			// The version is unchanged, but the update may still be on its way;
 			// a second conditional update on the same version settles it.
-			return s.putAgain(ctx, key, v, ifVersion, cause)
+			return s.putAgain(ctx, key, v, b, ifVersion, cause)
 		}
 		if err := clwait.Pause(ctx, unknownReadPause); err != nil {
 			break
@@ -101,12 +97,8 @@
 	return cause
 }
 
-func (s *store[T]) putAgain(ctx context.Context, key string, v T, ifVersion uint64, cause error) error {
-	b, err := proto.Marshal(v)
-	if err != nil {
-		return errors.Wrap(err, "encode "+key)
-	}
-	_, err = s.objects.Update(ctx, key, b, ifVersion)
+func (s *store[T]) putAgain(ctx context.Context, key string, v T, b []byte, ifVersion uint64, cause error) error {
+	_, err := s.objects.Update(ctx, key, b, ifVersion)
 	switch clplatform.KindOf(err) {
 	case "":
 		return err
@@ -153,21 +145,22 @@
 	}
 }
 
-// listNamed returns the values under a prefix by their keys.
-func (s *store[T]) listNamed(ctx context.Context, prefix string) (map[string]T, error) {
+// listKeyed returns the values under a prefix with their keys, in the order of
+// the keys.
+func (s *store[T]) listKeyed(ctx context.Context, prefix string) ([]keyed[T], error) {
 	objects, err := s.objects.List(ctx, prefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "list "+prefix)
 	}
-	values := make(map[string]T, len(objects))
+	items := make([]keyed[T], 0, len(objects))
 	for _, o := range objects {
 		v := s.newT()
 		if err := proto.Unmarshal(o.Value, v); err != nil {
 			return nil, errors.Wrap(err, "decode "+o.Key)
 		}
-		values[o.Key] = v
+		items = append(items, keyed[T]{key: o.Key, value: v})
 	}
-	return values, nil
+	return items, nil
 }
 
 // remove deletes an object; a failure leaves it for a later try.
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -43,8 +43,6 @@
 		route       clroute.Request
 		startBy     time.Time
 		cost        float64
-		// retry says that an earlier attempt was made.
-		retry bool
 	}
 
 	// place is an endpoint with a slot for one attempt.
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -181,7 +181,6 @@
 	case !g.h.gate.retryAllowed(g.w.service.GetName()):
 		return refuseUnavailable(run, "the retry budget is used up: "+cause.Error(), time.Second)
 	}
-	g.w.retry = true
 	g.w.startBy = time.Now().Add(maxQueueWait)
 	return nil
 }
--- a/clentry/once.go
+++ b/clentry/once.go
@@ -27,7 +27,6 @@
 	*passage
 	ledger *clbooking.Ledger
 	record *clstate.BookingRecord
-	path   string
 	// sent is the failure of the first attempt of which a byte may have
 	// reached an endpoint; from then on no refusal may say "not run".
 	sent error
@@ -35,13 +34,13 @@
 
 // runOnce answers a non-repeatable call: it claims the key, sends the call at
 // most once, and answers a resend from the record.
-func (p *passage) runOnce(path string) error {
+func (p *passage) runOnce() error {
 	key := p.cl.c.Get(headerIdempotencyKey)
 	if key == "" || len(key) > maxKeyBytes {
 		return refuseInvalid("this call may not be repeated and needs an Idempotency-Key of 1 to 255 bytes",
 			"send a key that is unique for each booking, a UUIDv7 for instance, and the same key when you send it again")
 	}
-	o := &once{passage: p, ledger: p.h.ledgers.get(p.svc), path: path}
+	o := &once{passage: p, ledger: p.h.ledgers.get(p.svc)}
 	pl, r := p.h.gate.acquire(p.ctx, p.w)
 	if r != nil && r.Code != "overloaded" && r.Code != "unavailable" {
 		return r
--- a/clentry/plain.go
+++ b/clentry/plain.go
@@ -49,7 +49,7 @@
 		},
 	}
 	if nonRepeatable(svc, cl.c.Method(), path) {
-		return p.runOnce(path)
+		return p.runOnce()
 	}
 	return p.run()
 }
