Use slots only at the start of the endpoint they were granted for

Ruled out: late counting in the stand-in, which frees a place before it sends the end of the answer.

Change: a grant names the boot ID for which it was counted, and a ticket carries it. An entry asks each new connection for the boot ID before the first request; a mismatch sends no byte, counts as no fault, and drops the slots until a grant for the new start arrives. The time from which a slot must not be used is now checked after connecting, not before it.

The bound on a restarted endpoint no longer depends on how soon its grantor learns of the restart.

--- a/clendpoint/bench_test.go
+++ b/clendpoint/bench_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
 // BenchmarkDo measures a call on a kept-alive loopback connection, the
@@ -40,3 +42,22 @@
 		}
 	}
 }
+
+// BenchmarkNewConnection measures a call on a new connection, with and without
+// the question for the endpoint's boot ID.
+func BenchmarkNewConnection(b *testing.B) {
+	for _, boot := range []string{"", "b1"} {
+		b.Run("boot_id="+boot, func(b *testing.B) {
+			s := startServer{boots: []string{"b1"}, status: "200 OK"}
+			addr := listen(b, s.serve)
+			h := &HTTP{}
+			defer h.Close()
+			for b.Loop() {
+				a, err := h.Do(b.Context(), Call{Endpoint: addr, Method: "POST", Path: "/run", BootID: boot, NewConnection: true})
+				require.NoError(b, err)
+				_, err = io.ReadAll(a.Body)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -18,7 +18,10 @@
 	src  io.Reader
 	left int64 // bytes to come; lengthChunked or lengthUntilClose
 	// keep says that the connection may be reused after the body.
-	keep  bool
+	keep bool
+	// kept says that the body ended and its reader has the connection; it is set
+	// if there is no h to give it to.
+	kept  bool
 	ended atomic.Bool
 	err   error // returned by all further reads
 }
@@ -101,7 +104,11 @@
 		return
 	}
 	if b.c.finish() && b.keep && b.c.br.Buffered() == 0 {
-		b.h.release(b.c)
+		if b.h == nil {
+			b.kept = true
+		} else {
+			b.h.release(b.c)
+		}
 		return
 	}
 	_ = b.c.Conn.Close()
--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -22,6 +22,7 @@
 	conn struct {
 		net.Conn
 		addr netip.AddrPort
+		boot string        // boot ID of the process that accepted the connection, if asked for
 		br   *bufio.Reader // reads through readLimited
 		out  []byte        // request buffer
 
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -25,6 +25,12 @@
 		// close in the moment the request is sent; set it for calls that may not
 		// be repeated.
 		NewConnection bool
+		// BootID, unless empty, is the only start of the endpoint that may get the
+		// request. Each new connection is asked for its boot ID once: a connection
+		// does not outlive the process that accepted it.
+		BootID string
+		// SendBefore, unless zero, is the time from which no byte may be sent.
+		SendBefore time.Time
 	}
 
 	// Header is one header field of a call or an answer.
@@ -105,6 +111,14 @@
 	// Kind classifies the failure of a call.
 	Kind string
 
+	// RestartedError says that the endpoint has another boot ID than the call
+	// asked for; the request can be sent to another endpoint.
+	RestartedError struct {
+		// Want is the boot ID of the call, and Load the report of the present start.
+		Want string
+		Load Load
+	}
+
 	// Error is a failed call; Kind says whether the request can have run.
 	Error struct {
 		Kind Kind
@@ -126,7 +140,15 @@
 	KindStatus Kind = "status"
 )
 
-var _ error = (*Error)(nil)
+var (
+	_ error = (*Error)(nil)
+	_ error = (*RestartedError)(nil)
+)
+
+// Error returns both boot IDs.
+func (e *RestartedError) Error() string {
+	return "the endpoint restarted: boot ID " + e.Load.BootID + " in place of " + e.Want
+}
 
 // Error returns the kind and the cause.
 func (e *Error) Error() string { return string(e.Kind) + ": " + e.Err.Error() }
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -69,6 +70,10 @@
 	if err != nil {
 		return nil, &Error{Kind: KindNotSent, Err: err}
 	}
+	if !call.SendBefore.IsZero() && time.Now().After(call.SendBefore) {
+		_ = c.Conn.Close()
+		return nil, &Error{Kind: KindNotSent, Err: errors.New("it took too long to connect")}
+	}
 	c.begin(ctx, t)
 	n, err := c.send(call)
 	if err != nil {
@@ -99,16 +104,24 @@
 // connect returns an idle connection that is still open, or a new one.
 func (h *HTTP) connect(ctx context.Context, call Call, t Timeouts) (*conn, error) {
 	if !call.NewConnection {
-		if c := h.pool.take(call.Endpoint, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout))); c != nil {
+		if c := h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout))); c != nil {
 			return c, nil
 		}
 	}
+	c, err := dial(ctx, call.Endpoint, t)
+	if err != nil || call.BootID == "" {
+		return c, err
+	}
+	return h.identify(ctx, c, call, t)
+}
+
+func dial(ctx context.Context, addr netip.AddrPort, t Timeouts) (*conn, error) {
 	d := net.Dialer{Timeout: t.Connect}
-	nc, err := d.DialContext(ctx, "tcp", call.Endpoint.String())
+	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, call.Endpoint), nil
+	return newConn(nc, addr), nil
 }
 
 // release keeps the connection of a completely read answer.
--- a/clendpoint/http_test.go
+++ b/clendpoint/http_test.go
@@ -14,7 +14,7 @@
 )
 
 // listen runs serve for each connection, numbered from 0, of a raw listener.
-func listen(t *testing.T, serve func(n int, c net.Conn)) netip.AddrPort {
+func listen(t testing.TB, serve func(n int, c net.Conn)) netip.AddrPort {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -8,18 +8,26 @@
 	"time"
 )
 
-// pool keeps idle connections for each endpoint, most recently used last.
-type pool struct {
-	mu      sync.Mutex
-	idle    map[netip.AddrPort][]*conn
-	sweepAt time.Time
-}
+type (
+	// pool keeps idle connections for each start of an endpoint, most recently used last.
+	pool struct {
+		mu      sync.Mutex
+		idle    map[poolKey][]*conn
+		sweepAt time.Time
+	}
+
+	// poolKey has no boot ID for connections that were not asked for it.
+	poolKey struct {
+		addr netip.AddrPort
+		boot string
+	}
+)
 
 // take returns the most recently used connection that became idle after
 // oldest and is still open, or nil.
-func (p *pool) take(addr netip.AddrPort, oldest time.Time) *conn {
+func (p *pool) take(key poolKey, oldest time.Time) *conn {
 	for {
-		c := p.pop(addr)
+		c := p.pop(key)
 		if c == nil {
 			return nil
 		}
@@ -30,16 +38,16 @@
 	}
 }
 
-func (p *pool) pop(addr netip.AddrPort) *conn {
+func (p *pool) pop(key poolKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cs := p.idle[addr]
+	cs := p.idle[key]
 	if len(cs) == 0 {
 		return nil
 	}
 	c := cs[len(cs)-1]
 	cs[len(cs)-1] = nil
-	p.idle[addr] = cs[:len(cs)-1]
+	p.idle[key] = cs[:len(cs)-1]
 	return c
 }
 
@@ -49,13 +57,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
-		p.idle = make(map[netip.AddrPort][]*conn)
+		p.idle = make(map[poolKey][]*conn)
 	}
-	if len(p.idle[c.addr]) >= maxIdle {
+	key := poolKey{c.addr, c.boot}
+	if len(p.idle[key]) >= maxIdle {
 		_ = c.Conn.Close()
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[key] = append(p.idle[key], c)
 	if now.After(p.sweepAt) {
 		p.sweep(now.Add(-idleTimeout))
 		p.sweepAt = now.Add(idleTimeout)
@@ -64,16 +73,16 @@
 
 // sweep closes the connections idle since before oldest; the caller holds mu.
 func (p *pool) sweep(oldest time.Time) {
-	for addr, cs := range p.idle {
+	for key, cs := range p.idle {
 		n := 0
 		for n < len(cs) && !cs[n].idleSince.After(oldest) {
 			_ = cs[n].Conn.Close()
 			n++
 		}
 		if n == len(cs) {
-			delete(p.idle, addr)
+			delete(p.idle, key)
 		} else if n > 0 {
-			p.idle[addr] = append([]*conn(nil), cs[n:]...)
+			p.idle[key] = append([]*conn(nil), cs[n:]...)
 		}
 	}
 }
--- a/clendpoint/reports.go
+++ b/clendpoint/reports.go
@@ -18,6 +18,7 @@
 	AttemptHeader = "X-Attempt-ID"
 	// maxReportBytes limits a report.
 	maxReportBytes = 8 << 20
+	loadPath       = "/load"
 )
 
 var (
@@ -27,7 +28,7 @@
 
 // Load returns the endpoint's load report.
 func (h *HTTP) Load(ctx context.Context, addr netip.AddrPort) (Load, error) {
-	b, err := h.exchange(ctx, Call{Endpoint: addr, Method: http.MethodGet, Path: "/load"})
+	b, err := h.exchange(ctx, Call{Endpoint: addr, Method: http.MethodGet, Path: loadPath})
 	if err != nil {
 		return Load{}, err
 	}
--- a/clendpoint/reuse_test.go
+++ b/clendpoint/reuse_test.go
@@ -131,7 +131,7 @@
 		require.NoError(t, err)
 	}
 	require.EqualValues(t, 3, conns.Load())
-	require.LessOrEqual(t, len(h.pool.idle[addr]), 1)
+	require.LessOrEqual(t, len(h.pool.idle[poolKey{addr: addr}]), 1)
 }
 
 // TestWriteFailures guards against "not sent" after a byte was written, and
@@ -201,7 +201,7 @@
 		}
 		require.Equal(t, KindBroken, kindOf(err), "%v", err)
 		require.ErrorIs(t, err, context.Canceled)
-		require.Empty(t, h.pool.idle[addr])
+		require.Empty(t, h.pool.idle[poolKey{addr: addr}])
 		_, err = h.Do(ctx, post(addr))
 		require.Equal(t, KindNotSent, kindOf(err), "a cancelled context before the call")
 	}
--- a/clentry/alone.go
+++ b/clentry/alone.go
@@ -75,7 +75,7 @@
 	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
 		zap.String("reason", "alone"), zap.String("service", e.service), zap.String("version", e.version))
 	return &place{
-		endpoint: e, choice: clroute.Choice{Endpoint: e.id}, ticket: ticket, bootID: g.fleet.load(e.id).BootID, alone: true,
+		endpoint: e, choice: clroute.Choice{Endpoint: e.id}, ticket: ticket, alone: true,
 	}, true
 }
 
--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -70,7 +70,7 @@
 	if c.AttemptID == "" {
 		c.AttemptID = r.nextID()
 	}
-	c.Endpoint = p.endpoint.addr
+	c.Endpoint, c.BootID, c.SendBefore = p.endpoint.addr, p.ticket.BootID, p.ticket.SendBefore
 	c.Header = append(c.Header, clendpoint.Header{Name: "X-Request-ID", Value: w.id})
 	if a.sent.After(p.ticket.SendBefore) {
 		err := &clendpoint.Error{Kind: clendpoint.KindNotSent, Err: errors.New("the process was paused after it took the slot")}
@@ -79,6 +79,10 @@
 	}
 	answer, err := r.client.Do(ctx, c)
 	if err != nil {
+		var restarted *clendpoint.RestartedError
+		if errors.As(err, &restarted) {
+			r.gate.restarted(p.endpoint.id, restarted)
+		}
 		a.settle(err)
 		return nil, err
 	}
@@ -152,10 +156,12 @@
 }
 
 // endpointFault reports whether the endpoint is to blame: it broke off, stayed
-// silent, could not be reached, or answered with a server error.
+// silent, could not be reached, or answered with a server error. A restart that
+// was found before the request was sent is no fault of the request's attempt.
 func endpointFault(err error, status int) bool {
 	if err != nil {
-		return !isCallerGone(err) && kindOf(err) != ""
+		var restarted *clendpoint.RestartedError
+		return !isCallerGone(err) && kindOf(err) != "" && !errors.As(err, &restarted)
 	}
 	return status >= 500
 }
@@ -166,14 +172,16 @@
 	now := time.Now()
 	g := r.gate
 	g.mu.Lock()
-	g.crashes.Broke(w.fingerprint, p.endpoint.id, p.bootID, now)
+	g.crashes.Broke(w.fingerprint, p.endpoint.id, p.ticket.BootID, now)
 	g.mu.Unlock()
 	bootID := r.probeBoot(p)
-	if bootID == "" || bootID == p.bootID {
+	if bootID == "" || bootID == p.ticket.BootID {
 		return false
 	}
 	r.evidence.restarted(p.endpoint.id)
 	g.mu.Lock()
+	g.holder.Restarted(p.endpoint.id, p.ticket.BootID)
+	g.refreshSlots(p.endpoint.id, now)
 	crashes := g.crashes.Booted(p.endpoint.id, bootID, time.Now())
 	g.mu.Unlock()
 	suspect := false
--- a/clentry/demand.go
+++ b/clentry/demand.go
@@ -352,7 +352,7 @@
 func grantToWire(g clslot.Grant) *clwire.SlotGrant {
 	return &clwire.SlotGrant{
 		EndpointId: g.Endpoint, Sequence: g.Sequence, Slots: uint32(g.Slots), LifetimeMs: g.Lifetime.Milliseconds(),
-		Fencing: g.Fencing, Refused: uint32(g.Refused), Exclusive: g.Exclusive,
+		Fencing: g.Fencing, Refused: uint32(g.Refused), Exclusive: g.Exclusive, BootId: g.BootID,
 	}
 }
 
@@ -361,6 +361,7 @@
 		Endpoint: g.GetEndpointId(), Sequence: g.GetSequence(), Slots: int(g.GetSlots()),
 		Lifetime: time.Duration(g.GetLifetimeMs()) * time.Millisecond, Fencing: g.GetFencing(),
 		Refused: clslot.Refusal(g.GetRefused()), Exclusive: g.GetExclusive(),
+		BootID: cmp.Or(g.GetBootId(), g.GetLoad().GetBootId()),
 	}
 }
 
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -50,7 +50,6 @@
 		endpoint endpoint
 		choice   clroute.Choice
 		ticket   clslot.Ticket
-		bootID   string
 		// lost says that the ticket could not be renewed, so that no slot is taken.
 		lost bool
 		// alone says that the endpoint is reserved for this request.
@@ -250,7 +249,7 @@
 		zap.Stringer("reason", choice.Reason), zap.String("service", e.service), zap.String("version", e.version),
 		zap.String("data_centre", e.dataCentre), zap.Duration("expected_first_token", choice.Expected),
 		zap.Int("cached_tokens", choice.CachedTokens))
-	return &place{endpoint: e, choice: choice, ticket: ticket, bootID: g.fleet.load(e.id).BootID}, choice.Reason
+	return &place{endpoint: e, choice: choice, ticket: ticket}, choice.Reason
 }
 
 func (g *gate) refusalOf(w *work, p *place, reason clroute.Reason) *Refusal {
@@ -383,7 +382,7 @@
 	}
 	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
 		zap.String("reason", "holds the stream"), zap.String("service", e.service), zap.String("version", e.version))
-	return &place{endpoint: e, ticket: ticket, bootID: g.fleet.load(e.id).BootID}, true
+	return &place{endpoint: e, ticket: ticket}, true
 }
 
 // tryAcquire takes a place elsewhere if one is free now.
@@ -554,6 +553,19 @@
 	}
 }
 
+// restarted takes the report of an endpoint's new start and drops the slots
+// that were granted for the former one.
+func (g *gate) restarted(id string, e *clendpoint.RestartedError) {
+	g.report(id, e.Load)
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder.Restarted(id, e.Want)
+	g.refreshSlots(id, now)
+	g.log.Info("Endpoint has restarted. Its slots wait for new grants.", zap.String("endpoint", id),
+		zap.String("former_boot_id", e.Want), zap.String("boot_id", e.Load.BootID))
+}
+
 func refuseOverload(r *cladmission.Refusal) *Refusal {
 	status := fiber.StatusServiceUnavailable
 	if r.Kind == cladmission.KindQueueFull {
--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -293,6 +293,9 @@
 		g := grantToWire(gr.grantor.Demand(r.GetFrom(), demandFromWire(d), now))
 		if l := s.fleet.load(d.GetEndpointId()); l.BootID != "" {
 			g.Load = loadToWire(l, now)
+			if g.BootId == l.BootID {
+				g.BootId = ""
+			}
 		}
 		resp.Grants = append(resp.Grants, g)
 	}
--- a/clslot/grantor.go
+++ b/clslot/grantor.go
@@ -235,6 +235,7 @@
 		r.Refused = RefusedUnknownEndpoint
 		return r
 	}
+	r.BootID = e.ramp.bootID
 	e.expire(g.cfg, now)
 	c := e.entries[from]
 	if c != nil && d.Sequence <= c.sequence {
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -23,6 +23,10 @@
 		SendBefore time.Time
 		// Fencing is the number of the grant that the slot came from.
 		Fencing uint64
+		// BootID is the start of the endpoint for which the slot was granted. The
+		// request must not be sent to another one: the limit of a warm endpoint
+		// would apply to one that has just restarted, until a report says so.
+		BootID string
 	}
 
 	// Outcome is the end of a request.
@@ -54,6 +58,8 @@
 		// reserving says that the endpoint is asked for alone, exclusive that it
 		// was given, and unreserved that the grantor is to be told of the end.
 		reserving, exclusive, unreserved bool
+		// bootID is the one of the last grant; ended is a start that is known to be over.
+		bootID, ended string
 	}
 )
 
@@ -104,7 +110,7 @@
 	e.roll(h.cfg, now)
 	e.peaks[0] = max(e.peaks[0], e.inUse)
 	e.usedAt = now
-	return Ticket{Endpoint: endpoint, SendBefore: now.Add(h.cfg.Settle), Fencing: e.fencing}
+	return Ticket{Endpoint: endpoint, SendBefore: now.Add(h.cfg.Settle), Fencing: e.fencing, BootID: e.bootID}
 }
 
 // Release ends the request of a ticket. It must be called once, after the
@@ -173,7 +179,11 @@
 	if g.Fencing != e.fencing {
 		e.fencing, e.carried = g.Fencing, e.inUse
 	}
-	e.slots, e.expires = g.Slots, e.sentAt.Add(g.Lifetime)
+	e.slots, e.expires, e.bootID = g.Slots, e.sentAt.Add(g.Lifetime), g.BootID
+	if e.ended != "" && g.BootID == e.ended {
+		// The grantor has not seen the restart yet.
+		e.slots = min(e.slots, e.inUse)
+	}
 	e.exclusive = g.Exclusive && e.reserving
 	return now.Before(e.expires)
 }
@@ -186,6 +196,19 @@
 	}
 }
 
+// Restarted says that the endpoint's start of the given ID is over, so that
+// slots granted for it are worth nothing.
+func (h *Holder) Restarted(endpoint, bootID string) {
+	e := h.endpoints[endpoint]
+	if e == nil || bootID == "" {
+		return
+	}
+	e.ended = bootID
+	if e.bootID == bootID {
+		e.slots = min(e.slots, e.inUse)
+	}
+}
+
 // Due returns the endpoints for which a demand should be sent now, sorted: slots
 // that expire within half a lifetime, or that are to be returned. Endpoints
 // without slots, requests and recent use are forgotten.
--- a/clslot/property_test.go
+++ b/clslot/property_test.go
@@ -33,12 +33,14 @@
 			w.sweep()
 			require.LessOrEqual(t, w.exposure(), testLimits.Max, "exposure above the limit of a warm endpoint")
 			w.checkCharged()
+			w.checkStart()
 		}
 	})
 	t.Log(seen)
 	for _, s := range []string{
 		"raised", "raised in outage", "raised at half", "raised after predecessors", "raised above cold",
 		"raised by successor", "raised with unattributed", "raised after resume", "attributed",
+		"not sent to another start",
 	} {
 		require.NotZero(t, seen[s], "the runs never reached: %s", s)
 	}
@@ -59,6 +61,18 @@
 	}
 }
 
+// checkStart guards against requests at an endpoint that has restarted under
+// slots that were granted for its former start.
+func (w *world) checkStart() {
+	running := 0
+	for _, r := range w.requests {
+		if r.arrived && !r.over && r.boot == w.boot {
+			running++
+		}
+	}
+	require.LessOrEqual(w.t, running, w.granted[fmt.Sprint(w.boot)], "more requests than were granted for this start")
+}
+
 func (w *world) n(below int) int { return rapid.IntRange(0, below-1).Draw(w.t, "n") }
 
 func (w *world) entry() *testEntry { return w.entries[w.n(len(w.entries))] }
@@ -132,10 +146,20 @@
 	}
 }
 
+// stepArrive sends requests; a connection to another start of the endpoint than
+// the ticket's is found out before the first byte, and the entry remembers it.
 func (w *world) stepArrive() {
 	for _, r := range w.requests {
-		if !r.arrived && w.n(2) == 0 {
+		switch {
+		case r.arrived || w.n(2) > 0:
+		case r.ticket.BootID == fmt.Sprint(w.boot):
 			r.arrived, r.boot = true, w.boot
+		default:
+			r.over = true
+			w.seen["not sent to another start"]++
+			if r.owner != nil {
+				r.owner.h.Restarted("ep", r.ticket.BootID)
+			}
 		}
 	}
 }
--- a/clslot/slots.go
+++ b/clslot/slots.go
@@ -77,6 +77,8 @@
 		Fencing  uint64
 		// Exclusive says that nobody else may have a request at the endpoint.
 		Exclusive bool
+		// BootID is the start of the endpoint for which the slots were counted.
+		BootID string
 		// Refused says why the grantor does not answer for the endpoint.
 		Refused Refusal
 	}
--- a/clslot/world_test.go
+++ b/clslot/world_test.go
@@ -42,6 +42,8 @@
 		demands []testDemand
 		answers []testAnswer
 		raises  []testRaise
+		// granted is the highest limit at which slots were granted for each boot ID.
+		granted map[string]int
 		seen    map[string]int
 	}
 
@@ -91,7 +93,7 @@
 func newWorld(t *rapid.T, seen map[string]int) *world {
 	cfg := DefaultConfig()
 	cfg.RequestTimeout = 20 * time.Second
-	w := &world{t: t, cfg: cfg, now: time.Unix(1000, 0), seen: seen}
+	w := &world{t: t, cfg: cfg, now: time.Unix(1000, 0), seen: seen, granted: map[string]int{}}
 	for range testGrantors {
 		p := &testGrantor{}
 		w.restartGrantor(p)
@@ -178,6 +180,9 @@
 	if led.unattributed.slots < unattributed {
 		w.seen["attributed"]++
 	}
+	if g.Refused == NotRefused {
+		w.granted[g.BootID] = max(w.granted[g.BootID], led.ramp.limit)
+	}
 	w.answers = append(w.answers, testAnswer{m.from, m.from.h, g})
 	if m.name != m.from.name {
 		w.answers = w.answers[:len(w.answers)-1]
