Keep an engine that turned cold without warning at its cold slots

(1) A first-token time reached the grantor only at the end of its request. (2) Each slow first token raised the usual time by up to 30%, so that after about four of them a cold engine counted as warm. (3) After the reset, answers of requests from before it, and answers whose first token had been slow, raised the limit again.

Change: entries report a first-token time as soon as it is known. A row of slow first tokens no longer changes the usual time and lets no answer count; after Config.ColdAtMost (1 min) the slow time becomes the usual one, so that a lasting change is still learned. After a row, as many answers are ignored as requests may have been running at the reset. The stand-in's action turn_cold takes a time, because the cold time of its boot would hold up the start of the test.

An endpoint whose first token is slow once now needs the answers of the requests that run on it before it warms up again.

--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -86,10 +86,12 @@
 	return a, nil
 }
 
-// firstByte notes that the answer's content has begun.
+// firstByte notes that the answer's content has begun. The grantor is told at
+// once: a stream that began slowly on a cold endpoint may go on for minutes.
 func (a *attempt) firstByte() {
 	if a.first == 0 {
 		a.first = time.Since(a.sent)
+		a.r.gate.firstToken(a.p.endpoint.id, a.first)
 	}
 }
 
@@ -115,7 +117,7 @@
 	if err == nil && a.w.route.Alone {
 		a.r.gate.finishedAlone(a.w.fingerprint)
 	}
-	outcome := clslot.Outcome{Healthy: err == nil && !fault, Failed: fault, FirstToken: a.first}
+	outcome := clslot.Outcome{Healthy: err == nil && !fault, Failed: fault}
 	result := clroute.Result{OK: err == nil && !fault, Fault: fault, Suspect: suspect, FirstToken: a.first}
 	if err == nil || kindOf(err) == clendpoint.KindNotSent {
 		a.r.gate.release(a.p, outcome, result)
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -277,6 +277,13 @@
 	g.pump(queueKey{p.endpoint.service, p.endpoint.version}, now)
 }
 
+// firstToken notes the time to the first token of a request that runs.
+func (g *gate) firstToken(id string, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder.FirstToken(id, d)
+}
+
 func (g *gate) refreshSlots(id string, now time.Time) {
 	g.table.SetSlots(id, g.holder.Available(id, now))
 }
--- a/clharness/standin.go
+++ b/clharness/standin.go
@@ -44,8 +44,10 @@
 // Crash aborts all connections of the stand-in and gives it a new boot ID.
 func (s *StandIn) Crash() error { return s.admin("/admin/actions/crash", struct{}{}) }
 
-// TurnCold makes an engine cold without a restart.
-func (s *StandIn) TurnCold() error { return s.admin("/admin/actions/turn_cold", struct{}{}) }
+// TurnCold makes an engine cold without a restart; 0 stands for its cold time.
+func (s *StandIn) TurnCold(coldFor time.Duration) error {
+	return s.admin("/admin/actions/turn_cold", clstandin.TurnColdRequest{ColdMs: int(coldFor.Milliseconds())})
+}
 
 // Reclaim announces that endpoints will be taken away, and kills their
 // processes when the notice has passed.
--- a/clslot/grantor.go
+++ b/clslot/grantor.go
@@ -245,7 +245,7 @@
 		c = &charge{resets: e.ramp.resets}
 		e.entries[from] = c
 	}
-	e.observe(c, d, g.cfg)
+	e.observe(c, d, g.cfg, now)
 	e.attribute(c, d, g.term)
 	c.sequence, c.inUse = d.Sequence, d.InUse
 	e.setSlots(c, max(d.InUse, d.Held))
@@ -283,7 +283,7 @@
 	if c == nil || d.Sequence <= c.sequence {
 		return
 	}
-	e.observe(c, d, g.cfg)
+	e.observe(c, d, g.cfg, now)
 	c.sequence, c.inUse = d.Sequence, d.InUse
 	e.setSlots(c, min(c.slots, max(d.InUse, d.Held)))
 	e.expiresBy(c.gone(g.cfg))
@@ -333,12 +333,12 @@
 
 // observe feeds an entry's outcomes to the ramp-up. The first demand after a
 // reset reports answers from before it, which do not count.
-func (e *ledger) observe(c *charge, d Demand, cfg Config) {
+func (e *ledger) observe(c *charge, d Demand, cfg Config, now time.Time) {
 	if c.resets != e.ramp.resets {
 		c.resets = e.ramp.resets
 		return
 	}
-	e.ramp.answers(d.Healthy, d.Failed, d.SlowestFirstToken, cfg.SlowFactor)
+	e.ramp.answers(d, e.charged+e.unattributed.slots, cfg, now)
 }
 
 // share returns the slots for a demand when free slots are left for the entry,
--- a/clslot/grantor_test.go
+++ b/clslot/grantor_test.go
@@ -157,6 +157,58 @@
 	}
 }
 
+// TestSlowFirstTokens guards against an endpoint that turned cold without telling
+// and is warmed up again on the word of answers that were slow themselves, or of
+// requests from before; and against one that stays cold for good because its
+// usual time has changed.
+func TestSlowFirstTokens(t *testing.T) {
+	s := newTestTerm(testLimits, 0, 0)
+	answers := func(healthy int, first time.Duration) func() {
+		return func() {
+			s.demand("e1", Demand{InUse: 4, Held: 4, Wanted: 4, Healthy: healthy, SlowestFirstToken: first * time.Millisecond})
+		}
+	}
+	repeat := func(n int, f func()) func() {
+		return func() {
+			for range n {
+				f()
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		event func()
+		limit int
+	}{
+		{"warm", repeat(10, answers(4, 300)), 8},
+		{"slow", answers(0, 3000), 2},
+		{"slow again and again", repeat(20, answers(4, 3000)), 2},
+		{"answers with slow first tokens", repeat(5, answers(4, 0)), 2},
+		{"a usual first token and answers of the requests that ran before", answers(4, 300), 2},
+		{"too few answers since then", answers(3, 300), 2},
+		{"enough answers", answers(1, 300), 4},
+		{"slow for a minute", func() { answers(0, 3000)(); s.now = s.now.Add(time.Minute) }, 2},
+		{"the first report after the reset", answers(0, 3000), 2},
+		{"the slow time becomes the usual one", repeat(3, answers(4, 3000)), 8},
+	} {
+		c.event()
+		require.Equal(t, c.limit, s.g.Limit("ep"), c.name)
+	}
+}
+
+// TestFirstTokenBeforeTheEnd guards against a first-token time that the grantor
+// learns only when the request has ended.
+func TestFirstTokenBeforeTheEnd(t *testing.T) {
+	h, now := NewHolder(DefaultConfig()), time.Unix(1000, 0)
+	d := h.Demand("ep", 1, now)
+	require.True(t, h.Apply(Grant{Endpoint: "ep", Sequence: d.Sequence, Slots: 1, Lifetime: time.Second, Fencing: 1}, now))
+	_, ok := h.Acquire("ep", now)
+	require.True(t, ok)
+	h.FirstToken("ep", 700*time.Millisecond)
+	require.Equal(t, 700*time.Millisecond, h.Demand("ep", 0, now).SlowestFirstToken)
+	require.Zero(t, h.Demand("ep", 0, now).SlowestFirstToken, "it is reported once")
+}
+
 // TestHolder guards against slots used after their expiry, kept while idle, or
 // reported as carried after they ended.
 func TestHolder(t *testing.T) {
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -31,7 +31,8 @@
 		Healthy bool
 		// Failed says that the endpoint is at fault.
 		Failed bool
-		// FirstToken is the time to the first token; 0 if there was none.
+		// FirstToken is the time to the first token; 0 if there was none, or if
+		// Holder.FirstToken was called with it.
 		FirstToken time.Duration
 	}
 
@@ -129,6 +130,14 @@
 	e.slowest = max(e.slowest, o.FirstToken)
 }
 
+// FirstToken takes the time to the first token of a running request, so that the
+// grantor learns of a cold endpoint before the request's end.
+func (h *Holder) FirstToken(endpoint string, d time.Duration) {
+	if e := h.endpoints[endpoint]; e != nil {
+		e.slowest = max(e.slowest, d)
+	}
+}
+
 // Demand builds the next demand for an endpoint, with the number of requests
 // that wait for a slot there. From now on the entry uses no more slots than the
 // demand says, and applies no answer to an earlier demand.
--- a/clslot/ramp.go
+++ b/clslot/ramp.go
@@ -21,6 +21,12 @@
 	// usual is the smoothed slowest first-token time per demand.
 	usual   time.Duration
 	samples int
+	// slowSince is the time of the first of a row of slow first tokens; zero if
+	// the last one was usual. During the row the endpoint counts as cold.
+	slowSince time.Time
+	// stale is the number of answers that may belong to requests from before the
+	// last reset by slowness, and show nothing about the endpoint since then.
+	stale int
 	// resets counts resets, so that answers from before one are not counted after it.
 	resets uint64
 }
@@ -45,7 +51,7 @@
 	}
 	if restarted {
 		// The usual time of another boot may belong to another version.
-		r.usual, r.samples = 0, 0
+		r.usual, r.samples, r.slowSince, r.stale = 0, 0, time.Time{}, 0
 	}
 	if restarted || l.Cold {
 		r.reset()
@@ -54,17 +60,24 @@
 	return false
 }
 
-// answers applies the outcomes that an entry reported.
-func (r *ramp) answers(healthy, failed int, slowest time.Duration, factor float64) {
-	if slowest > 0 && r.slow(slowest, factor) {
+// answers applies the outcomes that an entry reported while running requests
+// may have been at the endpoint.
+func (r *ramp) answers(d Demand, running int, cfg Config, now time.Time) {
+	if d.SlowestFirstToken > 0 && r.slow(d.SlowestFirstToken, cfg, now) {
 		r.reset()
+		r.stale = running
 		return
 	}
-	if failed > 0 {
+	if d.Failed > 0 {
 		// A failing endpoint is not shown to bear its limit.
 		r.healthy = 0
 		return
 	}
+	if !r.slowSince.IsZero() {
+		return // The first tokens of these answers were slow, or came before the row.
+	}
+	healthy := max(0, d.Healthy-r.stale)
+	r.stale -= d.Healthy - healthy
 	r.healthy += healthy
 	if r.healthy >= r.limits.WarmAfter || r.limit >= r.limits.Max {
 		// Answers at a lower limit are no evidence for the step after the next.
@@ -74,15 +87,39 @@
 }
 
 // slow reports whether a first-token time is several times the usual one, and
-// adds it to the usual one. A slow sample counts as at most factor times the
-// usual, so that a lasting change becomes the usual after some reports.
-func (r *ramp) slow(slowest time.Duration, factor float64) bool {
+// learns from it. A row of slow times does not change the usual one, because an
+// endpoint that is cold stays slow until it is warm; a row that lasts ColdAtMost
+// is a lasting change, and its last time becomes the usual one. A slow time that
+// a usual one follows belongs to the workload, and raises the usual one by one step.
+func (r *ramp) slow(slowest time.Duration, cfg Config, now time.Time) bool {
 	if r.samples == 0 {
 		r.usual = slowest
 	}
 	r.samples++
-	highest := factor * float64(r.usual)
-	slow := r.samples > minUsualSamples && float64(slowest) > highest
-	r.usual += time.Duration(usualWeight * (min(float64(slowest), highest) - float64(r.usual)))
-	return slow
+	highest := time.Duration(cfg.SlowFactor * float64(r.usual))
+	if r.samples <= minUsualSamples {
+		r.learn(min(slowest, highest))
+		return false
+	}
+	if slowest > highest {
+		if r.slowSince.IsZero() {
+			r.slowSince = now
+		}
+		if now.Sub(r.slowSince) < cfg.ColdAtMost {
+			return true
+		}
+		r.usual, r.slowSince = slowest, time.Time{}
+		return false
+	}
+	if !r.slowSince.IsZero() {
+		r.slowSince = time.Time{}
+		r.learn(highest)
+	}
+	r.learn(slowest)
+	return false
+}
+
+// learn adds a sample to the usual first-token time.
+func (r *ramp) learn(sample time.Duration) {
+	r.usual += time.Duration(usualWeight * float64(sample-r.usual))
 }
--- a/clslot/slots.go
+++ b/clslot/slots.go
@@ -20,6 +20,9 @@
 		Ahead int
 		// SlowFactor is the ratio to the usual first-token time that counts as cold.
 		SlowFactor float64
+		// ColdAtMost is how long an endpoint counts as cold because of its
+		// first-token times alone; after that they are its usual ones.
+		ColdAtMost time.Duration
 	}
 
 	// Limits are the bounds of an endpoint's limit, in requests at once.
@@ -107,6 +110,7 @@
 		IdleAfter:      time.Second,
 		Ahead:          1,
 		SlowFactor:     4,
+		ColdAtMost:     time.Minute,
 	}
 }
 
--- a/clstandin/control.go
+++ b/clstandin/control.go
@@ -27,6 +27,12 @@
 		Bytes  int64    `json:"bytes"`
 	}
 
+	// TurnColdRequest is the body of the action turn_cold, which may be empty.
+	TurnColdRequest struct {
+		// ColdMs is how long the engine is cold; 0 stands for ColdTime.
+		ColdMs int `json:"cold_ms"`
+	}
+
 	// kvSource names a stream of another engine whose cache is imported.
 	kvSource struct {
 		From   netip.AddrPort `json:"from"`
@@ -41,8 +47,12 @@
 	e.mux.HandleFunc("GET /v1/streams/{id}/kv", e.handleExport)
 	e.mux.HandleFunc("POST /v1/kv", e.handleImport)
 	e.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, e.Stats()) })
-	e.mux.HandleFunc("POST /admin/actions/turn_cold", func(w http.ResponseWriter, _ *http.Request) {
-		e.TurnCold()
+	e.mux.HandleFunc("POST /admin/actions/turn_cold", func(w http.ResponseWriter, r *http.Request) {
+		var req TurnColdRequest
+		if r.ContentLength != 0 && !decode(w, r, &req) {
+			return
+		}
+		e.TurnCold(millis(req.ColdMs))
 		reply(w, http.StatusOK, struct{}{})
 	})
 }
--- a/clstandin/doc.go
+++ b/clstandin/doc.go
@@ -44,7 +44,7 @@
 //	GET /cache/events?after=s        {"boot_id","events":[clendpoint.CacheEvent]}; after=0 or beyond the
 //	                                 newest: the whole content, each event with the newest sequence
 //	POST /orders                     clendpoint.Order with action load or role; 409 old fencing number
-//	POST /admin/actions/turn_cold    cold without a restart
+//	POST /admin/actions/turn_cold    cold without a restart (TurnColdRequest)
 //
 // The stream ID is in the X-Stream-ID header and in the id of each event,
 // "<stream>:<tokens so far>". max_tokens, usage and positions count the whole
--- a/clstandin/engine.go
+++ b/clstandin/engine.go
@@ -178,12 +178,16 @@
 	e.boot = e.newBoot()
 }
 
-// TurnCold makes the engine cold without a restart.
-func (e *Engine) TurnCold() {
+// TurnCold makes the engine cold without a restart, for the given time or, if it
+// is 0, for ColdTime.
+func (e *Engine) TurnCold(coldFor time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if coldFor == 0 {
+		coldFor = e.ColdTime
+	}
 	now := time.Now()
-	e.boot.coldUntil, e.boot.graceUntil = now.Add(e.ColdTime), now.Add(e.ColdGrace)
+	e.boot.coldUntil, e.boot.graceUntil = now.Add(coldFor), now.Add(e.ColdGrace)
 }
 
 // Stats returns the peaks of this boot and of former ones, and the orders received.
