Judge an endpoint cold by two first tokens of comparable prompts

Cause: a new test with prompts of very different lengths found that the limit of warm endpoints had returned from 16 or more to the 2 cold slots before the first long prompt was sent. Each demand reported the slowest first token of half a second; with a usual time of about 15 ms, scheduling on a busy machine alone passed the factor of 4. A long prompt's first token passes it anywhere.

Change: an entry reports the lower of the last two first-token times, since at a cold endpoint all are slow, scaled to a short prompt by the uncached tokens. Ruled out: the middle of all times of an interval, which detects a cold endpoint later.

--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -95,7 +95,7 @@
 func (a *attempt) firstByte() {
 	if a.first == 0 {
 		a.first = time.Since(a.sent)
-		a.r.gate.firstToken(a.p.endpoint.id, a.first)
+		a.r.gate.firstToken(a.w, a.p, a.first)
 	}
 }
 
--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -25,6 +25,9 @@
 	expireEvery  = 20 * time.Millisecond
 	defaultCost  = 1
 	pinnedPause  = 5 * time.Millisecond
+	// shortPromptTokens is the number of uncached prompt tokens whose prefill takes
+	// about as long as the fixed part of a first token.
+	shortPromptTokens = 512
 )
 
 type (
@@ -276,11 +279,14 @@
 	g.pump(queueKey{p.endpoint.service, p.endpoint.version}, now)
 }
 
-// firstToken notes the time to the first token of a request that runs.
-func (g *gate) firstToken(id string, d time.Duration) {
+// firstToken notes the time to the first token of a request that runs, as that
+// of a short prompt: a long prompt's would look like a cold endpoint's.
+func (g *gate) firstToken(w *work, p *place, d time.Duration) {
+	tokens := max(0, w.route.Tokens-p.choice.CachedTokens)
+	d = time.Duration(float64(d) * shortPromptTokens / float64(shortPromptTokens+tokens))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.holder.FirstToken(id, d)
+	g.holder.FirstToken(p.endpoint.id, d)
 }
 
 func (g *gate) refreshSlots(id string, now time.Time) {
--- a/clslot/grantor_test.go
+++ b/clslot/grantor_test.go
@@ -116,7 +116,7 @@
 	s := newTestTerm(testLimits, 0, 0)
 	answers := func(healthy, failed int, first time.Duration) func() {
 		return func() {
-			s.demand("e1", Demand{Healthy: healthy, Failed: failed, SlowestFirstToken: first * time.Millisecond})
+			s.demand("e1", Demand{Healthy: healthy, Failed: failed, FirstToken: first * time.Millisecond})
 		}
 	}
 	load := func(after time.Duration, boot string, cold bool) func() {
@@ -165,7 +165,7 @@
 	s := newTestTerm(testLimits, 0, 0)
 	answers := func(healthy int, first time.Duration) func() {
 		return func() {
-			s.demand("e1", Demand{InUse: 4, Held: 4, Wanted: 4, Healthy: healthy, SlowestFirstToken: first * time.Millisecond})
+			s.demand("e1", Demand{InUse: 4, Held: 4, Wanted: 4, Healthy: healthy, FirstToken: first * time.Millisecond})
 		}
 	}
 	repeat := func(n int, f func()) func() {
@@ -196,6 +196,40 @@
 	}
 }
 
+// TestSingleSlowFirstToken guards against an endpoint that counts as cold after
+// one slow first token, or because it is quick and the process was not scheduled.
+func TestSingleSlowFirstToken(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		usual  time.Duration
+		tokens []time.Duration
+		limit  int
+	}{
+		{"one slow", 300, []time.Duration{3000, 300, 300}, 8},
+		{"every second one slow", 300, []time.Duration{3000, 300, 3000, 300, 3000}, 8},
+		{"two slow", 300, []time.Duration{3000, 3000}, 2},
+		{"quick endpoint, two pauses of the process", 10, []time.Duration{150, 150}, 8},
+		{"quick endpoint that turned cold", 10, []time.Duration{250, 250}, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, h := newTestTerm(testLimits, 0, 0), NewHolder(DefaultConfig())
+			report := func(first time.Duration) {
+				h.FirstToken("ep", first*time.Millisecond)
+				s.demand("e1", Demand{InUse: 4, Held: 4, Wanted: 4, Healthy: 4, FirstToken: h.Demand("ep", 0, s.now).FirstToken})
+			}
+			h.Demand("ep", 0, s.now)
+			for range 12 {
+				report(tt.usual)
+			}
+			require.Equal(t, 8, s.g.Limit("ep"))
+			for _, first := range tt.tokens {
+				report(first)
+			}
+			require.Equal(t, tt.limit, s.g.Limit("ep"))
+		})
+	}
+}
+
 // TestFirstTokenBeforeTheEnd guards against a first-token time that the grantor
 // learns only when the request has ended.
 func TestFirstTokenBeforeTheEnd(t *testing.T) {
@@ -205,8 +239,8 @@
 	_, ok := h.Acquire("ep", now)
 	require.True(t, ok)
 	h.FirstToken("ep", 700*time.Millisecond)
-	require.Equal(t, 700*time.Millisecond, h.Demand("ep", 0, now).SlowestFirstToken)
-	require.Zero(t, h.Demand("ep", 0, now).SlowestFirstToken, "it is reported once")
+	require.Equal(t, 700*time.Millisecond, h.Demand("ep", 0, now).FirstToken)
+	require.Zero(t, h.Demand("ep", 0, now).FirstToken, "it is reported once")
 }
 
 // TestHolder guards against slots used after their expiry, kept while idle, or
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -50,12 +50,12 @@
 		sentAt   time.Time
 		waiting  bool
 		// peaks are the largest numbers in use in this and the former half of IdleAfter.
-		peaks     [2]int
-		peakSince time.Time
-		usedAt    time.Time
-		healthy   int
-		failed    int
-		slowest   time.Duration
+		peaks       [2]int
+		peakSince   time.Time
+		usedAt      time.Time
+		healthy     int
+		failed      int
+		firstTokens firstTokens
 		// reserving says that the endpoint is asked for alone, exclusive that it
 		// was given, and unreserved that the grantor is to be told of the end.
 		reserving, exclusive, unreserved bool
@@ -64,6 +64,29 @@
 	}
 )
 
+// firstTokens keeps the last two first-token times.
+type firstTokens struct {
+	last, former time.Duration
+	// fresh says that last was not taken yet.
+	fresh bool
+}
+
+func (f *firstTokens) add(d time.Duration) {
+	f.former, f.last, f.fresh = f.last, d, true
+}
+
+// take returns the lower of the last two, or 0 if there was none since the last call.
+func (f *firstTokens) take() time.Duration {
+	if !f.fresh {
+		return 0
+	}
+	f.fresh = false
+	if f.former == 0 {
+		return f.last
+	}
+	return min(f.last, f.former)
+}
+
 // NewHolder returns a holder without slots.
 func NewHolder(cfg Config) *Holder {
 	return &Holder{cfg: cfg, endpoints: map[string]*holding{}}
@@ -133,14 +156,16 @@
 	if o.Failed {
 		e.failed++
 	}
-	e.slowest = max(e.slowest, o.FirstToken)
+	if o.FirstToken > 0 {
+		e.firstTokens.add(o.FirstToken)
+	}
 }
 
 // FirstToken takes the time to the first token of a running request, so that the
 // grantor learns of a cold endpoint before the request's end.
 func (h *Holder) FirstToken(endpoint string, d time.Duration) {
 	if e := h.endpoints[endpoint]; e != nil {
-		e.slowest = max(e.slowest, d)
+		e.firstTokens.add(d)
 	}
 }
 
@@ -165,11 +190,11 @@
 	e.sequence, e.sentAt, e.waiting = h.sequence, now, true
 	d := Demand{
 		Endpoint: endpoint, Sequence: h.sequence, InUse: e.inUse, Held: e.slots, Carried: e.carried,
-		Fencing: e.fencing, Wanted: wanted, Healthy: e.healthy, Failed: e.failed, SlowestFirstToken: e.slowest,
+		Fencing: e.fencing, Wanted: wanted, Healthy: e.healthy, Failed: e.failed, FirstToken: e.firstTokens.take(),
 		Exclusive: e.reserving,
 	}
 	e.unreserved = false
-	e.healthy, e.failed, e.slowest = 0, 0, 0
+	e.healthy, e.failed = 0, 0
 	return d
 }
 
--- a/clslot/ramp.go
+++ b/clslot/ramp.go
@@ -18,7 +18,7 @@
 	limit   int
 	healthy int
 	bootID  string
-	// usual is the smoothed slowest first-token time per demand.
+	// usual is the smoothed first-token time.
 	usual   time.Duration
 	samples int
 	// slowSince is the time of the first of a row of slow first tokens; zero if
@@ -63,7 +63,7 @@
 // answers applies the outcomes that an entry reported while running requests
 // may have been at the endpoint.
 func (r *ramp) answers(d Demand, running int, cfg Config, now time.Time) {
-	if d.SlowestFirstToken > 0 && r.slow(d.SlowestFirstToken, cfg, now) {
+	if d.FirstToken > 0 && r.slow(d.FirstToken, cfg, now) {
 		r.reset()
 		r.stale = running
 		return
@@ -91,31 +91,31 @@
 // endpoint that is cold stays slow until it is warm; a row that lasts ColdAtMost
 // is a lasting change, and its last time becomes the usual one. A slow time that
 // a usual one follows belongs to the workload, and raises the usual one by one step.
-func (r *ramp) slow(slowest time.Duration, cfg Config, now time.Time) bool {
+func (r *ramp) slow(first time.Duration, cfg Config, now time.Time) bool {
 	if r.samples == 0 {
-		r.usual = slowest
+		r.usual = first
 	}
 	r.samples++
-	highest := time.Duration(cfg.SlowFactor * float64(r.usual))
+	highest := max(time.Duration(cfg.SlowFactor*float64(r.usual)), cfg.SlowAtLeast)
 	if r.samples <= minUsualSamples {
-		r.learn(min(slowest, highest))
+		r.learn(min(first, highest))
 		return false
 	}
-	if slowest > highest {
+	if first > highest {
 		if r.slowSince.IsZero() {
 			r.slowSince = now
 		}
 		if now.Sub(r.slowSince) < cfg.ColdAtMost {
 			return true
 		}
-		r.usual, r.slowSince = slowest, time.Time{}
+		r.usual, r.slowSince = first, time.Time{}
 		return false
 	}
 	if !r.slowSince.IsZero() {
 		r.slowSince = time.Time{}
 		r.learn(highest)
 	}
-	r.learn(slowest)
+	r.learn(first)
 	return false
 }
 
--- a/clslot/slots.go
+++ b/clslot/slots.go
@@ -20,6 +20,9 @@
 		Ahead int
 		// SlowFactor is the ratio to the usual first-token time that counts as cold.
 		SlowFactor float64
+		// SlowAtLeast is the first-token time below which none counts as cold, so that
+		// quick endpoints are not taken for cold by the scheduling of either end.
+		SlowAtLeast time.Duration
 		// ColdAtMost is how long an endpoint counts as cold because of its
 		// first-token times alone; after that they are its usual ones.
 		ColdAtMost time.Duration
@@ -62,8 +65,10 @@
 		Wanted int
 		// Healthy and Failed count answers since the former demand.
 		Healthy, Failed int
-		// SlowestFirstToken is the largest first-token time since the former demand.
-		SlowestFirstToken time.Duration
+		// FirstToken is the lower of the last two first-token times, or 0 if there
+		// was none since the former demand. A single slow one may be a pause of
+		// either end; at a cold endpoint all are slow.
+		FirstToken time.Duration
 		// Exclusive asks for the endpoint alone; see Holder.Reserve.
 		Exclusive bool
 	}
@@ -112,6 +117,7 @@
 		IdleAfter:      time.Second,
 		Ahead:          1,
 		SlowFactor:     4,
+		SlowAtLeast:    200 * time.Millisecond,
 		ColdAtMost:     time.Minute,
 	}
 }
