Sum evidence per data centre before it goes to the holder

Cause: during a version move each entry sent its evidence to the holder of the control lease, 1,930 reports a second at 390 entries. An entry also evaluated its own evidence only batch by batch as the holder acknowledged them, so a holder that could not be reached kept it from suspending a bad version. Change: an entry reports once a second to the first entry of its data centre in rendezvous rank, which passes one sum a second on and answers when the holder has counted it. A sum lists its batches; the holder counts all of them or names those that it had counted before, and the others are summed anew. A batch is repeated unchanged, elsewhere after a failure, until it is acknowledged, so the process that sums keeps nothing that can be lost. A holder that has not read its plans yet refuses reports. The own evidence is evaluated every 200 ms, whatever happens to reports. Ruled out: cumulative counts per entry at the holder, which need each entry's counts there and not a sum; an acknowledgement by the process that sums, whose restart then lost batches in the new property test. Result: TestSumsCountOnce fails without the check for counted batches, with a partial check, and with early acknowledgements; TestOwnEvidenceWithoutHolder fails with the former logic. Open: 70 reports/s of about 900 B are 63 KB/s, over 23 KB/s, at the process that sums; see docs/CAPACITY.md.

--- a/clbench/control_process.go
+++ b/clbench/control_process.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"github.com/chestnutlead/chestnutlead/clcontrol"
 	"github.com/chestnutlead/chestnutlead/clharness"
+	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clplatform"
@@ -29,9 +31,8 @@
 
 const (
 	operatorToken  = "bench-operator-token-0123"
-	evidenceEvery  = 200 * time.Millisecond
 	evidenceRoutes = 3
-	controlTime    = 4 * time.Second
+	controlTime    = 8 * time.Second
 	planWindow     = 10 * time.Second
 	movesDeadline  = 2 * time.Hour
 
@@ -55,6 +56,15 @@
 	noCloud struct{ clplatform.Cloud }
 
 	bearer struct{ token string }
+
+	// taker takes all evidence and does nothing with it.
+	taker struct{}
+
+	// metered counts calls, the bytes of their requests, and their time.
+	metered struct {
+		next                clpeer.Evidence
+		calls, bytes, nanos atomic.Int64
+	}
 )
 
 // RoundTrip adds the token.
@@ -104,6 +114,11 @@
 			return r, err
 		}
 	}
+	for _, entries := range []int{3, 20, 78} {
+		if err := summingAt(ctx, r, entries); err != nil {
+			return r, err
+		}
+	}
 	r.note("Evidence calls are made from the same process over loopback, so their CPU is that of both ends.")
 	return r, nil
 }
@@ -171,7 +186,10 @@
 	return nil
 }
 
-// evidenceAt measures the reports of entries during a version move.
+// evidenceAt measures the sums that the holder of the control lease receives
+// during a version move. Entries hand their batches to a sum of their data
+// centre in this process, so that all calls counted here are those to the
+// holder. The same without these calls shows what making the sums takes.
 func evidenceAt(ctx context.Context, r *Result, entries int) error {
 	b, err := startControl(ctx)
 	if err != nil {
@@ -182,36 +200,123 @@
 		return err
 	}
 	t := &clpeer.Transport{Token: peerToken, Timeout: time.Second}
-	var calls, failed, bytes atomic.Int64
-	cpu, end := cpuSeconds(), time.Now().Add(controlTime)
+	m := &metered{next: t.Peer(b.peer)}
+	without := sumsFor(ctx, r, entries, taker{}, b.peer)
+	cpu := sumsFor(ctx, r, entries, m, b.peer)
+	x, secs, calls := float64(entries), controlTime.Seconds(), float64(m.calls.Load())
+	r.add("evidence reports received", "1/s", "entries", x, calls/secs)
+	r.add("CPU of evidence reports, both ends", "% of a core", "entries", x, 100*cpu/secs)
+	r.add("CPU of the same without the reports", "% of a core", "entries", x, 100*without/secs)
+	r.add("CPU of one report, both ends", "us", "entries", x, 1e6*(cpu-without)/calls)
+	r.add("bytes of one report without HTTP", "B", "entries", x, float64(m.bytes.Load())/calls)
+	return nil
+}
+
+// sumsFor lets entries report to a sum for each data centre and returns the CPU
+// time that it takes, in seconds.
+func sumsFor(ctx context.Context, r *Result, entries int, next clpeer.Evidence, holder netip.AddrPort) float64 {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sums := make([]clpeer.Evidence, dataCentres)
+	for i := range sums {
+		sums[i] = startSums(ctx, i, holder, next)
+	}
+	cpu := cpuSeconds()
+	failed := reportAll(ctx, entries, func(i int) clpeer.Evidence { return sums[i%len(sums)] })
+	cpu = cpuSeconds() - cpu
+	if failed > 0 {
+		r.note("%d evidence calls of %d entries failed", failed, entries)
+	}
+	return cpu
+}
+
+// summingAt measures a process that sums the reports of the entries of its data
+// centre, which come over loopback, and passes them on.
+func summingAt(ctx context.Context, r *Result, entries int) error {
+	b, err := startControl(ctx)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	if err := b.startMove(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &clpeer.Transport{Token: peerToken, Timeout: 5 * time.Second}
+	sums := startSums(ctx, 0, b.peer, t.Peer(b.peer))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for entries")
+	}
+	node := &clpeer.Node{
+		Member: clmember.Config{
+			Self: clmember.Member{ID: "entry-sums", Address: clpeer.AddrOf(l), DataCentre: "dc-0", Role: "entry"}, Rand: clpeer.NewRand(),
+		},
+		Transport: t, Listener: l, Configs: &benchNode{}, Evidence: sums, Log: zap.NewNop(),
+	}
+	node.Init()
+	done := make(chan error, 1)
+	go func() { done <- node.Run(ctx) }()
+	m := &metered{next: t.Peer(clpeer.AddrOf(l))}
+	cpu := cpuSeconds()
+	failed := reportAll(ctx, entries, func(int) clpeer.Evidence { return m })
+	cpu = cpuSeconds() - cpu
+	cancel()
+	x, secs, calls := float64(entries), controlTime.Seconds(), float64(m.calls.Load())
+	r.add("evidence reports to a summing process", "1/s", "entries of a data centre", x, calls/secs)
+	r.add("CPU of reports to a summing process, both ends, its own sums included", "% of a core", "entries of a data centre", x, 100*cpu/secs)
+	r.add("time until a report is counted, mean", "ms", "entries of a data centre", x, float64(m.nanos.Load())/calls/1e6)
+	if failed > 0 {
+		r.note("%d calls of %d entries to a summing process failed", failed, entries)
+	}
+	return <-done
+}
+
+// startSums starts the sum of a data centre.
+func startSums(ctx context.Context, dataCentre int, holder netip.AddrPort, next clpeer.Evidence) *clpeer.EvidenceSums {
+	s := &clpeer.EvidenceSums{
+		Self: fmt.Sprintf("entry-sums-%d", dataCentre), Holder: func() netip.AddrPort { return holder },
+		Peer: func(netip.AddrPort) clpeer.Evidence { return next }, Log: zap.NewNop(),
+	}
+	s.Init()
+	go func() { _ = s.Run(ctx) }() // It returns nil.
+	return s
+}
+
+// reportAll lets entries report as they do for a while, and returns how many
+// reports failed. All start within one interval, not together.
+func reportAll(ctx context.Context, entries int, to func(i int) clpeer.Evidence) int64 {
+	var failed atomic.Int64
+	end := time.Now().Add(controlTime)
 	var g sync.WaitGroup
 	for i := range entries {
-		g.Add(1)
-		go func() {
-			defer g.Done()
-			time.Sleep(evidenceEvery * time.Duration(i) / time.Duration(entries))
+		g.Go(func() {
+			time.Sleep(clpeer.EvidenceInterval * time.Duration(i) / time.Duration(entries))
 			for n := uint64(1); time.Now().Before(end); n++ {
-				req := evidenceOf(i, n)
-				if _, err := t.Peer(b.peer).ReportEvidence(ctx, req); err != nil {
+				if _, err := to(i).ReportEvidence(ctx, evidenceOf(i, n)); err != nil {
 					failed.Add(1)
 				}
-				calls.Add(1)
-				bytes.Add(int64(proto.Size(req)))
-				time.Sleep(evidenceEvery)
+				time.Sleep(clpeer.EvidenceInterval - clpeer.EvidenceGather)
 			}
-		}()
+		})
 	}
 	g.Wait()
-	cpu = cpuSeconds() - cpu
-	x, secs := float64(entries), controlTime.Seconds()
-	r.add("evidence reports received", "1/s", "entries", x, float64(calls.Load())/secs)
-	r.add("CPU of evidence reports, both ends", "% of a core", "entries", x, 100*cpu/secs)
-	r.add("CPU of one report, both ends", "us", "entries", x, 1e6*cpu/float64(calls.Load()))
-	r.add("bytes of one report without HTTP", "B", "entries", x, float64(bytes.Load())/float64(calls.Load()))
-	if n := failed.Load(); n > 0 {
-		r.note("%d of %d evidence calls of %d entries failed", n, calls.Load(), entries)
-	}
-	return nil
+	return failed.Load()
+}
+
+// ReportEvidence implements clpeer.Evidence.
+func (taker) ReportEvidence(context.Context, *clwire.ReportEvidenceRequest) (*clwire.ReportEvidenceResponse, error) {
+	return &clwire.ReportEvidenceResponse{}, nil
+}
+
+// ReportEvidence implements clpeer.Evidence.
+func (m *metered) ReportEvidence(ctx context.Context, r *clwire.ReportEvidenceRequest) (*clwire.ReportEvidenceResponse, error) {
+	started := time.Now()
+	defer func() { m.nanos.Add(int64(time.Since(started))) }()
+	m.calls.Add(1)
+	m.bytes.Add(int64(proto.Size(r)))
+	return m.next.ReportEvidence(ctx, r)
 }
 
 // evidenceOf returns what an entry sees of both versions on a few routes.
--- a/clcontrol/executor.go
+++ b/clcontrol/executor.go
@@ -95,6 +95,7 @@
 	for _, p := range x.active {
 		x.advance(ctx, p, now)
 	}
+	x.rollouts.accept()
 }
 
 // announce tells entries where to send evidence.
--- a/clcontrol/move.go
+++ b/clcontrol/move.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
+	"github.com/twitchtv/twirp"
 )
 
 type (
@@ -21,6 +22,10 @@
 	rollouts struct {
 		mu     sync.Mutex
 		byPlan map[string]*rollout
+		// received has the batches that have been counted, in whatever sums they came.
+		received clrollout.Receiver
+		// open says that this process evaluates the moves.
+		open bool
 		// suspended has versions that an entry suspended on its own evidence.
 		suspended map[string]string
 		// onBad wakes the executor.
@@ -45,22 +50,27 @@
 	return &rollouts{byPlan: make(map[string]*rollout), suspended: make(map[string]string), onBad: onBad, pace: pc}
 }
 
-// ReportEvidence implements clpeer.Evidence.
+// ReportEvidence implements clpeer.Evidence. It takes single batches and sums.
 func (r *rollouts) ReportEvidence(_ context.Context, req *clwire.ReportEvidenceRequest) (*clwire.ReportEvidenceResponse, error) {
-	batch := lo.Map(req.GetEvidence(), func(x *clwire.RouteEvidence, _ int) clrollout.Evidence {
-		return clrollout.Evidence{
-			Service: x.GetService(), Version: x.GetVersion(), Route: x.GetRoute(), Minute: x.GetMinuteUnix(),
-			Succeeded: x.GetSucceeded(), Failed: x.GetFailed(), LatencyCounts: x.GetLatencyCounts(),
-		}
-	})
+	parts, ok := clpeer.PartsFromWire(req)
+	if !ok {
+		return nil, twirp.InvalidArgumentError("sequences", "must have as many elements as reporters")
+	}
+	batch := clpeer.EvidenceFromWire(req.GetEvidence())
 	now := time.Now()
 	bad := false
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.open {
+		return nil, twirp.NewError(twirp.Unavailable, "this process does not evaluate rollouts now; repeat the report to the holder of the control lease")
+	}
+	if counted := r.received.Receive(parts); len(counted) > 0 {
+		return &clwire.ReportEvidenceResponse{Counted: lo.Map(counted, func(p clrollout.Part, _ int) uint64 { return p.From })}, nil
+	}
 	for _, ro := range r.byPlan {
-		ro.core.Report(req.GetFrom(), req.GetSequence(), lo.Filter(batch, func(x clrollout.Evidence, _ int) bool { return x.Service == ro.service }))
+		ro.core.Add(batch)
 		bad = bad || ro.core.Decide(now).Action == clrollout.Suspend
 	}
-	r.mu.Unlock()
 	if bad {
 		r.onBad()
 	}
@@ -79,6 +89,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.byPlan)
+	r.open, r.received = false, clrollout.Receiver{}
+}
+
+// accept takes reports from now on. Before the running plans have been read, a
+// report would be taken as counted although no rollout has it.
+func (r *rollouts) accept() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open = true
 }
 
 func (r *rollouts) remove(planID string) {
--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v2"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -38,6 +39,8 @@
 	retryWindow       = 10 * time.Second
 	handoverTimeout   = 2 * time.Second
 	grantorPatience   = 10 * time.Second
+	// evidenceKey is what the entries of a data centre are ranked for to sum its evidence.
+	evidenceKey = "evidence"
 )
 
 var errNoDelete = errors.New("the store cannot delete")
@@ -65,6 +68,7 @@
 		grantors *grantors
 		demander *demander
 		evidence *evidence
+		sums     *clpeer.EvidenceSums
 		caches   *caches
 		ledgers  *ledgers
 		handler  *handler
@@ -121,7 +125,7 @@
 	for _, loop := range []func(context.Context) error{
 		e.node.Run, e.config.Run, e.fleet.loopList, e.fleet.loopNotices, e.gate.loopExpire, e.grantors.run,
 		e.caches.loop,
-		e.demander.loop, e.evidence.loop, e.loopReadiness,
+		e.demander.loop, e.evidence.loop, e.evidence.loopReport, e.sums.Run, e.loopReadiness,
 	} {
 		g.Go(func() error { return loop(ctx) })
 	}
@@ -194,11 +198,7 @@
 	}
 	e.fleet.init()
 	e.buildSlots(store, transport, m)
-	e.evidence = &evidence{
-		node: e.node, transport: transport, views: e.views, timeout: transport.Timeout, log: clobserve.Component(e.Logger, "rollout"),
-		onSuspend: e.gate.suspend,
-	}
-	e.evidence.init()
+	e.buildEvidence(transport)
 	e.caches = &caches{
 		gate: e.gate, fleet: e.fleet, observer: e.Observer, interval: s.GetEndpoint().GetLoadInterval().AsDuration(),
 		log: clobserve.Component(e.Logger, "cache"),
@@ -262,6 +262,25 @@
 	e.demander.init()
 }
 
+func (e *Entry) buildEvidence(t *clpeer.Transport) {
+	log, self := clobserve.Component(e.Logger, "rollout"), e.node.Member.Self
+	patient := &clpeer.Transport{Token: t.Token, Timeout: reportTimeout(t.Timeout)}
+	e.evidence = &evidence{
+		self: self, views: e.views, timeout: t.Timeout, log: log, onSuspend: e.gate.suspend, addFact: e.node.AddFact,
+		rank: func() []clmember.Member {
+			return e.node.Rank(evidenceKey, clmember.Filter{Role: Role, DataCentre: self.DataCentre})
+		},
+		peer: func(addr netip.AddrPort, sums bool) clpeer.Evidence { return lo.Ternary(sums, patient, t).Peer(addr) },
+	}
+	e.evidence.init()
+	e.sums = &clpeer.EvidenceSums{
+		Self: self.ID, Holder: e.evidence.holder, Log: log,
+		Peer: func(addr netip.AddrPort) clpeer.Evidence { return t.Peer(addr) },
+	}
+	e.sums.Init()
+	e.evidence.sums = e.sums
+}
+
 func (e *Entry) buildHandler(ctx context.Context, m *metrics) {
 	s := e.Settings
 	e.tracker = &tracker{}
@@ -292,7 +311,7 @@
 
 // connect wires what the parts tell each other.
 func (e *Entry) connect() {
-	e.node.Bookings, e.node.Slots, e.node.Endpoints = e.ledgers, e.grantors, e.fleet
+	e.node.Bookings, e.node.Slots, e.node.Endpoints, e.node.Evidence = e.ledgers, e.grantors, e.fleet, e.sums
 	e.node.OnFacts = e.learn
 	e.node.OnMembers = func([]clmember.Member) {}
 	e.fleet.onChange = func(set []endpoint, removed []string) {
--- a/clentry/evidence.go
+++ b/clentry/evidence.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -19,26 +20,48 @@
 )
 
 const (
-	evidenceEvery         = 200 * time.Millisecond
+	// evaluateEvery is the time between two evaluations of the own evidence. They
+	// need nobody else, so that an entry suspends a bad version whatever happens to
+	// its reports.
+	evaluateEvery         = 200 * time.Millisecond
 	suspendedFactLifetime = 24 * time.Hour
+
+	// retryEvidence is the pause before a batch is sent elsewhere.
+	retryEvidence = 50 * time.Millisecond
+	// summingCandidates entries of the data centre may sum its evidence, the first
+	// in rank that has not failed within failedFor. If all have failed, an entry
+	// reports to the evaluating process itself.
+	summingCandidates = 3
+	failedFor         = 10 * time.Second
 )
 
 // evidence sums the outcomes of services whose version moves, sends them to
 // the process that evaluates the rollout, and suspends a version on the
 // entry's own evidence.
 type evidence struct {
-	node      *clpeer.Node
-	transport *clpeer.Transport
-	views     *views
-	timeout   time.Duration
-	log       *zap.Logger
-	// onSuspend is called when the own evidence condemns a version.
+	self clmember.Member
+	// rank returns the entries of this data centre, first the one that sums its evidence.
+	rank func() []clmember.Member
+	// peer returns a process to report to; calls to one that sums take longer.
+	peer func(addr netip.AddrPort, sums bool) clpeer.Evidence
+	// sums is this process's own sum.
+	sums    clpeer.Evidence
+	views   *views
+	timeout time.Duration
+	log     *zap.Logger
+	// onSuspend is called when the own evidence condemns a version, and addFact
+	// tells the others.
 	onSuspend func(queueKey)
+	addFact   func(clmember.Fact)
 
-	mu        sync.Mutex
-	collector clrollout.Collector
-	locals    map[string]*localRollout
-	control   grantorAddress
+	mu sync.Mutex
+	// own collects for the evaluation here and reported for the one of all
+	// entries, which waits for acknowledgements.
+	own, reported clrollout.Collector
+	locals        map[string]*localRollout
+	control       grantorAddress
+	// failed has when processes that sum evidence failed last.
+	failed map[string]time.Time
 }
 
 // localRollout evaluates the entry's own evidence of one move.
@@ -48,7 +71,15 @@
 	local  *clrollout.Local
 }
 
-func (e *evidence) init() { e.locals = make(map[string]*localRollout) }
+func (e *evidence) init() {
+	e.locals, e.failed = make(map[string]*localRollout), make(map[string]time.Time)
+}
+
+// reportTimeout is the longest wait for an answer to a report: for the sum's
+// turn, and for the evaluating process, with one repetition.
+func reportTimeout(call time.Duration) time.Duration {
+	return clpeer.EvidenceInterval + clpeer.EvidenceGather + 2*call
+}
 
 // add counts the end of one attempt.
 func (e *evidence) add(a *attempt, failed, broken bool) {
@@ -62,18 +93,25 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collector.Observe(now, clrollout.Outcome{
+	e.observe(now, clrollout.Outcome{
 		Service: a.p.endpoint.service, Version: a.p.endpoint.version, Route: a.route,
 		Latency: latency, Failed: failed, Cold: a.cold, Broken: broken,
 		Endpoint: a.p.endpoint.id, Fingerprint: a.w.fingerprint.String(),
 	})
 }
 
+func (e *evidence) observe(now time.Time, o clrollout.Outcome) {
+	e.own.Observe(now, o)
+	e.reported.Observe(now, o)
+}
+
 // restarted excludes the requests that an endpoint ran when it restarted.
 func (e *evidence) restarted(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collector.EndpointRestarted(time.Now(), id)
+	now := time.Now()
+	e.own.EndpointRestarted(now, id)
+	e.reported.EndpointRestarted(now, id)
 }
 
 // learnControl takes a fact that names the holder of the control lease.
@@ -81,9 +119,21 @@
 	g, ok := parseGrantor(f.Detail)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ok && g.fencing >= e.control.fencing {
-		e.control = g
+	if !ok || g.fencing < e.control.fencing {
+		return
 	}
+	if g.fencing > e.control.fencing {
+		// The failures may have been those of the former holder.
+		clear(e.failed)
+	}
+	e.control = g
+}
+
+// holder returns the address of the evaluating process.
+func (e *evidence) holder() netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.control.addr
 }
 
 // applyView follows the moves and their shares.
@@ -116,44 +166,88 @@
 	})}
 }
 
-// loop evaluates and sends evidence until ctx ends.
+// loop evaluates the own evidence until ctx ends.
 func (e *evidence) loop(ctx context.Context) error {
-	var last uint64
-	return clwait.Every(ctx, evidenceEvery, func(now time.Time) { last = e.step(ctx, now, last) })
+	return clwait.Every(ctx, evaluateEvery, e.evaluateOwn)
 }
 
-// step handles the current batch: own evaluation once, sending until it is received.
-func (e *evidence) step(ctx context.Context, now time.Time, last uint64) uint64 {
+// evaluateOwn suspends the versions that the own evidence condemns.
+func (e *evidence) evaluateOwn(now time.Time) {
 	e.mu.Lock()
-	sequence, batch := e.collector.Take(now)
-	var bad []queueKey
-	if sequence != last && len(batch) > 0 {
-		bad = e.evaluate(now, batch)
-	}
-	control := e.control
+	sequence, batch := e.own.Take(now)
+	e.own.Ack(sequence)
+	bad := e.evaluate(now, batch)
 	e.mu.Unlock()
 	for _, key := range bad {
 		e.suspend(key)
 	}
-	if len(batch) == 0 {
-		return sequence
+}
+
+// loopReport sends evidence until ctx ends.
+func (e *evidence) loopReport(ctx context.Context) error {
+	for {
+		if clwait.Pause(ctx, e.report(ctx, time.Now())) != nil {
+			return nil
+		}
 	}
-	if !control.addr.IsValid() {
-		return sequence
+}
+
+// report sends the current batch, the same one until it has been counted, and
+// returns the pause before the next report.
+func (e *evidence) report(ctx context.Context, now time.Time) time.Duration {
+	e.mu.Lock()
+	sequence, batch := e.reported.Take(now)
+	holder := e.control.addr
+	e.mu.Unlock()
+	if len(batch) == 0 || !holder.IsValid() {
+		return clpeer.EvidenceGather
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.timeout)
-	defer cancel()
-	_, err := e.transport.Peer(control.addr).ReportEvidence(ctx, &clwire.ReportEvidenceRequest{
-		From: e.node.Self().ID, Sequence: sequence, Evidence: lo.Map(batch, func(x clrollout.Evidence, _ int) *clwire.RouteEvidence { return evidenceToWire(x) }),
+	rank := e.rank()
+	e.mu.Lock()
+	to, found := chooseSummer(rank, e.failed, now)
+	e.mu.Unlock()
+	err := e.send(ctx, to, found, holder, &clwire.ReportEvidenceRequest{
+		From: e.self.ID, Sequence: sequence, Evidence: clpeer.EvidenceToWire(batch),
 	})
 	if err != nil {
-		e.log.Debug("Evidence cannot be sent. It is sent again.", zap.Error(err))
-		return sequence
+		e.log.Debug("Evidence cannot be sent. It is sent again.", zap.String("to", to.ID), zap.Error(err))
+		if !found {
+			return clpeer.EvidenceInterval
+		}
+		e.mu.Lock()
+		e.failed[to.ID] = now
+		e.mu.Unlock()
+		return retryEvidence
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.collector.Ack(sequence)
-	return sequence
+	e.reported.Ack(sequence)
+	e.mu.Unlock()
+	return clpeer.EvidenceInterval - clpeer.EvidenceGather
+}
+
+// send reports to the process that sums, or to the evaluating process if none is left.
+func (e *evidence) send(ctx context.Context, to clmember.Member, found bool, holder netip.AddrPort, r *clwire.ReportEvidenceRequest) error {
+	timeout, addr := e.timeout, holder
+	if found {
+		timeout, addr = reportTimeout(e.timeout), to.Address
+	}
+	peer := e.sums
+	if to.ID != e.self.ID {
+		peer = e.peer(addr, found)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	// A batch that had been counted before has been delivered, too.
+	_, err := peer.ReportEvidence(ctx, r)
+	return err
+}
+
+// chooseSummer returns the first of the candidates that has not failed lately.
+func chooseSummer(rank []clmember.Member, failed map[string]time.Time, now time.Time) (clmember.Member, bool) {
+	return lo.Find(rank[:min(len(rank), summingCandidates)], func(m clmember.Member) bool {
+		at, ok := failed[m.ID]
+		return !ok || now.Sub(at) >= failedFor
+	})
 }
 
 // evaluate returns the versions that the own evidence condemns.
@@ -177,10 +271,10 @@
 // suspend stops new work for the version here and in all entries.
 func (e *evidence) suspend(key queueKey) {
 	e.onSuspend(key)
-	e.node.AddFact(clmember.Fact{
+	e.addFact(clmember.Fact{
 		ID: "suspended/" + key.service + "/" + key.version, Kind: clmember.VersionSuspended,
 		Lifetime: suspendedFactLifetime, Subject: key.service + "/" + key.version,
-		Detail: "evidence of entry " + e.node.Self().ID, Urgent: true,
+		Detail: "evidence of entry " + e.self.ID, Urgent: true,
 	})
 }
 
@@ -189,10 +283,3 @@
 	service, version, ok := strings.Cut(subject, "/")
 	return queueKey{service, version}, ok
 }
-
-func evidenceToWire(x clrollout.Evidence) *clwire.RouteEvidence {
-	return &clwire.RouteEvidence{
-		Service: x.Service, Version: x.Version, Route: x.Route, MinuteUnix: x.Minute,
-		Succeeded: x.Succeeded, Failed: x.Failed, LatencyCounts: x.LatencyCounts,
-	}
-}
--- a/clpeer/convert.go
+++ b/clpeer/convert.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clmember"
+	"github.com/chestnutlead/chestnutlead/clrollout"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/samber/lo"
 )
@@ -89,3 +90,37 @@
 		ConfigRevision: m.GetConfigRevision(), MembershipHash: m.GetMembershipHash(),
 	}, ok
 }
+
+// EvidenceToWire returns the messages of a batch or a sum.
+func EvidenceToWire(batch []clrollout.Evidence) []*clwire.RouteEvidence {
+	return lo.Map(batch, func(x clrollout.Evidence, _ int) *clwire.RouteEvidence {
+		return &clwire.RouteEvidence{
+			Service: x.Service, Version: x.Version, Route: x.Route, MinuteUnix: x.Minute,
+			Succeeded: x.Succeeded, Failed: x.Failed, LatencyCounts: x.LatencyCounts,
+		}
+	})
+}
+
+// EvidenceFromWire returns the evidence of a batch or a sum.
+func EvidenceFromWire(batch []*clwire.RouteEvidence) []clrollout.Evidence {
+	return lo.Map(batch, func(x *clwire.RouteEvidence, _ int) clrollout.Evidence {
+		return clrollout.Evidence{
+			Service: x.GetService(), Version: x.GetVersion(), Route: x.GetRoute(), Minute: x.GetMinuteUnix(),
+			Succeeded: x.GetSucceeded(), Failed: x.GetFailed(), LatencyCounts: x.GetLatencyCounts(),
+		}
+	})
+}
+
+// PartsFromWire returns the batches that a request consists of; false if its
+// lists differ in length.
+func PartsFromWire(r *clwire.ReportEvidenceRequest) ([]clrollout.Part, bool) {
+	if len(r.GetReporters()) == 0 && len(r.GetSequences()) == 0 {
+		return []clrollout.Part{{From: clrollout.ReporterKey(r.GetFrom()), Sequence: r.GetSequence()}}, true
+	}
+	if len(r.GetReporters()) != len(r.GetSequences()) {
+		return nil, false
+	}
+	return lo.Map(r.GetReporters(), func(from uint64, i int) clrollout.Part {
+		return clrollout.Part{From: from, Sequence: r.GetSequences()[i]}
+	}), true
+}
--- a/clrollout/evidence.go
+++ b/clrollout/evidence.go
@@ -3,7 +3,6 @@
 package clrollout
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -157,14 +156,8 @@
 		c.add(h.at, h.Outcome)
 		return true
 	})
-	for _, e := range c.sums {
-		c.sent = append(c.sent, *e)
-	}
+	c.sent = sorted(c.sums)
 	clear(c.sums)
-	slices.SortFunc(c.sent, func(a, b Evidence) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Minute, b.Minute),
-			cmp.Compare(a.Route, b.Route), cmp.Compare(a.Version, b.Version))
-	})
 	if len(c.sent) > 0 {
 		c.sequence++
 	}
--- a/clrollout/rollout.go
+++ b/clrollout/rollout.go
@@ -55,8 +55,7 @@
 		step      int
 		stepSince time.Time
 		dwell     time.Duration
-		// sequences holds the last batch of each reporting process.
-		sequences map[string]uint64
+		received  Receiver
 		final     *Decision
 	}
 
@@ -130,7 +129,7 @@
 // rollout over has no figures of the old version to compare with.
 func New(cfg Config, now time.Time) *Rollout {
 	cfg = cfg.withDefaults()
-	r := &Rollout{cfg: cfg, eval: newEvaluator(cfg, FalseBadRate, evaluatePeriod), sequences: make(map[string]uint64)}
+	r := &Rollout{cfg: cfg, eval: newEvaluator(cfg, FalseBadRate, evaluatePeriod)}
 	step := 0
 	for step+2 < len(Steps) && Steps[step+1] <= cfg.SharePermille {
 		step++
@@ -167,14 +166,18 @@
 // Report takes a batch of evidence from a process (an ID unique for each start
 // of it). It reports false for a batch that was counted before.
 func (r *Rollout) Report(from string, sequence uint64, batch []Evidence) bool {
-	if sequence <= r.sequences[from] {
+	if counted := r.received.Receive([]Part{{ReporterKey(from), sequence}}); len(counted) > 0 {
 		return false
 	}
-	r.sequences[from] = sequence
+	r.Add(batch)
+	return true
+}
+
+// Add takes evidence that the caller counts once, by a Receiver of its own.
+func (r *Rollout) Add(batch []Evidence) {
 	for _, e := range batch {
 		r.eval.add(e)
 	}
-	return true
 }
 
 // ShareApplied says that the new version's share has been set. Evidence for
