Keep finished plans under a prefix of their own

Change: finished plans are moved from plan/ to finished-plan/ by the holder, four between two rounds, so that a verdict does not wait for many. GetPlan, ListPlans and GetStatus show both kinds; a decision on a moved plan gets the same conflict as before. Old finished plans are searched for once an hour. A former holder that goes on with a moved plan gets the conflict too; before, with a plan that its successor had removed, it would have indexed an empty list of steps.

--- a/clbench/objects.go
+++ b/clbench/objects.go
@@ -27,9 +27,10 @@
 		counts  callCounts
 	}
 
-	// callCounts counts calls of the object API; Waiting is the watches that wait now.
+	// callCounts counts calls of the object API; waiting is the watches that wait
+	// now, and planBytes what lists of plans have returned.
 	callCounts struct {
-		reads, lists, writes, watches, waiting int
+		reads, lists, writes, watches, waiting, planBytes int
 	}
 )
 
@@ -75,6 +76,9 @@
 	for k, v := range o.values {
 		if strings.HasPrefix(k, prefix) {
 			list = append(list, v)
+			if strings.Contains(prefix, "plan") {
+				o.counts.planBytes += len(v.Value)
+			}
 		}
 	}
 	slices.SortFunc(list, func(a, b clplatform.Object) int { return strings.Compare(a.Key, b.Key) })
--- a/clcontrol/control.go
+++ b/clcontrol/control.go
@@ -143,9 +143,7 @@
 		objects: c.Objects, newT: func() *clstate.ConfigSnapshot { return new(clstate.ConfigSnapshot) },
 		mark: (*clstate.ConfigSnapshot).GetProposalId,
 	}
-	plans := &store[*clstate.Plan]{
-		objects: c.Objects, newT: func() *clstate.Plan { return new(clstate.Plan) }, mark: (*clstate.Plan).GetUpdateId,
-	}
+	plans := newPlanStore(c.Objects)
 	leases := &store[*clstate.Lease]{
 		objects: c.Objects, newT: func() *clstate.Lease { return new(clstate.Lease) }, mark: (*clstate.Lease).GetHolder,
 	}
--- a/clcontrol/executor.go
+++ b/clcontrol/executor.go
@@ -23,8 +23,9 @@
 	planSweepEvery  = 10 * time.Second
 	revisionTimeout = time.Second
 	loadTimeout     = time.Second
-	// planRetention is how long finished plans are kept for operators to look at.
-	planRetention       = 7 * 24 * time.Hour
+	// removeEvery is the time between two searches for finished plans to remove,
+	// which read all of them.
+	removeEvery         = time.Hour
 	holderFactLifetime  = 2 * time.Minute
 	holderFactEvery     = 30 * time.Second
 	suspendFactLifetime = 24 * time.Hour
@@ -33,7 +34,7 @@
 // executor carries out plans while this process holds the control lease. All
 // its decisions start from the objects, so that a successor goes on from there.
 type executor struct {
-	plans     *store[*clstate.Plan]
+	plans     *planStore
 	editor    *editor
 	node      *clpeer.Node
 	lease     *cllease.Runner
@@ -44,8 +45,11 @@
 	log       *zap.Logger
 	kick      chan struct{}
 
-	active    map[string]*clstate.Plan
+	active map[string]*clstate.Plan
+	// ended has finished plans that the sweep found among the open ones.
+	ended     []string
 	sweptAt   time.Time
+	removedAt time.Time
 	factAt    time.Time
 	held      bool
 	announced uint64
@@ -96,6 +100,7 @@
 		x.advance(ctx, p, now)
 	}
 	x.rollouts.accept()
+	x.tidy(ctx, now)
 }
 
 // announce tells entries where to send evidence.
@@ -107,7 +112,7 @@
 	x.node.AddFact(holderFact(x.node.Member.Self, state.Fencing))
 }
 
-// sweep reads the plans and forgets old finished ones.
+// sweep reads the open plans.
 func (x *executor) sweep(ctx context.Context, now time.Time) bool {
 	plans, err := x.plans.list(ctx, planPrefix)
 	if err != nil {
@@ -116,19 +121,42 @@
 	}
 	x.sweptAt = now
 	x.active = make(map[string]*clstate.Plan)
+	x.ended = nil
 	for _, p := range plans {
-		switch p.GetState() {
-		case clstate.PlanState_PLAN_STATE_CONFIRMED, clstate.PlanState_PLAN_STATE_RUNNING:
+		switch {
+		case finished(p):
+			x.ended = append(x.ended, p.GetId())
+		case p.GetState() != clstate.PlanState_PLAN_STATE_PROPOSED:
 			x.active[p.GetId()] = p
-		default:
-			if now.Sub(p.GetChangedAt().AsTime()) > planRetention {
-				x.plans.remove(ctx, planPrefix+p.GetId())
-			}
+		case now.Sub(p.GetChangedAt().AsTime()) > planRetention:
+			x.plans.remove(ctx, planPrefix+p.GetId())
 		}
 	}
 	return true
 }
 
+// tidy moves finished plans to their place and removes old ones there. What
+// fails is left to a later sweep, because only the cost of sweeps depends on it.
+func (x *executor) tidy(ctx context.Context, now time.Time) {
+	for range min(len(x.ended), maxMoves) {
+		id := x.ended[0]
+		x.ended = x.ended[1:]
+		if err := x.plans.moveFinished(ctx, id); err != nil {
+			x.log.Warn("Finished plan cannot be moved. The next sweep tries again.", zap.String("plan", id), zap.Error(err))
+			x.ended = nil
+			return
+		}
+	}
+	if now.Sub(x.removedAt) < removeEvery {
+		return
+	}
+	if err := x.plans.removeOld(ctx, now.Add(-planRetention)); err != nil {
+		x.log.Warn("Finished plans cannot be read. Old ones are removed later.", zap.Error(err))
+		return
+	}
+	x.removedAt = now
+}
+
 func (x *executor) advance(ctx context.Context, p *clstate.Plan, now time.Time) {
 	var err error
 	switch v := p.GetIntent().GetIntent().(type) {
@@ -244,7 +272,7 @@
 }
 
 func (x *executor) finish(ctx context.Context, p *clstate.Plan, step int) error {
-	next, err := x.plans.change(ctx, planPrefix+p.GetId(), func(p *clstate.Plan) (bool, error) {
+	next, err := x.plans.change(ctx, p.GetId(), clstate.PlanState_PLAN_STATE_RUNNING, func(p *clstate.Plan) (bool, error) {
 		return finishStep(p, step, uuid.NewString(), time.Now()), nil
 	})
 	if err != nil {
@@ -258,7 +286,7 @@
 
 func (x *executor) toState(ctx context.Context, p *clstate.Plan, to clstate.PlanState, reason string) error {
 	updateID := uuid.NewString()
-	next, err := x.plans.change(ctx, planPrefix+p.GetId(), func(p *clstate.Plan) (bool, error) {
+	next, err := x.plans.change(ctx, p.GetId(), to, func(p *clstate.Plan) (bool, error) {
 		if p.GetState() == to {
 			return false, nil
 		}
--- a/clcontrol/operator.go
+++ b/clcontrol/operator.go
@@ -25,7 +25,6 @@
 )
 
 const (
-	planPrefix       = "plan/"
 	leasePrefix      = "lease/"
 	maxOperatorBytes = 1 << 20
 	operatorScheme   = "Bearer "
@@ -34,7 +33,7 @@
 
 // operatorServer implements the operators' twirp service.
 type operatorServer struct {
-	plans     *store[*clstate.Plan]
+	plans     *planStore
 	leases    *store[*clstate.Lease]
 	configs   *store[*clstate.ConfigSnapshot]
 	editor    *editor
@@ -109,19 +108,19 @@
 
 // GetPlan returns one plan.
 func (s *operatorServer) GetPlan(ctx context.Context, r *clwire.GetPlanRequest) (*clwire.GetPlanResponse, error) {
-	p, err := s.plans.get(ctx, planPrefix+r.GetId())
+	p, ok, err := s.plans.find(ctx, r.GetId())
 	if err != nil {
 		return nil, twirpError(err)
 	}
-	if p.version == 0 {
+	if !ok {
 		return nil, noPlan(r.GetId())
 	}
-	return &clwire.GetPlanResponse{Plan: p.value}, nil
+	return &clwire.GetPlanResponse{Plan: p}, nil
 }
 
-// ListPlans returns all plans in the order of their creation.
+// ListPlans returns all plans, open and finished, in the order of their creation.
 func (s *operatorServer) ListPlans(ctx context.Context, _ *clwire.ListPlansRequest) (*clwire.ListPlansResponse, error) {
-	plans, err := s.plans.list(ctx, planPrefix)
+	plans, err := s.plans.all(ctx)
 	if err != nil {
 		return nil, twirpError(err)
 	}
@@ -132,10 +131,7 @@
 func (s *operatorServer) DecidePlan(ctx context.Context, r *clwire.DecidePlanRequest) (*clwire.DecidePlanResponse, error) {
 	to := lo.Ternary(r.GetConfirm(), clstate.PlanState_PLAN_STATE_CONFIRMED, clstate.PlanState_PLAN_STATE_REJECTED)
 	updateID := uuid.NewString()
-	p, err := s.plans.change(ctx, planPrefix+r.GetId(), func(p *clstate.Plan) (bool, error) {
-		if p.GetId() == "" {
-			return false, noPlan(r.GetId())
-		}
+	p, err := s.plans.change(ctx, r.GetId(), to, func(p *clstate.Plan) (bool, error) {
 		if err := transition(p, to, updateID, time.Now()); err != nil {
 			return false, err
 		}
@@ -164,7 +160,7 @@
 		return nil, twirpError(err)
 	}
 	resp.Endpoints = endpointStatuses(cfg, list)
-	if plans, err := s.plans.list(ctx, planPrefix); err == nil {
+	if plans, err := s.plans.all(ctx); err == nil {
 		resp.Plans = plans
 	} else {
 		resp.ObjectApi = err.Error()
