Test bad versions with processes; retry failed requests at the old version

Faults found: (1) A request that failed at the new version was tried there again, at each of its endpoints: TestFailedRequestLeavesNewVersion saw 3 tries of one request, and a version that failed on one route had 10.0% of all tries before its verdict (25 of 249). (2) The check of TestBadVersion that no request follows counted only requests that no fault switch had failed, so it could not fail.

Change: the next attempt of a request that failed before any answer goes to the old version if that can be served; a stream with tokens keeps its version. The stand-ins count all arrivals of requests with an attempt ID and the time of the last one, and requireNoneAfter judges by that time.

--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -43,6 +43,9 @@
 		route       clroute.Request
 		startBy     time.Time
 		cost        float64
+		// failed says that an attempt failed before any answer, so that the next
+		// one goes to the version that is not being evaluated.
+		failed bool
 	}
 
 	// place is an endpoint with a slot for one attempt.
@@ -194,10 +197,19 @@
 	if g.suspended[queueKey{w.service.GetName(), split.New}] {
 		split.NewSuspended = true
 	}
+	if w.failed && split.New != "" && g.servable(w, split.Old, time.Now()) {
+		split.NewSuspended = true
+	}
 	w.route.Version = clroute.AssignVersion(split, w.id)
 	return queueKey{w.service.GetName(), w.route.Version}
 }
 
+// failedAt excludes the endpoint of a failed attempt from the next ones.
+func (w *work) failedAt(endpointID string) {
+	w.route.Excluded = append(w.route.Excluded, endpointID)
+	w.failed = true
+}
+
 // unservable reports whether the request was assigned to a new version that no
 // endpoint can serve at present.
 func (g *gate) unservable(w *work, now time.Time) bool {
@@ -205,8 +217,16 @@
 	if w.route.Version != split.New {
 		return false
 	}
-	reason := g.table.Pick(&w.route, g.rnd, now).Reason
-	return reason.Refused() && !waits(reason)
+	return !g.servable(w, w.route.Version, now)
+}
+
+// servable reports whether some endpoint of the version could serve the request
+// now or after a wait.
+func (g *gate) servable(w *work, version string, now time.Time) bool {
+	route := w.route
+	route.Version = version
+	reason := g.table.Pick(&route, g.rnd, now).Reason
+	return !reason.Refused() || waits(reason)
 }
 
 func (g *gate) assignOld(w *work) queueKey {
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -132,13 +132,13 @@
 	g.attempts++
 	if err != nil {
 		g.sent = g.sent || kindOf(err) != clendpoint.KindNotSent
-		g.exclude(p.endpoint.id)
+		g.fail(p.endpoint.id)
 		return true, g.retry(err)
 	}
 	g.sent = true
 	if a.answer.Status >= 500 {
 		a.settle(nil)
-		g.exclude(p.endpoint.id)
+		g.fail(p.endpoint.id)
 		r := g.retry(errors.Errorf("endpoint answered with status %d", a.answer.Status))
 		return r == nil, r
 	}
@@ -185,6 +185,16 @@
 	return nil
 }
 
+// fail excludes the endpoint of a failed attempt. A stream whose tokens were
+// sent goes on with its version, because another one may continue differently.
+func (g *generation) fail(id string) {
+	if g.position() > 0 {
+		g.exclude(id)
+		return
+	}
+	g.w.failedAt(id)
+}
+
 func (g *generation) exclude(id string) {
 	g.w.route.Excluded = append(g.w.route.Excluded, id)
 }
@@ -319,7 +329,7 @@
 			return nil
 		}
 	}
-	g.exclude(p.endpoint.id)
+	g.fail(p.endpoint.id)
 	return g.openAgain()
 }
 
--- a/clentry/once.go
+++ b/clentry/once.go
@@ -144,7 +144,7 @@
 	if err == nil {
 		return o.finish(answer)
 	}
-	o.w.route.Excluded = append(o.w.route.Excluded, pl.endpoint.id)
+	o.w.failedAt(pl.endpoint.id)
 	if kindOf(err) == clendpoint.KindNotSent {
 		return o.again(err)
 	}
--- a/clentry/plain.go
+++ b/clentry/plain.go
@@ -84,7 +84,7 @@
 			return p.reply(answer)
 		}
 		sent = sent || kindOf(err) != clendpoint.KindNotSent
-		p.w.route.Excluded = append(p.w.route.Excluded, pl.endpoint.id)
+		p.w.failedAt(pl.endpoint.id)
 		if r := p.mayRetry(err, sent); r != nil {
 			return r
 		}
--- a/clharness/client.go
+++ b/clharness/client.go
@@ -22,6 +22,8 @@
 		URL     string
 		Account string
 		Timeout time.Duration
+		// Prompt sends streams to /v1/completions instead of /v1/chat/completions.
+		Prompt bool
 		// OnBegin, if set, is called when a stream's header has arrived.
 		OnBegin func()
 	}
@@ -97,11 +99,18 @@
 // Stream reads one stream to its end and returns an error unless it is the
 // whole answer to the request.
 func (c *Caller) Stream(ctx context.Context, service, content string, maxTokens int) error {
+	path, want := "/v1/chat/completions", WantText(content, maxTokens)
 	body, err := completionBody(service, content, maxTokens, true)
+	if c.Prompt {
+		path, want = "/v1/completions", clstandin.AnswerText(content, maxTokens)
+		body, err = json.Marshal(map[string]any{
+			"model": service, "stream": true, "max_tokens": maxTokens, "temperature": 0, "prompt": content,
+		})
+	}
 	if err != nil {
 		return err
 	}
-	resp, err := c.send(ctx, "/v1/chat/completions", string(body), nil)
+	resp, err := c.send(ctx, path, string(body), nil)
 	if err != nil {
 		return err
 	}
@@ -117,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	if want := WantText(content, maxTokens); text != want {
+	if text != want {
 		return errors.Errorf("the answer of %d bytes differs from the request's own of %d bytes", len(text), len(want))
 	}
 	return nil
@@ -146,13 +155,14 @@
 		}
 		var c struct {
 			Choices []struct {
+				Text  string `json:"text"`
 				Delta struct {
 					Content string `json:"content"`
 				} `json:"delta"`
 			} `json:"choices"`
 		}
 		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
-			text.WriteString(c.Choices[0].Delta.Content)
+			text.WriteString(c.Choices[0].Text + c.Choices[0].Delta.Content)
 		}
 	}
 	return "", errors.Errorf("the stream ended after %d bytes without its end mark: %v", text.Len(), sc.Err())
--- a/clharness/departure_test.go
+++ b/clharness/departure_test.go
@@ -33,24 +33,39 @@
 	races       = 10
 )
 
-// requests counts the requests that reached the engines since they were started.
+// requests counts the requests that reached the engines, also those that a
+// fault switch failed.
 func requests(t *testing.T, engines []*clharness.StandIn) uint64 {
 	t.Helper()
 	return lo.SumBy(engines, func(e *clharness.StandIn) uint64 {
-		st, err := e.EngineStats()
+		a, err := e.Arrivals()
 		require.NoError(t, err)
-		return st.Boot.Requests + lo.SumBy(st.Past, func(b clstandin.BootStats) uint64 { return b.Requests })
+		return a.Count
 	})
 }
 
-// requireNoneAfter requires that no new request reaches the engines once the
-// bound has passed.
-func requireNoneAfter(t *testing.T, bound time.Duration, engines []*clharness.StandIn) {
+// requireNoneAfter requires that no new request reaches the endpoints later than
+// the bound after an event, and prints when the last one came.
+func requireNoneAfter(t *testing.T, event time.Time, bound time.Duration, endpoints []*clharness.StandIn) {
 	t.Helper()
-	time.Sleep(bound)
-	before := requests(t, engines)
-	time.Sleep(watchFor)
-	require.Equal(t, before, requests(t, engines), "new requests after %s", bound)
+	requireNoneUntil(t, event, bound, event.Add(bound+watchFor), endpoints)
+}
+
+// requireNoneUntil does the same and watches the endpoints until the given time.
+func requireNoneUntil(t *testing.T, event time.Time, bound time.Duration, until time.Time, endpoints []*clharness.StandIn) {
+	t.Helper()
+	time.Sleep(time.Until(until))
+	for _, e := range endpoints {
+		a, err := e.Arrivals()
+		require.NoError(t, err)
+		if a.Count == 0 {
+			t.Logf("%s: no requests", e.Name)
+			continue
+		}
+		last := a.LastAt.Sub(event)
+		t.Logf("%s: %d requests, the last one %s after the event", e.Name, a.Count, last.Round(time.Millisecond))
+		require.LessOrEqual(t, last, bound, "%s got a new request", e.Name)
+	}
 }
 
 // TestDataCentreOut guards against new work in a data centre that operators
@@ -64,7 +79,7 @@
 	l := startLoad(f, 12, 8)
 	eventually(t, healWithin, "requests in "+dc, func() bool { return requests(t, inside) > 0 })
 	r := beginPlan(t, f, departure(dc))
-	requireNoneAfter(t, noWorkAfter, inside)
+	requireNoneAfter(t, time.Now(), noWorkAfter, inside)
 	eventually(t, healWithin, "outcome of the departure", func() bool { return concluded(r.plan()) })
 	require.Equal(t, clstate.PlanState_PLAN_STATE_DONE, r.plan().GetState())
 	before := requests(t, inside)
@@ -117,9 +132,10 @@
 	l := startLoad(f, 24, 4)
 	r := startMove(t, f)
 	eventually(t, planDeadline+healWithin, "outcome of the move", func() bool { return concluded(r.plan()) })
+	told := time.Now()
 	require.Equal(t, clstate.PlanState_PLAN_STATE_UNDONE, r.plan().GetState())
 	t.Log(r.plan().GetReason())
-	requireNoneAfter(t, suspendedAfter, bad)
+	requireNoneAfter(t, told, suspendedAfter, bad)
 	l.requireWhole(t)
 }
 
--- a/clharness/load_test.go
+++ b/clharness/load_test.go
@@ -17,8 +17,10 @@
 type ordinaryLoad struct {
 	f      *clharness.Fleet
 	tokens int
-	stop   chan struct{}
-	wg     sync.WaitGroup
+	// prompts sends every second stream to /v1/completions.
+	prompts bool
+	stop    chan struct{}
+	wg      sync.WaitGroup
 
 	mu     sync.Mutex
 	whole  int
@@ -26,11 +28,16 @@
 }
 
 func startLoad(f *clharness.Fleet, callers, tokens int) *ordinaryLoad {
-	l := &ordinaryLoad{f: f, tokens: tokens, stop: make(chan struct{})}
+	l := &ordinaryLoad{f: f, tokens: tokens}
+	l.begin(callers)
+	return l
+}
+
+func (l *ordinaryLoad) begin(callers int) {
+	l.stop = make(chan struct{})
 	for i := range callers {
 		l.wg.Go(func() { l.run(i) })
 	}
-	return l
 }
 
 func (l *ordinaryLoad) run(caller int) {
@@ -41,7 +48,7 @@
 		default:
 		}
 		p := l.f.Pairs[(caller+n)%len(l.f.Pairs)]
-		c := &clharness.Caller{URL: p.URL(), Account: l.f.Profile.Accounts[caller%len(l.f.Profile.Accounts)], Timeout: bookingTimeout}
+		c := &clharness.Caller{URL: p.URL(), Account: l.f.Profile.Accounts[caller%len(l.f.Profile.Accounts)], Timeout: bookingTimeout, Prompt: l.prompts && n%2 == 1}
 		err := c.Stream(context.Background(), l.f.Profile.EngineService, fmt.Sprintf("roster %d of caller %d", n, caller), l.tokens)
 		l.mu.Lock()
 		if err == nil {
@@ -59,6 +66,19 @@
 	return l.whole
 }
 
+// requireOwn ends the load and requires that every stream was whole or refused:
+// no caller gets a cut or foreign answer.
+func (l *ordinaryLoad) requireOwn(t *testing.T) {
+	t.Helper()
+	close(l.stop)
+	l.wg.Wait()
+	t.Logf("%d streams whole, %d not", l.whole, len(l.faults))
+	for _, fault := range l.faults {
+		require.Regexp(t, `: (status 50[023]|error event after)`, fault)
+	}
+	require.Positive(t, l.whole)
+}
+
 // requireWhole ends the load and requires that every stream was whole.
 func (l *ordinaryLoad) requireWhole(t *testing.T) {
 	t.Helper()
--- a/clharness/standin.go
+++ b/clharness/standin.go
@@ -78,6 +78,16 @@
 	return st, s.stats(&st)
 }
 
+// Arrivals returns the requests that have reached an engine or booking service,
+// also those that a fault switch failed.
+func (s *StandIn) Arrivals() (clstandin.Arrivals, error) {
+	var st struct {
+		Arrivals clstandin.Arrivals `json:"arrivals"`
+	}
+	err := s.stats(&st)
+	return st.Arrivals, err
+}
+
 func (s *StandIn) stats(v any) error {
 	c := standInClient()
 	resp, err := c.Get("http://" + s.Addr.String() + "/stats")
--- a/clstandin/booking.go
+++ b/clstandin/booking.go
@@ -62,7 +62,8 @@
 		Keys   map[string]int `json:"keys"`
 		Bodies map[string]int `json:"bodies"`
 		// MaxRuns is the highest count in Keys.
-		MaxRuns int `json:"max_runs"`
+		MaxRuns  int      `json:"max_runs"`
+		Arrivals Arrivals `json:"arrivals"`
 	}
 )
 
@@ -94,6 +95,7 @@
 	defer b.mu.Unlock()
 	s := BookingStats{
 		BootID: b.bootID, Calls: b.calls, Reads: b.reads, Peak: b.peak, Keys: make(map[string]int), Bodies: make(map[string]int),
+		Arrivals: b.Arrivals(),
 	}
 	for k, n := range b.keys {
 		s.Keys[k] = n
--- a/clstandin/engine.go
+++ b/clstandin/engine.go
@@ -118,7 +118,8 @@
 		Role    string             `json:"role"`
 		// Usage sums the work of all boots, also for requests that were abandoned;
 		// completion_tokens counts only the tokens generated here.
-		Usage Usage `json:"usage"`
+		Usage    Usage    `json:"usage"`
+		Arrivals Arrivals `json:"arrivals"`
 	}
 )
 
@@ -199,6 +200,7 @@
 	return EngineStats{
 		Boot: e.boot.stats, Past: append([]BootStats{}, e.past...), Crashes: e.crashes,
 		Orders: append([]clendpoint.Order{}, e.orders...), Role: e.role, Usage: usage,
+		Arrivals: e.Arrivals(),
 	}
 }
 
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -44,6 +44,17 @@
 		running func() int
 		// onCrash resets the stand-in's own state; nil if it has none.
 		onCrash func(reason string)
+
+		arrivalsMu sync.Mutex
+		arrivals   Arrivals
+	}
+
+	// Arrivals counts the requests with an attempt ID that reached the stand-in
+	// over all boots, also those that a fault switch failed or delayed.
+	Arrivals struct {
+		Count uint64 `json:"count"`
+		// LastAt is the arrival of the last one; zero if there was none.
+		LastAt time.Time `json:"last_at"`
 	}
 
 	// discardWriter runs a handler whose answer is lost.
@@ -210,6 +221,7 @@
 func (s *Server) serveFaulty(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(clendpoint.AttemptHeader); id != "" {
 		w.Header().Set(clendpoint.AttemptHeader, id)
+		s.arrived()
 	}
 	if strings.HasPrefix(r.URL.Path, "/admin/") || r.URL.Path == "/stats" {
 		s.mux.ServeHTTP(w, r)
@@ -236,6 +248,21 @@
 	}
 }
 
+// arrived counts a request.
+func (s *Server) arrived() {
+	s.arrivalsMu.Lock()
+	defer s.arrivalsMu.Unlock()
+	s.arrivals.Count++
+	s.arrivals.LastAt = time.Now()
+}
+
+// Arrivals returns the requests that have arrived so far.
+func (s *Server) Arrivals() Arrivals {
+	s.arrivalsMu.Lock()
+	defer s.arrivalsMu.Unlock()
+	return s.arrivals
+}
+
 // failBefore applies the faults that come before the answer; it panics with
 // http.ErrAbortHandler to close the connection.
 func (s *Server) failBefore(r *http.Request, v verdict) {
