Repeat an order that a late one of a former holder replaced

The new test TestLateOrder pauses the control holder beyond its lease while an engine holds its order back (new fault switches hold and first), lets the successor order another version, and then lets the late order through. An engine that checks fencing numbers refuses it. An engine that ignores them follows it, which no check of the lease at the sender can prevent, because a paused process closes no connection.

Cause: the successor did not repair this.

Change: a version that changes to another one than ordered makes the order owed again.

Conclusion: with checks an order of a former holder has no effect; without them it may be in force until the next look at the engine. Still open: a late order for the version that the engine had before its last order, if both came between two looks at the engine.

--- a/clcontrol/orders.go
+++ b/clcontrol/orders.go
@@ -44,6 +44,7 @@
 	engineState struct {
 		instance clplatform.Instance
 		bootID   string
+		version  string
 	}
 )
 
@@ -102,10 +103,13 @@
 }
 
 func (o *orders) note(in clplatform.Instance, l clendpoint.Load) {
-	if former, ok := o.known[in.ID]; ok && former.bootID != l.BootID {
+	former, ok := o.known[in.ID]
+	if ok && (former.bootID != l.BootID || former.version != l.Version) {
+		// A version that changes to another one than ordered comes from a former
+		// holder's order that arrived late at an engine that ignores its number.
 		o.ledger.Forget(in.ID)
 	}
-	o.known[in.ID] = engineState{instance: in, bootID: l.BootID}
+	o.known[in.ID] = engineState{instance: in, bootID: l.BootID, version: l.Version}
 	if l.Version == in.Version {
 		o.ledger.Forget(in.ID)
 		return
--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -176,10 +176,14 @@
 }
 
 func (f *Fleet) engineArgs(version string) []string {
-	return append([]string{
+	args := []string{
 		"engine", "--service", f.Profile.EngineService, "--version", version,
 		"--tokens-per-second", fmt.Sprint(f.Profile.TokensPerSecond), "--cold-slots", fmt.Sprint(f.Profile.ColdSlots),
-	}, f.Profile.EngineArgs...)
+	}
+	if f.Profile.ChecksFencing {
+		args = append(args, "--checks-fencing")
+	}
+	return append(args, f.Profile.EngineArgs...)
 }
 
 func (f *Fleet) addPlain(dataCentre string) (*StandIn, error) {
@@ -199,10 +203,14 @@
 	return f.register(s)
 }
 
-func (f *Fleet) register(s *StandIn) error {
+func (f *Fleet) register(s *StandIn) error { return f.SetVersion(s, s.Version) }
+
+// SetVersion makes the platform list another version for an endpoint than the
+// one that it was started with; the control holder orders the endpoint to load it.
+func (f *Fleet) SetVersion(s *StandIn, version string) error {
 	return f.Platform.admin("/admin/instances", clplatform.Instance{
 		ID: s.Name, DataCentre: s.DataCentre, Class: "standard", Reclaimable: true, State: clplatform.InstanceLive,
-		Service: s.Service, Version: s.Version, Endpoint: s.Addr,
+		Service: s.Service, Version: version, Endpoint: s.Addr,
 	})
 }
 
--- a/clharness/profile.go
+++ b/clharness/profile.go
@@ -25,6 +25,8 @@
 	Accounts []string
 	// Deduplicates says that the plain service removes duplicates itself.
 	Deduplicates bool
+	// ChecksFencing says that the engines refuse orders with an old fencing number.
+	ChecksFencing bool
 	// Pairs is the number of entry and control pairs.
 	Pairs int
 	// TokensPerSecond is the engines' rate.
@@ -96,7 +98,7 @@
 		},
 		ActiveVersion: OldVersion, DataCentres: p.DataCentres,
 		ColdSlots: p.ColdSlots, MaxSlots: p.MaxSlots, WarmAfter: 4, RequestTimeout: durationpb.New(time.Minute),
-		Placement: p.Placement,
+		Placement: p.Placement, ChecksFencing: p.ChecksFencing,
 	}
 }
 
--- a/clstandin/engine.go
+++ b/clstandin/engine.go
@@ -120,6 +120,8 @@
 		// completion_tokens counts only the tokens generated here.
 		Usage    Usage    `json:"usage"`
 		Arrivals Arrivals `json:"arrivals"`
+		// Held counts requests that RouteFault.Hold kept back and that have not ended.
+		Held int `json:"held"`
 	}
 )
 
@@ -200,7 +202,7 @@
 	return EngineStats{
 		Boot: e.boot.stats, Past: append([]BootStats{}, e.past...), Crashes: e.crashes,
 		Orders: append([]clendpoint.Order{}, e.orders...), Role: e.role, Usage: usage,
-		Arrivals: e.Arrivals(),
+		Arrivals: e.Arrivals(), Held: int(e.held.Load()),
 	}
 }
 
--- a/clstandin/faults.go
+++ b/clstandin/faults.go
@@ -65,6 +65,10 @@
 		// FailStatus answers with this status; 0 lets the request pass.
 		FailStatus int `json:"fail_status,omitempty"`
 		SlowMs     int `json:"slow_ms,omitempty"`
+		// Hold keeps requests back until the switches change; then they pass.
+		Hold bool `json:"hold,omitempty"`
+		// First limits the fault to the first matching requests; 0 means all.
+		First int `json:"first,omitempty"`
 	}
 
 	// StartRefusal matches starts of instances; empty fields match all.
@@ -77,23 +81,27 @@
 
 	// faultState decides which faults apply to a request.
 	faultState struct {
-		mu      sync.Mutex
-		rng     *rand.Rand
-		faults  Faults
-		since   time.Time
-		lose    int
-		refuse  int
+		mu     sync.Mutex
+		rng    *rand.Rand
+		faults Faults
+		since  time.Time
+		lose   int
+		refuse int
+		// matched counts the requests that each route fault was applied to.
+		matched []int
 		changed chan struct{}
 	}
 
 	// verdict lists the faults that apply to one request.
 	verdict struct {
-		outage     Outage
-		delay      time.Duration
-		refuse     bool
-		crash      bool
-		silence    bool
-		late       bool
+		outage  Outage
+		delay   time.Duration
+		refuse  bool
+		crash   bool
+		silence bool
+		late    bool
+		// held is closed when the request may go on; nil if it is not held.
+		held       <-chan struct{}
 		loseAnswer bool
 		failStatus int
 	}
@@ -121,6 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults, s.since, s.lose, s.refuse = f, time.Now(), f.LoseAnswers, f.Refuse
+	s.matched = make([]int, len(f.Routes))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -163,10 +172,14 @@
 	}
 	v.crash = f.CrashMarker != "" && bytes.Contains(body, []byte(f.CrashMarker))
 	v.silence = s.chance(f.SilenceRate)
-	for _, rt := range f.Routes {
-		if !rt.matches(r, running, time.Since(s.since)) || (rt.Rate > 0 && !s.chance(rt.Rate)) {
+	for i, rt := range f.Routes {
+		if !rt.matches(r, running, time.Since(s.since)) || (rt.Rate > 0 && !s.chance(rt.Rate)) || (rt.First > 0 && s.matched[i] >= rt.First) {
 			continue
 		}
+		s.matched[i]++
+		if rt.Hold {
+			v.held = s.changed
+		}
 		v.delay += millis(rt.SlowMs)
 		if rt.FailStatus != 0 {
 			v.failStatus = rt.FailStatus
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,9 @@
 
 		arrivalsMu sync.Mutex
 		arrivals   Arrivals
+		// held counts the requests that RouteFault.Hold has kept back and that
+		// have not ended.
+		held atomic.Int64
 	}
 
 	// Arrivals counts the requests with an attempt ID that reached the stand-in
@@ -234,6 +238,10 @@
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	v := s.faults.decide(r, body, s.running())
+	if v.held != nil {
+		s.held.Add(1)
+		defer s.held.Add(-1)
+	}
 	s.failBefore(r, v)
 	switch {
 	case v.refuse || v.outage == OutageUnavailable:
@@ -286,6 +294,14 @@
 	if v.late {
 		ctx = context.WithoutCancel(ctx)
 	}
+	if v.held != nil {
+		select {
+		case <-v.held:
+		case <-ctx.Done():
+		case <-s.stop:
+			panic(http.ErrAbortHandler)
+		}
+	}
 	if !sleep(ctx, v.delay) {
 		panic(http.ErrAbortHandler)
 	}
