Test callers that keep their connection

Cause: all callers of the process tests closed their connection after each request, while real clients keep it, so nothing tested requests that share one.

--- a/clharness/client.go
+++ b/clharness/client.go
@@ -22,6 +22,8 @@
 		URL     string
 		Account string
 		Timeout time.Duration
+		// HTTP, if set, sends all requests, so that they can share a connection.
+		HTTP *http.Client
 		// Prompt sends streams to /v1/completions instead of /v1/chat/completions.
 		Prompt bool
 		// OnBegin, if set, is called when a stream's header has arrived.
@@ -39,6 +41,9 @@
 )
 
 func (c *Caller) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
 	return &http.Client{Timeout: c.Timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
