Add a short experiment on an entry's request path

Cause: a change on the request path needs figures before and after from one command, and profiles to find its cause; `experiment entry` takes 85 s and writes none.

--- a/clbench/command.go
+++ b/clbench/command.go
@@ -21,6 +21,9 @@
 	Options struct {
 		// BinDir holds the built commands.
 		BinDir string
+		// Profiles is the folder that gets profiles of the measured process; none
+		// are written if it is empty.
+		Profiles string
 	}
 
 	experiment struct {
@@ -38,6 +41,7 @@
 	{"booking", "object API calls and latency of booking records", runBooking},
 	{"slots", "demands, grants and their memory", runSlots},
 	{"entry", "latency, CPU and memory of an entry process", runEntry},
+	{"entry_path", "CPU per request and per token of an entry, in under 60 s, with profiles", runEntryPath},
 	{"routing", "choice of an endpoint among 15, 150 and 600", runRouting},
 	{"failure", "loss of a data centre, in virtual time", runFailure},
 	{"control_process", "plan sweeps and evidence reports", runControlProcess},
@@ -51,20 +55,22 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "report", Usage: "`FILE` that gets the report as JSON; the table goes beside it as .txt"},
 			&cli.StringFlag{Name: "bin", Usage: "`FOLDER` of the built commands; that of chestnutload if empty"},
+			&cli.StringFlag{Name: "profiles", Usage: "`FOLDER` that gets profiles of the entry that entry_path measures"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return runNamed(ctx, cmd.Args().Slice(), cmd.String("bin"), cmd.String("report"))
+			o := Options{BinDir: cmd.String("bin"), Profiles: cmd.String("profiles")}
+			return runNamed(ctx, cmd.Args().Slice(), o, cmd.String("report"))
 		},
 	}
 }
 
-func runNamed(ctx context.Context, names []string, bin, reportPath string) error {
-	if bin == "" {
+func runNamed(ctx context.Context, names []string, o Options, reportPath string) error {
+	if o.BinDir == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return errors.Wrap(err, "name the commands' folder with --bin")
 		}
-		bin = filepath.Dir(self)
+		o.BinDir = filepath.Dir(self)
 	}
 	chosen := lo.Filter(experiments, func(e experiment, _ int) bool {
 		return lo.Contains(names, "all") || lo.Contains(names, e.name)
@@ -77,7 +83,7 @@
 	out := io.MultiWriter(os.Stdout, &table)
 	var failed error
 	for _, e := range chosen {
-		result, err := e.measure(ctx, Options{BinDir: bin})
+		result, err := e.measure(ctx, o)
 		if err != nil {
 			result.note("FAILED: %v", err)
 			failed = errors.Join(failed, errors.Wrap(err, e.name))
