Write a stream's events in the connection's own goroutine

Cause: profiles with 500 streams at 10,000 tokens/s show 19% of the CPU in the server goroutine that copies events from a pipe to the caller and 21% in parking and scheduling; SetBodyStreamWriter adds a goroutine, a pipe and a 4 KB buffer to each stream. In the allocation profile at 2,000 requests/s 43% of the bytes are buffers for reading, of which the event reader of 4 KB was made for answers without a stream too.

Change: streamBody implements fasthttp.BodyWriterTo, so the server's goroutine waits for the engine's events itself and each write reaches the caller at once. The caller's end is now seen by the failed write itself. The event reader is made with a stream's first event. The write deadline is set through the request's context, which removes it after the answer; before, it stayed on the kept connection, where it would fail an answer more than 30 s later (read from the code, not measured).

--- a/clentry/completion.go
+++ b/clentry/completion.go
@@ -3,7 +3,6 @@
 package clentry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -13,7 +12,6 @@
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/gofiber/fiber/v2"
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -41,8 +39,11 @@
 	}
 )
 
-func (p streamPosition) String() string {
-	return p.endpointID + streamSeparator + p.streamID + ":" + strconv.Itoa(p.position)
+func (p streamPosition) String() string { return string(p.append(nil)) }
+
+func (p streamPosition) append(b []byte) []byte {
+	b = append(append(append(b, p.endpointID...), streamSeparator...), p.streamID...)
+	return strconv.AppendInt(append(b, ':'), int64(p.position), 10)
 }
 
 func parseStreamPosition(s string) (streamPosition, bool) {
@@ -135,14 +136,8 @@
 	}
 	cl.c.Set(fiber.HeaderContentType, "text/event-stream")
 	cl.c.Set(fiber.HeaderCacheControl, "no-store")
-	g.conn = cl.c.Context().Conn()
-	started := cl.started
-	cl.c.Context().SetBodyStreamWriter(fasthttp.StreamWriter(func(w *bufio.Writer) {
-		defer h.tracker.end()
-		defer g.cancel()
-		g.relay(w)
-		h.metrics.observe(g.w.service.GetName(), g.firstToken, time.Since(started))
-	}))
+	g.started = cl.started
+	cl.c.Context().SetBodyStream(&streamBody{source: g, arm: cl.c.Context().SetWriteDeadline}, -1)
 	return nil
 }
 
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -3,11 +3,9 @@
 package clentry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"strings"
 	"time"
 
@@ -18,9 +16,6 @@
 )
 
 const (
-	// callerWriteTimeout bounds the time for which a caller that reads nothing
-	// holds up its stream.
-	callerWriteTimeout = 30 * time.Second
 	// resumeSlotWait bounds the wait for a slot at the endpoint that holds a stream.
 	resumeSlotWait = 2 * time.Second
 	// defaultTokenTime is assumed until a stream's own pace is known.
@@ -38,12 +33,13 @@
 	body    []byte
 	headers []clendpoint.Header
 	stream  bool
-	conn    net.Conn
+	started time.Time
 	// deterministic says that another run of the request gives the same tokens.
 	deterministic bool
 	maxTokens     int
 
-	cur        *attempt
+	cur *attempt
+	// events reads the current attempt's stream; nil until the first event is wanted.
 	events     *eventReader
 	streamID   string
 	attempts   int
@@ -149,7 +145,7 @@
 func (g *generation) attach(a *attempt) {
 	g.cur = a
 	g.streamID = headerOf(a.answer, headerStreamID)
-	g.events = newEventReader(bodyOf(a))
+	g.events = nil
 	g.began = time.Now()
 }
 
@@ -227,78 +223,74 @@
 
 func (g *generation) position() int { return g.base + len(g.tokens) }
 
-// relay sends the stream's events to the caller until the end; a stream that
-// cannot be finished ends with an error event.
-func (g *generation) relay(w *bufio.Writer) {
+var _ eventSource = (*generation)(nil)
+
+// appendEvents implements eventSource; a stream that cannot be finished ends
+// with an error event.
+func (g *generation) appendEvents(b []byte) ([]byte, bool) {
 	for {
-		done, err := g.forward(w)
+		var done bool
+		var err error
+		b, done, err = g.forward(b)
 		switch {
 		case done:
 			g.cur.settle(nil)
-			return
-		case errors.Is(err, errCallerGone):
-			g.cur.settle(errCallerGone)
-			return
-		case err == nil:
-			continue
-		}
-		if r := g.recoverFrom(err); r != nil {
-			g.writeError(w, r)
-			return
+			return b, true
+		case err != nil:
+			if r := g.recoverFrom(err); r != nil {
+				return g.appendError(b, r), true
+			}
+		case len(b) >= maxBatchBytes || g.events.r.Buffered() == 0:
+			return b, false // Events that have arrived together are sent together.
 		}
 	}
 }
 
-// forward passes one event on; it reports the end of the stream.
-func (g *generation) forward(w *bufio.Writer) (bool, error) {
+// end implements eventSource.
+func (g *generation) end(callerGone bool) {
+	if callerGone {
+		g.cur.settle(errCallerGone)
+	}
+	g.h.metrics.observe(g.w.service.GetName(), g.firstToken, time.Since(g.started))
+	g.cancel()
+	g.h.tracker.end()
+}
+
+// forward appends one event to b; it reports the end of the stream.
+func (g *generation) forward(b []byte) ([]byte, bool, error) {
 	if leavesAt, ok := g.h.runner.fleet.isLeaving(g.cur.p.endpoint.id); ok && g.shouldMove(leavesAt, time.Now()) {
 		if err := g.move(); err != nil {
-			return false, err
+			return b, false, err
 		}
 	}
+	if g.events == nil {
+		g.events = newEventReader(bodyOf(g.cur))
+	}
 	ev, err := g.events.next()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("the stream ended before its last event")}
 		}
-		return false, err
+		return b, false, err
 	}
 	if g.firstToken == 0 {
 		g.firstToken = time.Since(g.cur.sent)
 	}
 	if string(ev.data) == string(doneData) {
-		return true, g.write(w, ev.data, false)
+		return appendData(b, ev.data), true, nil
 	}
 	token, isToken := tokenOf(ev.data)
 	if isToken && g.skip > 0 {
 		g.skip--
-		return false, nil
+		return b, false, nil
 	}
 	if isToken {
 		g.tokens = append(g.tokens, token)
+		b = append(b, "id: "...)
+		b = streamPosition{g.cur.p.endpoint.id, g.streamID, g.position()}.append(b)
+		b = append(b, '\n')
 	}
-	return false, g.write(w, ev.data, isToken)
-}
-
-func (g *generation) write(w *bufio.Writer, data []byte, withID bool) error {
-	if g.conn != nil {
-		// The deadline bounds how long a caller that does not read is waited for.
-		_ = g.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	}
-	if withID {
-		p := streamPosition{g.cur.p.endpoint.id, g.streamID, g.position()}
-		_, _ = w.WriteString("id: " + p.String() + "\n") // Flush reports the error.
-	}
-	_, _ = w.WriteString("data: ") // Flush reports the error.
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
-	if g.events.r.Buffered() > 0 {
-		return nil // More events have arrived; they are sent together.
-	}
-	if err := w.Flush(); err != nil {
-		return errCallerGone
-	}
-	return nil
+	return appendData(b, ev.data), false, nil
 }
 
 // recoverFrom goes on with the stream after its attempt failed; a refusal says
@@ -392,13 +384,10 @@
 	return true
 }
 
-func (g *generation) writeError(w *bufio.Writer, r *Refusal) {
+func (g *generation) appendError(b []byte, r *Refusal) []byte {
 	g.h.metrics.refusals.WithLabelValues(r.Code, string(r.Run)).Inc()
 	g.h.log.Info("Stream cannot be finished.", zap.String("request", g.w.id), zap.String("code", r.Code), zap.String("detail", r.Detail))
-	_, _ = w.WriteString("event: error\ndata: ") // Flush reports the error.
-	_, _ = w.Write(r.document())
-	_, _ = w.WriteString("\n\n")
-	_ = w.Flush() // A caller that is gone needs no answer.
+	return appendData(append(b, "event: error\n"...), r.document())
 }
 
 // chunk is the part of a completion event that the entry reads.
