Do not count on a refused offer until one start of it succeeds

Cause: when the backoff of a refused offer ended, the whole plan was made as if the offer were free. The on-demand floor moved to another data centre (2 starts), the retry was refused, and the floor moved back (2 stops), at each of about 5 retries per wave; the replacements also waited for a second refusal. Change: an offer that was refused keeps its present number in the plan until a start of it succeeds or appears in the list. Once its backoff is over, one instance is started if the plan would use the offer.

--- a/clplacement/planner.go
+++ b/clplacement/planner.go
@@ -169,6 +169,7 @@
 			return s.id == "" && s.Offer == in.OfferKey && s.Service == in.Service && s.Version == in.Version
 		}); i >= 0 {
 			p.pending = slices.Delete(p.pending, i, i+1)
+			delete(p.refused, in.OfferKey)
 		}
 	}
 	p.seen = lo.MapValues(ids, func(Instance, string) bool { return true })
@@ -189,30 +190,62 @@
 			have[s.Offer]++
 		}
 	}
-	var open []source
+	var sure, hoped []source
 	for _, o := range offers {
 		if !lo.Contains(t.Classes, o.Class) || !lo.Contains(t.DataCentres, o.DataCentre) {
 			continue
 		}
-		limit := unlimited
-		if b := p.refused[o.OfferKey]; b != nil && now.Before(b.until) {
-			limit = have[o.OfferKey]
+		s, h := source{o, unlimited}, source{o, unlimited}
+		if b := p.refused[o.OfferKey]; b != nil {
+			// What was refused is not counted on before a start succeeds: otherwise
+			// each retry moves the on-demand floor away and the refusal back.
+			s.limit = have[o.OfferKey]
+			if now.Before(b.until) || p.awaits(o.OfferKey) {
+				h.limit = s.limit
+			}
 		}
-		open = append(open, source{o, limit})
+		sure, hoped = append(sure, s), append(hoped, h)
 	}
-	ideal := allocate(open, t)
-	for _, s := range open {
+	ideal := allocate(sure, t)
+	p.start(now, sure, ideal, have, t, plan)
+	p.retry(now, hoped, have, t, plan)
+	plan.Stops = append(plan.Stops, surplus(offers, mine, ideal, t)...)
+}
+
+// start starts what the ideal lacks.
+func (p *Planner) start(now time.Time, sources []source, ideal, have map[OfferKey]int, t Target, plan *Plan) {
+	for _, s := range sources {
 		for range ideal[s.OfferKey] - have[s.OfferKey] {
-			p.number++
-			start := Start{
-				Number: p.number, Offer: s.OfferKey, Service: t.Service, Version: t.Version,
-				Reason: fmt.Sprintf("%d of %d planned here", have[s.OfferKey], ideal[s.OfferKey]),
-			}
-			p.pending = append(p.pending, pending{Start: start, at: now})
-			plan.Starts = append(plan.Starts, start)
+			p.order(now, s.OfferKey, t, fmt.Sprintf("%d of %d planned here", have[s.OfferKey], ideal[s.OfferKey]), plan)
 		}
 	}
-	plan.Stops = append(plan.Stops, surplus(offers, mine, ideal, t)...)
+}
+
+// retry starts one instance of each offer whose backoff is over and that the
+// plan would use if it were no longer refused.
+func (p *Planner) retry(now time.Time, hoped []source, have map[OfferKey]int, t Target, plan *Plan) {
+	if !slices.ContainsFunc(hoped, func(s source) bool { return p.refused[s.OfferKey] != nil && s.limit == unlimited }) {
+		return
+	}
+	ideal := allocate(hoped, t)
+	for _, s := range hoped {
+		if p.refused[s.OfferKey] != nil && ideal[s.OfferKey] > have[s.OfferKey] {
+			p.order(now, s.OfferKey, t, "the offer was refused and is tried again", plan)
+		}
+	}
+}
+
+// order adds a start to the plan.
+func (p *Planner) order(now time.Time, offer OfferKey, t Target, reason string, plan *Plan) {
+	p.number++
+	s := Start{Number: p.number, Offer: offer, Service: t.Service, Version: t.Version, Reason: reason}
+	p.pending = append(p.pending, pending{Start: s, at: now})
+	plan.Starts = append(plan.Starts, s)
+}
+
+// awaits reports whether a start of the offer has not appeared yet.
+func (p *Planner) awaits(offer OfferKey) bool {
+	return slices.ContainsFunc(p.pending, func(s pending) bool { return s.Offer == offer })
 }
 
 // surplus returns stops of instances beyond the ideal, the dearest first,
