Send outcomes to the usual writer on a flush

Cause: a flush gave waiting outcomes to this process's own writers, which first read the partition's log, up to 128 slots, and met conflicts with the usual writer.

Change: a flush sends them to the usual writers, all partitions at once, and writes itself only what is not confirmed.

--- a/clbooking/ledger.go
+++ b/clbooking/ledger.go
@@ -179,10 +179,9 @@
 	waiting := l.outcomes
 	l.outcomes = nil
 	l.mu.Unlock()
-	for _, r := range waiting {
-		if err := l.writer(keyOf(r)).Enqueue(r); err != nil {
-			return err
-		}
+	// The usual writer has the state of the partition; this process would have to read it first.
+	if err := l.forwardOutcomes(ctx, waiting); err != nil {
+		return err
 	}
 	if err := l.sent(ctx); err != nil {
 		return err
@@ -298,7 +297,8 @@
 		if len(records) == 0 {
 			continue
 		}
-		l.forwardOutcomes(ctx, records)
+		// A full backlog drops outcomes; their resends then get "unknown", which is true.
+		_ = l.forwardOutcomes(ctx, records)
 		l.mu.Lock()
 		l.sending = 0
 		close(l.changed)
@@ -307,21 +307,30 @@
 	}
 }
 
-func (l *Ledger) forwardOutcomes(ctx context.Context, records []*clstate.BookingRecord) {
+// forwardOutcomes sends outcomes to the usual writers. Those that are not
+// confirmed go to this process's writers, and the error is that of one of them.
+func (l *Ledger) forwardOutcomes(ctx context.Context, records []*clstate.BookingRecord) error {
 	byPartition := map[uint32][]*clstate.BookingRecord{}
 	for _, r := range records {
 		n := PartitionOf(keyOf(r), l.Partitions)
 		byPartition[n] = append(byPartition[n], r)
 	}
+	var g errgroup.Group
 	for n, records := range byPartition {
-		if stored, _ := l.forward(ctx, n, records...); stored != nil {
-			continue
-		}
-		for _, r := range records {
-			// A full backlog drops the outcome; a resend then gets "unknown", which is true.
-			_ = l.writers[n].Enqueue(r)
-		}
+		g.Go(func() error {
+			if stored, _ := l.forward(ctx, n, records...); stored != nil {
+				return nil
+			}
+			var err error
+			for _, r := range records {
+				if e := l.writers[n].Enqueue(r); e != nil {
+					err = e
+				}
+			}
+			return err
+		})
 	}
+	return g.Wait()
 }
 
 // sent waits until no outcome is being forwarded.
