Make the limit for callers that read nothing a setting

The limit of 30 s was a constant, so no test waited for it. It is now requests.write_timeout with the same default. TestCallerThatNeverReads lets a caller that reads nothing take the only slot of the only engine, with an answer of some 30 MB, and requires that another caller is served.

Conclusion: a caller that never reads gives its slot back. Answers of plain services and whole completions have no such limit on the connection; their slots are free before the answer is written.

--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -268,8 +268,9 @@
 	e.handler = &handler{
 		views: e.views, gate: e.gate, ledgers: e.ledgers, metrics: m, log: clobserve.Component(e.Logger, "entry"), base: ctx,
 		maxAttempts: int(s.GetResume().GetAttempts()), ready: e.Readiness.Ready, tracker: e.tracker,
-		transfers:  &transfers{log: clobserve.Component(e.Logger, "entry")},
-		resendWait: s.GetBooking().GetResendWait().AsDuration(),
+		transfers:    &transfers{log: clobserve.Component(e.Logger, "entry")},
+		writeTimeout: s.GetRequests().GetWriteTimeout().AsDuration(),
+		resendWait:   s.GetBooking().GetResendWait().AsDuration(),
 		timeouts: clendpoint.Timeouts{
 			Connect: s.GetEndpoint().GetConnectTimeout().AsDuration(), FirstByte: s.GetEndpoint().GetFirstByteTimeout().AsDuration(),
 			BetweenReads: s.GetEndpoint().GetBetweenReadsTimeout().AsDuration(),
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// callerWriteTimeout bounds the time for which a caller that reads nothing
-	// holds up its stream.
-	callerWriteTimeout = 30 * time.Second
 	// resumeSlotWait bounds the wait for a slot at the endpoint that holds a stream.
 	resumeSlotWait = 2 * time.Second
 	// defaultTokenTime is assumed until a stream's own pace is known.
@@ -293,7 +290,7 @@
 func (g *generation) write(w *bufio.Writer, data []byte, withID bool) error {
 	if g.conn != nil {
 		// The deadline bounds how long a caller that does not read is waited for.
-		_ = g.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+		_ = g.conn.SetWriteDeadline(time.Now().Add(g.h.writeTimeout))
 	}
 	if withID {
 		p := streamPosition{g.cur.p.endpoint.id, g.streamID, g.position()}
--- a/clentry/handler.go
+++ b/clentry/handler.go
@@ -37,10 +37,13 @@
 	base        context.Context
 	maxAttempts int
 	timeouts    clendpoint.Timeouts
-	ready       func() bool
-	tracker     *tracker
-	transfers   *transfers
-	resendWait  time.Duration
+	// writeTimeout bounds the time for which a caller that reads nothing holds up
+	// its stream.
+	writeTimeout time.Duration
+	ready        func() bool
+	tracker      *tracker
+	transfers    *transfers
+	resendWait   time.Duration
 	// closing refuses new requests on connections that stay open.
 	closing atomic.Bool
 }
--- a/clharness/security_test.go
+++ b/clharness/security_test.go
@@ -22,6 +22,11 @@
 const (
 	operatorCredential = "Bearer harness-operator-token-0123"
 	idleConnections    = 400
+	// endlessTokens make an answer of some 30 MB, more than the buffers of a
+	// connection that is not read take.
+	endlessTokens = 100000
+	slowTokens    = 4000
+	slowBuffer    = 1024
 )
 
 // post sends a body with an Authorization header and returns the status.
@@ -122,7 +127,7 @@
 			require.NoError(t, err)
 		}
 	}
-	slow := slowReader(t, f, addr)
+	slow := slowReader(t, f, addr, slowTokens, slowBuffer)
 	defer slow.Close()
 	l := startLoad(f, 6, 32)
 	eventually(t, healWithin, "ordinary streams beside idle connections", func() bool { return l.done() > 24 })
@@ -135,13 +140,37 @@
 	}
 }
 
-// slowReader asks for a long stream and reads only its first line.
-func slowReader(t *testing.T, f *clharness.Fleet, addr string) net.Conn {
+// TestCallerThatNeverReads guards against a caller that reads nothing of its
+// stream and keeps the only slot of an endpoint for good. Another caller's request
+// waits at most 10 s in the queue, which is less than the default limit of 30 s.
+func TestCallerThatNeverReads(t *testing.T) {
+	t.Parallel()
+	p := smallProfile(1, 0)
+	p.ColdSlots, p.MaxSlots, p.TokensPerSecond = 1, 1, 1e5
+	p.Settings = withSettings(p.Settings, map[string]string{"requests@entry": "write_timeout = 1s\n"})
+	f := start(t, p)
+	slow := slowReader(t, f, strings.TrimPrefix(f.Pairs[0].URL(), "http://"), endlessTokens, 0)
+	defer slow.Close()
+	begun := time.Now()
+	other := &clharness.Caller{URL: f.Pairs[1].URL(), Account: p.Accounts[1], Timeout: bookingTimeout}
+	require.NoError(t, other.Stream(context.Background(), p.EngineService, "another caller", 8))
+	t.Logf("the other caller was served after %s", time.Since(begun).Round(time.Millisecond))
+	require.NoError(t, slow.SetReadDeadline(time.Now().Add(healWithin)))
+	rest, err := io.ReadAll(slow)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is closed")
+	require.NotContains(t, string(rest), "[DONE]", "the stream was cut, and did not fit into the buffers")
+}
+
+// slowReader asks for a long stream and reads only its first line. A buffer of 0
+// leaves the size of the receive buffer to the system.
+func slowReader(t *testing.T, f *clharness.Fleet, addr string, tokens, buffer int) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	require.NoError(t, err)
-	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(1024))
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":4000,"messages":[{"role":"user","content":"slow"}]}`, f.Profile.EngineService)
+	if buffer > 0 {
+		require.NoError(t, c.(*net.TCPConn).SetReadBuffer(buffer))
+	}
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"slow"}]}`, f.Profile.EngineService, tokens)
 	_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		clharness.KeyOf(f.Profile.Accounts[0]), len(body), body)
 	require.NoError(t, err)
