--- a/clentry/completion.go
+++ b/clentry/completion.go
@@ -116,6 +116,7 @@
 			if r := g.retry(err); r != nil {
 				return r
 			}
+			g.fail(g.cur.p.endpoint.id)
 			continue
 		}
 		answerHeaders(cl.c, g.cur.answer.Header)
@@ -137,7 +138,8 @@
 	cl.c.Set(fiber.HeaderContentType, "text/event-stream")
 	cl.c.Set(fiber.HeaderCacheControl, "no-store")
 	g.started = cl.started
-	cl.c.Context().SetBodyStream(&streamBody{source: g, arm: cl.c.Context().SetWriteDeadline}, -1)
+	ctx := cl.c.Context()
+	ctx.SetBodyStream(&streamBody{source: g, arm: ctx.SetWriteDeadline, writeTimeout: h.writeTimeout}, -1)
 	return nil
 }
 
--- a/clentry/stream.go
+++ b/clentry/stream.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// callerWriteTimeout bounds the time for which a caller that reads nothing
-	// holds up its stream.
-	callerWriteTimeout = 30 * time.Second
 	// maxBatchBytes bounds the events that are sent in one write, and
 	// maxKeptBytes the buffer that a stream keeps between writes.
 	maxBatchBytes = 4 << 10
@@ -36,8 +33,9 @@
 	// buffer for each stream, and a hand-over for each event.
 	streamBody struct {
 		source eventSource
-		// arm sets the deadline of the next write.
-		arm func(time.Time) error
+		// arm sets the deadline of the next write, writeTimeout from now.
+		arm          func(time.Time) error
+		writeTimeout time.Duration
 		// buf holds events of which the first read bytes have been read.
 		buf    []byte
 		read   int
@@ -100,7 +98,7 @@
 	}
 	// Without a deadline, a caller that does not read is waited for longer; a
 	// connection on which none can be set fails with the write.
-	_ = s.arm(time.Now().Add(callerWriteTimeout))
+	_ = s.arm(time.Now().Add(s.writeTimeout))
 	return s.read < len(s.buf)
 }
 
--- a/clentry/stream_test.go
+++ b/clentry/stream_test.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 )
 
+const testWriteTimeout = 30 * time.Second
+
 // scriptedSource yields one event each time it is told to, until events is closed.
 type scriptedSource struct {
 	events chan string
@@ -38,7 +40,7 @@
 func serveStream(t testing.TB, source eventSource) net.Conn {
 	ln := fasthttputil.NewInmemoryListener()
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-		ctx.SetBodyStream(&streamBody{source: source, arm: ctx.SetWriteDeadline}, -1)
+		ctx.SetBodyStream(&streamBody{source: source, arm: ctx.SetWriteDeadline, writeTimeout: testWriteTimeout}, -1)
 	}}
 	go func() { _ = server.Serve(ln) }() // It ends with the listener.
 	t.Cleanup(func() { _ = ln.Close() })
@@ -107,7 +109,7 @@
 func TestStreamBodyRead(t *testing.T) {
 	source := newScriptedSource()
 	armed := 0
-	s := &streamBody{source: source, arm: func(time.Time) error { armed++; return nil }}
+	s := &streamBody{source: source, arm: func(time.Time) error { armed++; return nil }, writeTimeout: testWriteTimeout}
 	long := strings.Repeat("x", 3*maxBatchBytes)
 	go func() {
 		defer close(source.events)
@@ -160,7 +162,7 @@
 			later <- *ln.last.Load()
 			return
 		}
-		ctx.SetBodyStream(&streamBody{source: source, arm: ctx.SetWriteDeadline}, -1)
+		ctx.SetBodyStream(&streamBody{source: source, arm: ctx.SetWriteDeadline, writeTimeout: testWriteTimeout}, -1)
 	}}
 	go func() { _ = server.Serve(ln) }() // It ends with the listener.
 	defer mem.Close()
