Give a caller's read buffer back while its answer is a stream

Cause: in the heap profile of 500 open streams fasthttp's readers take 20% (7.8 of 38 MB): each caller's connection keeps a buffer of header_limit while its stream runs or the connection is idle.

Change: the entry's server runs with ReduceMemoryUsage, which returns the buffer once the request is read. It costs one more read of the socket for each request.

--- a/clentry/entry.go
+++ b/clentry/entry.go
@@ -286,6 +286,8 @@
 		DisableStartupMessage: true, BodyLimit: int(r.GetBodyLimit()), ReadBufferSize: int(r.GetHeaderLimit()),
 		IdleTimeout: r.GetIdleTimeout().AsDuration(), ReadTimeout: r.GetReadTimeout().AsDuration(),
 		Concurrency: int(r.GetMaxConnections()), ErrorHandler: sendFiberError,
+		// The buffer for a request's header goes back while its answer is a stream or its connection is idle.
+		ReduceMemoryUsage: true,
 	})
 	e.handler.register(e.app)
 }
