--- a/clentry/evidence.go
+++ b/clentry/evidence.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"strings"
 	"sync"
@@ -215,6 +216,7 @@
 			return clpeer.EvidenceInterval
 		}
 		e.mu.Lock()
+		maps.DeleteFunc(e.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= failedFor })
 		e.failed[to.ID] = now
 		e.mu.Unlock()
 		return retryEvidence
