Measure routing near capacity over many seeds and with own turns

Change: rates from 60 to 90, ten seeds together, and a round robin with an own turn of each entry, also in TestCompareWithBaselines.

--- a/clroute/compare_test.go
+++ b/clroute/compare_test.go
@@ -26,7 +26,7 @@
 	fleetOutput     = 1500 * time.Millisecond
 	fleetPatience   = 2500 * time.Millisecond
 	fleetRate       = 45.0 // requests a second, below capacity
-	fleetOverload   = 75.0
+	fleetSeeds      = 10   // of each row of BenchmarkOverload
 	fleetRun        = 30 * time.Second
 	fleetReports    = time.Second
 	fleetFull       = 10 * time.Second
@@ -87,6 +87,7 @@
 		lives     [fleetSessions]uint64
 		queue     []fleetWaiting
 		next      int
+		own       [fleetEntries]int // turns of the entries
 		rate      float64
 
 		first              []time.Duration
@@ -103,15 +104,10 @@
 	{"random", func(f *fleet, _ int, _ *Request) string {
 		return f.among(func(a, b *fleetEndpoint) bool { return false })
 	}},
-	{"round robin", func(f *fleet, _ int, _ *Request) string {
-		for range fleetEndpoints {
-			f.next = (f.next + 1) % fleetEndpoints
-			if e := f.endpoints[f.next]; len(e.inFlight) < fleetSlots {
-				return e.id
-			}
-		}
-		return ""
-	}},
+	// One turn of all entries is more than processes can have without a message
+	// for each request; it shows the best of the policy.
+	{"round robin, one turn", func(f *fleet, _ int, _ *Request) string { return f.turn(&f.next) }},
+	{"round robin, own turns", func(f *fleet, entry int, _ *Request) string { return f.turn(&f.own[entry]) }},
 	{"least reported load", func(f *fleet, _ int, _ *Request) string {
 		return f.among(func(a, b *fleetEndpoint) bool { return a.reported < b.reported })
 	}},
@@ -164,19 +160,34 @@
 	}
 }
 
-// BenchmarkOverload prints the same comparison above the fleet's capacity, where
-// rarely more than one slot is free.
+// BenchmarkOverload prints the same comparison near and above the fleet's
+// capacity, where rarely more than one slot is free.
 func BenchmarkOverload(b *testing.B) {
 	for b.Loop() {
-		for seed := range uint64(3) {
-			measureFleet(b, "pick", seed+1, fleetOverload, Config{}, fleetVariants[0].choose)
+		for _, rate := range []float64{60, 70, 75, 80, 90} {
+			printOverload(rate, "pick", fleetVariants[0].choose)
 			for _, p := range fleetPolicies {
-				measureFleet(b, p.name, seed+1, fleetOverload, Config{}, p.choose)
+				printOverload(rate, p.name, p.choose)
 			}
 		}
 	}
 }
 
+// printOverload prints the sum over the seeds; the log of a benchmark is cut
+// after a few lines.
+func printOverload(rate float64, name string, choose fleetPolicy) {
+	var first []time.Duration
+	refused := 0
+	for seed := range uint64(fleetSeeds) {
+		f := newFleet(seed+1, rate, Config{})
+		f.run(choose)
+		first, refused = append(first, f.first...), refused+f.refused
+	}
+	slices.Sort(first)
+	fmt.Printf("seeds 1 to %d, rate %.0f, %-24s refused %5d of %6d, first token p50 %4d ms, p95 %4d ms\n", fleetSeeds, rate, name,
+		refused, refused+len(first), first[len(first)/2].Milliseconds(), first[len(first)*95/100].Milliseconds())
+}
+
 // BenchmarkParts prints the comparison of Pick with itself without one part.
 func BenchmarkParts(b *testing.B) {
 	for b.Loop() {
@@ -220,6 +231,17 @@
 	return f
 }
 
+// turn returns the next endpoint with a slot.
+func (f *fleet) turn(next *int) string {
+	for range fleetEndpoints {
+		*next = (*next + 1) % fleetEndpoints
+		if e := f.endpoints[*next]; len(e.inFlight) < fleetSlots {
+			return e.id
+		}
+	}
+	return ""
+}
+
 // among returns the best of all endpoints with a slot, seen in random order.
 func (f *fleet) among(less func(a, b *fleetEndpoint) bool) string {
 	var best *fleetEndpoint
