Keep a filter of the keys of each segment

Change: a Bloom filter (bits-and-blooms/bloom) for each segment takes the place of its keys. What a read of the segment shows of a key is kept, also that the segment has no record of it, so a false positive costs one read. The share of false positives is 1e-8, because a claim asks the filters of all segments. The property test and the test of sealed keys use a share of 0.5. The experiment measures the index of a partition that has read its segments, in place of a list of keys, and the CPU of a step.

Considered: a shorter window changes the contract with callers; more partitions need a longer linger for the same writes and can be set today.

The CPU of asking each segment is the next limit.

--- a/clbench/booking.go
+++ b/clbench/booking.go
@@ -11,7 +11,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/chestnutlead/chestnutlead/clbooking"
 	"github.com/chestnutlead/chestnutlead/clstate"
+	"github.com/chestnutlead/chestnutlead/clstore"
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -21,6 +23,10 @@
 	answerBytes     = 120
 	bookingService  = "cover"
 
+	// segmentRecords is a whole part of the measured sizes, near the 256 KB of a segment.
+	segmentRecords = 1_000
+	lookups        = 20
+
 	highestMicros = 60_000_000
 	histDigits    = 3
 )
@@ -49,7 +55,9 @@
 			return r, err
 		}
 	}
-	indexMemory(r)
+	if err := indexMemory(r); err != nil {
+		return r, err
+	}
 	r.note("%d ledgers of one service with 4 partitions; the store takes %s a call, a forwarded call no network time.", ledgerProcesses, storeLatency)
 	return r, nil
 }
@@ -146,17 +154,81 @@
 	}
 }
 
-// indexMemory measures what a writer keeps of each sealed record.
-func indexMemory(r *Result) {
+// indexMemory measures what a writer keeps of each sealed record. It lets a
+// partition read a head with n records in segments of about 256 KB.
+func indexMemory(r *Result) error {
 	for _, n := range []int{10_000, 100_000, 1_000_000} {
-		before := heapBytes()
-		keys := make([]clbooking.Key, 0, n)
-		for i := range n {
-			keys = append(keys, clbooking.KeyOf("owners", bookingService, strconv.Itoa(i)))
+		head := &clstate.BookingHead{}
+		for range n / segmentRecords {
+			head.Segments = append(head.Segments, &clstate.BookingSegmentRef{Number: head.NextSegment, YoungestUnixMs: time.Now().UnixMilli(), Records: segmentRecords})
+			head.NextSegment++
 		}
+		before, cpu := heapBytes(), cpuSeconds()
+		p := clbooking.NewPartition(clbooking.PartitionConfig{Service: bookingService})
+		if err := readSegments(p, head); err != nil {
+			return err
+		}
+		cpu = cpuSeconds() - cpu
 		r.add("index of sealed records in a writer", "KB", "records", float64(n), (heapBytes()-before)/1e3)
-		keys[0][0]++ // The keys are in use until here.
+		r.add("CPU of reading all segments", "ms", "records", float64(n), 1e3*cpu)
+		// The partition is in use until here, for a look at all segments.
+		start, now := cpuSeconds(), time.Now()
+		for i := range lookups {
+			key := clbooking.KeyOf("owners", bookingService, "absent-"+strconv.Itoa(i))
+			if _, err := p.Lookup(now, key); err != nil {
+				return err
+			}
+			p.Next(now)
+		}
+		r.add("CPU of a step per waiting operation", "us", "records", float64(n), 1e6*(cpuSeconds()-start)/(lookups*(lookups+1)/2))
+	}
+	return nil
+}
+
+// readSegments lets a partition read a head and generated segments.
+func readSegments(p *clbooking.Partition, head *clstate.BookingHead) error {
+	now := time.Now()
+	if _, err := p.Lookup(now, clbooking.KeyOf("owners", bookingService, "none")); err != nil {
+		return err
+	}
+	segment := 0
+	for {
+		step := p.Next(now)
+		var result clbooking.Result
+		var m proto.Message
+		switch {
+		case step.Action != clbooking.ActionRead:
+			return nil
+		case step.Name == clbooking.HeadName(bookingService, 0):
+			m = head
+		case step.Name == clbooking.SlotName(bookingService, 0, 0):
+			result.Kind = clstore.KindNotFound
+		default:
+			m = newSegment(segment, now)
+			segment++
+		}
+		if m != nil {
+			value, err := proto.Marshal(m)
+			if err != nil {
+				return err
+			}
+			result.Object = clstore.Object{Key: step.Name, Value: value, Version: 1}
+		}
+		p.Deliver(now, result)
+		p.Completed()
+	}
+}
+
+func newSegment(number int, now time.Time) *clstate.BookingSegment {
+	s := &clstate.BookingSegment{}
+	for i := range segmentRecords {
+		id := strconv.Itoa(number*segmentRecords + i)
+		key := clbooking.KeyOf("owners", bookingService, id)
+		s.Records = append(s.Records, &clstate.BookingRecord{
+			Key: key[:], BodyDigest: key[:8], AttemptId: "boot-0-" + id, State: clstate.BookingState_BOOKING_STATE_DONE, ClaimedUnixMs: now.UnixMilli(),
+		})
 	}
+	return s
 }
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/clbooking/deliver.go
+++ b/clbooking/deliver.go
@@ -94,18 +94,19 @@
 	}
 	s := p.view.segments[c.number]
 	if s == nil {
-		s = newSegment(records, r.Object.Version)
+		s = newSegment(records, r.Object.Version, p.cfg.FalsePositives)
 		p.view.segments[c.number] = s
 	}
 	if len(s.fetched) > maxFetched {
 		clear(s.fetched)
 	}
-	asked := make(map[Key]bool, len(p.pending))
 	for _, o := range p.pending {
-		asked[o.key] = true
+		if s.mayHave(o.key) {
+			s.fetched[o.key] = nil
+		}
 	}
 	for _, rec := range records {
-		if asked[keyOf(rec)] {
+		if _, asked := s.fetched[keyOf(rec)]; asked {
 			s.fetched[keyOf(rec)] = rec
 		}
 	}
@@ -151,7 +152,7 @@
 		return
 	}
 	if s := p.staged; s != nil && c.head.NextSegment > s.number {
-		p.view.segments[s.number] = newSegment(s.records, s.version)
+		p.view.segments[s.number] = newSegment(s.records, s.version, p.cfg.FalsePositives)
 		p.staged = nil
 	}
 	p.view = newView(c.head, r.Version, p.view)
--- a/clbooking/partition.go
+++ b/clbooking/partition.go
@@ -27,6 +27,11 @@
 	// over 4 partitions 128 batches hold about 256 KB of records, so that
 	// checkpoints add 2 writes to 128.
 	defaultLogSlots = 128
+	// defaultFalsePositives is small because a claim asks the filters of all
+	// segments of the window, about 8,700 in a partition at 125 bookings a
+	// second, and each false positive is a read of up to 256 KB. It costs 4.8 B
+	// a record.
+	defaultFalsePositives = 1e-8
 	// openClaim is how long a claim stays out of segments, because its outcome
 	// is likely to follow and would need a read of the segment.
 	openClaim = time.Minute
@@ -52,6 +57,9 @@
 		// LogSlots is the number of batches between two checkpoints at most,
 		// the same in all processes, which must never change; 0 means 128.
 		LogSlots uint64
+		// FalsePositives is the share of keys that are not in a segment and
+		// cause a read of it all the same; 0 means 1e-8.
+		FalsePositives float64
 	}
 
 	// Action is the kind of a Step.
@@ -198,6 +206,9 @@
 	if cfg.LogSlots == 0 {
 		cfg.LogSlots = defaultLogSlots
 	}
+	if cfg.FalsePositives == 0 {
+		cfg.FalsePositives = defaultFalsePositives
+	}
 	return &Partition{cfg: cfg, headStale: true, logStale: true, slots: map[uint64]slot{}}
 }
 
--- a/clbooking/partition_test.go
+++ b/clbooking/partition_test.go
@@ -85,7 +85,7 @@
 
 func (w *world) boot() *process {
 	policy := Policy{SealBytes: rapid.IntRange(1, 300).Draw(w.t, "seal")}
-	return &process{core: NewPartition(PartitionConfig{Service: "s", Policy: policy, LogSlots: w.slots}), asked: map[Ticket]*question{}}
+	return &process{core: NewPartition(PartitionConfig{Service: "s", Policy: policy, LogSlots: w.slots, FalsePositives: 0.5}), asked: map[Ticket]*question{}}
 }
 
 func (w *world) proc() *process { return rapid.SampledFrom(w.procs).Draw(w.t, "p") }
@@ -339,10 +339,17 @@
 }
 
 // TestSealedKeysStayKnown guards the segments: after many seals a new process
-// still finds each claim, and removes segments only after the window.
+// still finds each claim, and removes segments only after the window. A filter
+// that is often wrong guards against a false positive that passes for a claim.
 func TestSealedKeysStayKnown(t *testing.T) {
+	for _, falsePositives := range []float64{defaultFalsePositives, 0.5} {
+		t.Run(fmt.Sprint(falsePositives), func(t *testing.T) { sealedKeysStayKnown(t, falsePositives) })
+	}
+}
+
+func sealedKeysStayKnown(t *testing.T, falsePositives float64) {
 	w := &world{now: time.UnixMilli(1_700_000_000_000), store: &clstore.Memory{}}
-	cfg := PartitionConfig{Service: "s", Policy: Policy{SealBytes: 500}}
+	cfg := PartitionConfig{Service: "s", Policy: Policy{SealBytes: 500}, FalsePositives: falsePositives}
 	attempt := func(p *Partition, key int, id string) string {
 		r, err := w.run(p, w.claim(key, id))
 		require.NoError(t, err)
--- a/clbooking/view.go
+++ b/clbooking/view.go
@@ -3,10 +3,10 @@
 package clbooking
 
 import (
-	"bytes"
 	"slices"
 	"time"
 
+	"github.com/bits-and-blooms/bloom/v3"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -26,10 +26,11 @@
 		segments map[uint64]*segment
 	}
 
-	// segment holds the keys of a sealed segment; records of keys that were
-	// asked for are read again and kept in fetched.
+	// segment holds a filter of the keys of a sealed segment. What a read of
+	// the segment has shown of keys that were asked for is kept in fetched: the
+	// record, or nil if the segment has none.
 	segment struct {
-		keys    []Key
+		filter  *bloom.BloomFilter
 		version uint64
 		fetched map[Key]*clstate.BookingRecord
 		// deleted says that the object was deleted after its expiry.
@@ -111,21 +112,16 @@
 	return nil
 }
 
-func newSegment(records []*clstate.BookingRecord, version uint64) *segment {
-	s := &segment{version: version, keys: make([]Key, 0, len(records)), fetched: map[Key]*clstate.BookingRecord{}}
+func newSegment(records []*clstate.BookingRecord, version uint64, falsePositives float64) *segment {
+	filter := bloom.NewWithEstimates(uint(max(len(records), 1)), falsePositives)
 	for _, r := range records {
-		s.keys = append(s.keys, keyOf(r))
+		filter.Add(r.Key)
 	}
-	slices.SortFunc(s.keys, compareKeys)
-	return s
+	return &segment{filter: filter, version: version, fetched: map[Key]*clstate.BookingRecord{}}
 }
 
-func compareKeys(a, b Key) int { return bytes.Compare(a[:], b[:]) }
-
-func (s *segment) has(key Key) bool {
-	_, ok := slices.BinarySearchFunc(s.keys, key, compareKeys)
-	return ok
-}
+// mayHave says whether the segment may have a record of key.
+func (s *segment) mayHave(key Key) bool { return s.filter != nil && s.filter.Test(key[:]) }
 
 // missing returns the first listed segment that was not read yet.
 func (v *view) missing() (*clstate.BookingSegmentRef, bool) {
@@ -145,13 +141,15 @@
 	}
 	for _, ref := range slices.Backward(v.head.Segments) {
 		s := v.segments[ref.Number]
-		if !s.has(key) {
+		if !s.mayHave(key) {
 			continue
 		}
-		if r := s.fetched[key]; r != nil {
+		switch r, read := s.fetched[key]; {
+		case !read:
+			return found{fetch: ref.Number, needed: true}
+		case r != nil:
 			return found{record: r}
 		}
-		return found{fetch: ref.Number, needed: true}
 	}
 	return found{}
 }
