Compare an entry with direct calls to all of its engines

Cause: both entry experiments sent the direct calls of 2,000 requests/s to one engine, while the entry divides its requests between two. An engine with half the rate idles more and answers later: in a trial with times taken inside the entry, the parts of a request outside the call of the engine took 73 us in sum of the medians (authentication and decoding 35, choice 24, answer 14), the call itself 0.8 to 1.1 ms, where a direct call at 2,000 requests/s to one engine took 0.4 ms. The engine's part was counted as the entry's.

Change: directLoad offers each engine an equal part of the rate.

--- a/clbench/entry.go
+++ b/clbench/entry.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clharness"
@@ -74,7 +75,7 @@
 func entryRequests(ctx context.Context, r *Result, f *clharness.Fleet) error {
 	body, key := completion(f.Profile, 1, false), clharness.KeyOf(f.Profile.Accounts[0])
 	entry := f.Pairs[0].Entry.PID()
-	direct := &requester{addr: f.Endpoints[0].Addr.String(), key: key, body: body}
+	direct := newDirectLoad(f, key, body)
 	through := &requester{addr: f.Pairs[0].URL()[len("http://"):], key: key, body: body}
 	through.run(ctx, entryRate, time.Second) // Connections are opened and slots granted.
 	for i := range entryRepeats {
@@ -164,3 +165,35 @@
 	}
 	return nil
 }
+
+// directLoad offers a rate to the engines without the entry, an equal part to
+// each, as the entry does: an engine that gets all requests idles less and
+// answers sooner, so the entry would seem to add what the engines take longer.
+type directLoad []*requester
+
+func newDirectLoad(f *clharness.Fleet, key string, body []byte) directLoad {
+	var d directLoad
+	for _, e := range f.Endpoints {
+		if e.Service == f.Profile.EngineService {
+			d = append(d, &requester{addr: e.Addr.String(), key: key, body: body})
+		}
+	}
+	return d
+}
+
+func (d directLoad) run(ctx context.Context, rate int, length time.Duration) *load {
+	loads := make([]*load, len(d))
+	var g sync.WaitGroup
+	for i, q := range d {
+		g.Go(func() { loads[i] = q.run(ctx, rate/len(d), length) })
+	}
+	g.Wait()
+	sum := loads[0]
+	for _, l := range loads[1:] {
+		sum.latency.Merge(l.latency)
+		sum.failed += l.failed
+		sum.err = errors.Join(sum.err, l.err)
+		sum.took = max(sum.took, l.took)
+	}
+	return sum
+}
--- a/clbench/entry_path.go
+++ b/clbench/entry_path.go
@@ -36,7 +36,7 @@
 func pathRequests(ctx context.Context, o Options, r *Result, f *clharness.Fleet) error {
 	body, key := completion(f.Profile, 1, false), clharness.KeyOf(f.Profile.Accounts[0])
 	entry := f.Pairs[0].Entry.PID()
-	direct := &requester{addr: f.Endpoints[0].Addr.String(), key: key, body: body}
+	direct := newDirectLoad(f, key, body)
 	through := &requester{addr: f.Pairs[0].URL()[len("http://"):], key: key, body: body}
 	through.run(ctx, entryRate, time.Second) // Connections are opened and slots granted.
 	for i := range pathRepeats {
