Share the summing of evidence among entries of a large data centre

Cause: one process that sums for 78 entries gets 65.6 reports/s, 58.8 KB/s and 3.1% of a core (docs/CAPACITY.md), over the 23 KB/s and 2.4% of a node.

Change: the first n/16 entries in rank sum for a part of the entries each, by a hash of the ID; with more than 16 entries in a data centre an entry reports every 2 s in place of every second. Data centres of today's size are as before. Ruled out: only more processes, since with 7 of them in each data centre the holder would get 35 sums/s.

--- a/clentry/evidence.go
+++ b/clentry/evidence.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/chestnutlead/chestnutlead/clmember"
 	"github.com/chestnutlead/chestnutlead/clpeer"
 	"github.com/chestnutlead/chestnutlead/clrollout"
@@ -29,8 +30,14 @@
 
 	// retryEvidence is the pause before a batch is sent elsewhere.
 	retryEvidence = 50 * time.Millisecond
-	// summingCandidates entries of the data centre may sum its evidence, the first
-	// in rank that has not failed within failedFor. If all have failed, an entry
+	// reportersPerSum is the number of entries of a data centre for which one of
+	// them sums evidence. With more entries in it they report half as often, so
+	// that the reports of 22 (hashing shares them out unevenly), of about 900 B,
+	// are 10 KB/s for the process that sums, and the sums of 5 data centres with
+	// 78 entries each 14 KB/s for the one that evaluates.
+	reportersPerSum = 16
+	// summingCandidates entries may sum an entry's evidence, the first in its
+	// order that has not failed within failedFor. If all have failed, an entry
 	// reports to the evaluating process itself.
 	summingCandidates = 3
 	failedFor         = 10 * time.Second
@@ -204,8 +211,9 @@
 		return clpeer.EvidenceGather
 	}
 	rank := e.rank()
+	interval := reportInterval(len(rank))
 	e.mu.Lock()
-	to, found := chooseSummer(rank, e.failed, now)
+	to, found := chooseSummer(summersOf(e.self.ID, rank), e.failed, now)
 	e.mu.Unlock()
 	err := e.send(ctx, to, found, holder, &clwire.ReportEvidenceRequest{
 		From: e.self.ID, Sequence: sequence, Evidence: clpeer.EvidenceToWire(batch),
@@ -213,7 +221,7 @@
 	if err != nil {
 		e.log.Debug("Evidence cannot be sent. It is sent again.", zap.String("to", to.ID), zap.Error(err))
 		if !found {
-			return clpeer.EvidenceInterval
+			return interval
 		}
 		e.mu.Lock()
 		maps.DeleteFunc(e.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= failedFor })
@@ -224,7 +232,7 @@
 	e.mu.Lock()
 	e.reported.Ack(sequence)
 	e.mu.Unlock()
-	return clpeer.EvidenceInterval - clpeer.EvidenceGather
+	return interval - clpeer.EvidenceGather
 }
 
 // send reports to the process that sums, or to the evaluating process if none is left.
@@ -244,9 +252,28 @@
 	return err
 }
 
+// reportInterval returns the time between two reports of an entry.
+func reportInterval(entries int) time.Duration {
+	if entries > reportersPerSum {
+		return 2 * clpeer.EvidenceInterval
+	}
+	return clpeer.EvidenceInterval
+}
+
+// summersOf returns the entries that may sum the evidence of an entry, given
+// all of its data centre in their rank. Each of the first ones sums for a part.
+func summersOf(id string, rank []clmember.Member) []clmember.Member {
+	if len(rank) == 0 {
+		return nil
+	}
+	parts := (len(rank) + reportersPerSum - 1) / reportersPerSum
+	own := int(xxhash.Sum64String(id) % uint64(parts))
+	return lo.Times(min(len(rank), summingCandidates), func(i int) clmember.Member { return rank[(own+i)%len(rank)] })
+}
+
 // chooseSummer returns the first of the candidates that has not failed lately.
-func chooseSummer(rank []clmember.Member, failed map[string]time.Time, now time.Time) (clmember.Member, bool) {
-	return lo.Find(rank[:min(len(rank), summingCandidates)], func(m clmember.Member) bool {
+func chooseSummer(candidates []clmember.Member, failed map[string]time.Time, now time.Time) (clmember.Member, bool) {
+	return lo.Find(candidates, func(m clmember.Member) bool {
 		at, ok := failed[m.ID]
 		return !ok || now.Sub(at) >= failedFor
 	})
--- a/clentry/evidence_test.go
+++ b/clentry/evidence_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwire"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -136,6 +138,26 @@
 	require.EqualValues(t, 12, h.counted, "it went to the first again")
 }
 
+// TestSummersOf guards against a process that sums for a whole large data
+// centre, and against sums by more processes than needed.
+func TestSummersOf(t *testing.T) {
+	tests := []struct{ entries, sums, most int }{{1, 1, 1}, {3, 1, 3}, {16, 1, 16}, {17, 2, 16}, {78, 5, 22}}
+	for _, tt := range tests {
+		rank, reporters := members(tt.entries), make(map[string]int)
+		for _, m := range rank {
+			s := summersOf(m.ID, rank)
+			require.Len(t, s, min(tt.entries, summingCandidates))
+			require.Len(t, lo.UniqBy(s, func(m clmember.Member) string { return m.ID }), len(s), "one process twice")
+			reporters[s[0].ID]++
+		}
+		t.Log(tt.entries, reporters)
+		require.Len(t, reporters, tt.sums)
+		require.LessOrEqual(t, slices.Max(lo.Values(reporters)), tt.most)
+	}
+	require.Equal(t, clpeer.EvidenceInterval, reportInterval(reportersPerSum))
+	require.Equal(t, 2*clpeer.EvidenceInterval, reportInterval(reportersPerSum+1))
+}
+
 // TestChooseSummer guards against a process that sums and is never asked again
 // after a failure, and against one that is asked again at once.
 func TestChooseSummer(t *testing.T) {
@@ -162,7 +184,7 @@
 		{"the only one", rank[:1], nil, 0, "entry-0"},
 	}
 	for _, tt := range tests {
-		m, ok := chooseSummer(tt.rank, tt.failed, evidenceAt.Add(tt.after))
+		m, ok := chooseSummer(summersOf("entry-9", tt.rank), tt.failed, evidenceAt.Add(tt.after))
 		require.Equal(t, tt.want, m.ID, tt.name)
 		require.Equal(t, tt.want != "", ok, tt.name)
 	}
