Start a stand-in of the tests only where it has bound its address

Cause: in a full run beside other harnesses an engine's port was taken between its choice and its start; a foreign process answered there, and TestBadVersion failed.

Change: the start waits for the stand-in's own word in its log, returns an error if the process has ended, and tries other addresses at a first start.

--- a/clharness/fleet.go
+++ b/clharness/fleet.go
@@ -70,6 +70,7 @@
 	peerToken     = "harness-peer-token-0123"
 	operatorToken = "harness-operator-token-0123"
 	startTimeout  = 20 * time.Second
+	startTries    = 5
 	stopTimeout   = 30 * time.Second
 	callTimeout   = 10 * time.Second
 )
@@ -142,22 +143,45 @@
 	_ = g.Wait() // Kill does not fail.
 }
 
+// startStandIn starts a stand-in at its former addresses, or at new ones. A new
+// address can be taken by a process of another harness before it is bound.
 func (f *Fleet) startStandIn(s *StandIn, name string, args ...string) error {
+	s.args = args
+	if s.Addr.IsValid() {
+		return f.startStandInAt(s, name)
+	}
 	var err error
-	if !s.Addr.IsValid() {
+	for range startTries {
 		if s.Addr, err = freeAddr(); err != nil {
 			return err
 		}
 		if s.Admin, err = freeAddr(); err != nil {
 			return err
 		}
+		if err = f.startStandInAt(s, name); err == nil || s.Process == nil || s.Process.Running() {
+			return err
+		}
 	}
-	s.args = args
-	full := append([]string{args[0], "--listen", s.Addr.String(), "--admin-listen", s.Admin.String()}, args[1:]...)
-	if s.Process, err = startProcess(f.WorkDir, name, filepath.Join(f.BinDir, "chestnutstand"), full...); err != nil {
+	return err
+}
+
+// startStandInAt waits for the process's own word that it listens: another
+// process at the address would answer as well.
+func (f *Fleet) startStandInAt(s *StandIn, name string) error {
+	full := append([]string{s.args[0], "--listen", s.Addr.String(), "--admin-listen", s.Admin.String()}, s.args[1:]...)
+	p, err := startProcess(f.WorkDir, name, filepath.Join(f.BinDir, "chestnutstand"), full...)
+	if err != nil {
 		return err
 	}
-	return waitFor(startTimeout, "start of "+name, func() bool { return reachable("http://" + s.Addr.String() + "/stats") })
+	s.Process = p
+	listening := func() bool { return p.logged("listening on " + s.Addr.String()) }
+	if err := waitFor(startTimeout, "start of "+name, func() bool { return listening() || !p.Running() }); err != nil {
+		return err
+	}
+	if !p.Running() {
+		return errors.Errorf("%s ended at its start; see %s", name, p.LogPath)
+	}
+	return waitFor(startTimeout, "answers of "+name, func() bool { return reachable("http://" + s.Addr.String() + "/stats") })
 }
 
 func (f *Fleet) startPlatform() error {
--- a/clharness/process.go
+++ b/clharness/process.go
@@ -3,6 +3,7 @@
 package clharness
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"os"
@@ -22,6 +23,9 @@
 	// LogPath holds the process's output.
 	LogPath string
 
+	// logStart is the length of the log before this start.
+	logStart int
+
 	cmd    *exec.Cmd
 	done   chan struct{}
 	mu     sync.Mutex
@@ -49,6 +53,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
+	if st, err := log.Stat(); err == nil {
+		p.logStart = int(st.Size())
+	}
 	p.cmd = exec.Command(binary, args...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// The child dies with the harness, so that an aborted run leaves nothing behind.
@@ -60,6 +67,12 @@
 	return p, nil
 }
 
+// logged reports whether the process has written the text to its log since this start.
+func (p *Process) logged(text string) bool {
+	b, err := os.ReadFile(p.LogPath)
+	return err == nil && bytes.Contains(b[min(p.logStart, len(b)):], []byte(text))
+}
+
 // run waits for the process's end.
 func (p *Process) run(log *os.File) {
 	p.err = p.cmd.Wait()
