Keep granting when single calls succeed during an outage

Cause: TestBookingsDuringOutage failed once: 12 of 24 keys were refused as "no_time, expected wait 1m0s" until the test ended. The log shows a slot lease that had lapsed in an outage, then "Slot group given up." with the process itself as the holder, then "lapsed" again. A read that succeeded ended the outage in the lease's state before a renewal did, so the grantor lost its term; when the lease was held again under the same number, no new term began, and the group granted nothing for as long as it was held. Ruled out: the measured rate of service in cladmission, which only showed it.

Change: an outage ends with a confirmed renewal that is still trusted, or with another holder. The entry begins a term whenever the grantor has none.

--- a/clentry/grantor.go
+++ b/clentry/grantor.go
@@ -53,7 +53,10 @@
 		runner  *cllease.Runner
 		grantor *clslot.Grantor
 		state   cllease.State
-		factAt  time.Time
+		// granting says that the grantor has a term, which a lease that lapsed
+		// after it was lost does not bring back.
+		granting bool
+		factAt   time.Time
 		// candidate is the result of the ranking at rankedAt.
 		candidate bool
 		rankedAt  time.Time
@@ -167,7 +170,7 @@
 		}
 		held = append(held, gr)
 		gr.grantor.Lost()
-		gr.state = cllease.State{}
+		gr.state, gr.granting = cllease.State{}, false
 		gr.runner.SetPayload(encodeStates(gr.grantor.State(), true))
 		gr.runner.SetWanted(false)
 	}
@@ -198,7 +201,8 @@
 	was := gr.state
 	gr.state = state
 	switch {
-	case state.Held && (!was.Held && !was.Lapsed || was.Fencing != state.Fencing):
+	case state.Held && (!gr.granting || was.Fencing != state.Fencing):
+		gr.granting = true
 		formerLapsed := now // No grant outlives its grantor's lease.
 		if _, released := gr.runner.Inherited(); released {
 			formerLapsed = now.Add(s.slotCfg.GrantLifetime)
@@ -217,14 +221,15 @@
 		// Only the limits hold for a successor to a grantor that did not stop. The
 		// charges of hundreds of entries would make each renewal large.
 		gr.runner.SetPayload(encodeStates(gr.grantor.Limits(), false))
-	case state.Lapsed:
+	case state.Lapsed && gr.granting:
 		if !was.Lapsed {
 			s.log.Warn("Slot lease lapsed because the object API is unavailable. Granting continues at half.",
 				zap.Uint32("group", gr.number))
 		}
 		gr.grantor.Unavailable()
 		s.setEndpoints(gr)
-	case was.Held || was.Lapsed:
+	case gr.granting:
+		gr.granting = false
 		gr.grantor.Lost()
 		s.log.Info("Slot group given up.", zap.Uint32("group", gr.number), zap.String("holder", state.Holder))
 	}
--- a/clharness/grants_test.go
+++ b/clharness/grants_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clstandin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,6 +19,8 @@
 	// grantsWatched is long enough to see a gap of twice the bound.
 	grantsWatched = 2 * grantsBackWithin
 	grantCallers  = 24
+	// partialOutage is several leases of 2 s.
+	partialOutage = 6 * time.Second
 )
 
 // TestGrantsAfterKilledEntry guards against endpoints that stay without work
@@ -48,3 +51,27 @@
 	}
 	l.requireWhole(t)
 }
+
+// TestGrantsAfterPartialOutage guards against endpoints that stay without work
+// after an outage in which some calls of the platform succeeded: a lease that
+// flaps must not leave a holder that grants nothing.
+func TestGrantsAfterPartialOutage(t *testing.T) {
+	t.Parallel()
+	f := start(t, smallProfile(6, 0))
+	l := startLoad(f, grantCallers, 8)
+	for _, e := range f.Endpoints {
+		eventually(t, healWithin, "requests at "+e.Name, func() bool { return requestsAt(t, e, false) > 8 })
+	}
+	for _, faults := range []clstandin.Faults{{RefuseRate: 0.8, LoseAnswerRate: 0.5}, {Outage: clstandin.OutageUnavailable}, {RefuseRate: 0.5, LoseAnswerRate: 0.2}} {
+		require.NoError(t, f.Platform.SetFaults(faults))
+		time.Sleep(partialOutage)
+	}
+	require.NoError(t, f.Platform.SetFaults(clstandin.Faults{}))
+	healed := time.Now()
+	for _, e := range f.Endpoints {
+		before := requestsAt(t, e, false)
+		eventually(t, healWithin, "requests at "+e.Name+" after the outage", func() bool { return requestsAt(t, e, false) > before })
+	}
+	t.Logf("all endpoints got requests %s after the outage", time.Since(healed).Round(time.Millisecond))
+	l.requireOwn(t)
+}
--- a/cllease/core.go
+++ b/cllease/core.go
@@ -58,7 +58,9 @@
 		until   time.Time
 		// gone says that a release was sent or another holder was seen.
 		gone bool
-		// outage says that the last call failed.
+		// outage says that a call failed since the last confirmed renewal. A read
+		// that succeeds in between does not end it: the lease may have lapsed
+		// because of it, and is not held again before a renewal.
 		outage   bool
 		halvings *uint32
 		payload  []byte
@@ -138,8 +140,8 @@
 
 // Observed reports the outcome of a read: the object, or the kind of the failure.
 func (c *Core) Observed(now time.Time, o clstore.Object, kind clstore.Kind) {
-	c.outage = kind != clstore.KindNone && kind != clstore.KindNotFound
-	if c.outage {
+	if kind != clstore.KindNone && kind != clstore.KindNotFound {
+		c.outage = true
 		c.retryAt = now.Add(c.cfg.RetryAfter)
 		return
 	}
@@ -159,7 +161,7 @@
 
 // Updated reports the outcome of an update: the new version, or the kind of the failure.
 func (c *Core) Updated(now time.Time, version uint64, kind clstore.Kind) {
-	c.outage = kind != clstore.KindNone && kind != clstore.KindConflict
+	c.outage = c.outage || kind != clstore.KindNone && kind != clstore.KindConflict
 	switch kind {
 	case clstore.KindNone:
 		c.adopt(now, c.proposal, version)
@@ -289,10 +291,12 @@
 	c.lease, c.version = l, version
 	switch {
 	case !c.mine():
-		c.gone, c.halvings, c.payload = true, nil, nil
+		c.gone, c.outage, c.halvings, c.payload = true, false, nil, nil
 	case ours:
 		c.fencing, c.gone = l.Fencing, false
 		c.until = c.sentAt.Add(c.cfg.TTL - c.cfg.Margin)
+		// A renewal that was sent long ago does not restore the trust yet.
+		c.outage = c.outage && !now.Before(c.until)
 		if c.halvings != nil && *c.halvings == l.AllowanceHalvings {
 			c.halvings = nil
 		}
--- a/cllease/core_test.go
+++ b/cllease/core_test.go
@@ -290,3 +290,38 @@
 		})
 	}
 }
+
+// TestLapsedUntilRenewed guards against a holder that gives up in an outage
+// because a single read succeeds: nobody can have taken the lease over, and
+// nobody else would do its work until the outage ends.
+func TestLapsedUntilRenewed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	c, err := NewCore(Config{Key: "lease/k", Holder: "a", TTL: 3 * time.Second})
+	require.NoError(t, err)
+	c.Observed(start, clstore.Object{}, clstore.KindNotFound)
+	d := c.Next(start)
+	require.Equal(t, ActionUpdate, d.Action)
+	c.Updated(start, 1, clstore.KindNone)
+	require.True(t, c.State(start).Held)
+	held := clstore.Object{Key: "lease/k", Value: d.Value, Version: 1}
+	lapsed := start.Add(3 * time.Second)
+	steps := []struct {
+		name         string
+		event        func(now time.Time)
+		held, lapsed bool
+	}{
+		{"the answer to a renewal is lost", func(now time.Time) { c.Next(now); c.Updated(now, 0, clstore.KindUnknown) }, false, true},
+		{"a read succeeds", func(now time.Time) { c.Observed(now, held, clstore.KindNone) }, false, true},
+		{"the next renewal fails", func(now time.Time) { c.Next(now); c.Updated(now, 0, clstore.KindUnavailable) }, false, true},
+		{"a renewal that was first sent long ago is confirmed", func(now time.Time) { c.Next(now); c.Updated(now, 2, clstore.KindNone) }, false, true},
+		{"the next renewal succeeds", func(now time.Time) { c.Next(now); c.Updated(now, 3, clstore.KindNone) }, true, false},
+	}
+	for i, s := range steps {
+		now := lapsed.Add(time.Duration(i) * time.Second)
+		s.event(now)
+		got := c.State(now)
+		require.Equal(t, s.held, got.Held, s.name)
+		require.Equal(t, s.lapsed, got.Lapsed, s.name)
+		require.EqualValues(t, 1, got.Fencing, s.name)
+	}
+}
