Split the gate and the booking partition by what their parts do

Change: place.go has how a request gets a place at an endpoint and gives it back, assign.go the choice of the version and changes of the view, write.go the calls of a booking write.

--- a/clentry/gate.go
+++ b/clentry/gate.go
@@ -9,13 +9,11 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/cladmission"
-	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clroute"
 	"github.com/chestnutlead/chestnutlead/clslot"
 	"github.com/chestnutlead/chestnutlead/clstate"
 	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/gofiber/fiber/v2"
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
 
@@ -193,55 +191,6 @@
 	return nil
 }
 
-// assign chooses the version and returns the queue's key.
-func (g *gate) assign(w *work) queueKey {
-	split := g.views.load().split(w.service)
-	if g.suspended[queueKey{w.service.GetName(), split.New}] {
-		split.NewSuspended = true
-	}
-	if w.failed && split.New != "" && g.servable(w, split.Old, time.Now()) {
-		split.NewSuspended = true
-	}
-	w.route.Version = clroute.AssignVersion(split, w.id)
-	return queueKey{w.service.GetName(), w.route.Version}
-}
-
-// failedAt excludes the endpoint of a failed attempt from the next ones.
-func (w *work) failedAt(endpointID string) {
-	w.route.Excluded = append(w.route.Excluded, endpointID)
-	w.failed = true
-}
-
-// unservable reports whether the request was assigned to a new version that no
-// endpoint can serve at present.
-func (g *gate) unservable(w *work, now time.Time) bool {
-	split := g.views.load().split(w.service)
-	if w.route.Version != split.New {
-		return false
-	}
-	return !g.servable(w, w.route.Version, now)
-}
-
-// servable reports whether some endpoint of the version could serve the request
-// now or after a wait.
-func (g *gate) servable(w *work, version string, now time.Time) bool {
-	route := w.route
-	route.Version = version
-	reason := g.table.Pick(&route, g.rnd, now).Reason
-	return !reason.Refused() || waits(reason)
-}
-
-func (g *gate) assignOld(w *work) queueKey {
-	w.route.Version = g.views.load().split(w.service).Old
-	return queueKey{w.service.GetName(), w.route.Version}
-}
-
-// waits reports whether a request that was refused for the reason may find a
-// place later without any change of the fleet.
-func waits(reason clroute.Reason) bool {
-	return reason == clroute.RefusedNoSlot || reason == clroute.RefusedBusy
-}
-
 func (g *gate) queue(key queueKey) *cladmission.Queue[*waiter] {
 	q := g.queues[key]
 	if q == nil {
@@ -251,30 +200,6 @@
 	return q
 }
 
-// pick chooses an endpoint and takes a slot there.
-func (g *gate) pick(w *work, now time.Time) (*place, clroute.Reason) {
-	choice := g.table.Pick(&w.route, g.rnd, now)
-	if choice.Reason.Refused() {
-		return nil, choice.Reason
-	}
-	ticket, ok := g.holder.Acquire(choice.Endpoint, now)
-	g.table.SetSlots(choice.Endpoint, g.holder.Available(choice.Endpoint, now))
-	if !ok {
-		return nil, clroute.RefusedNoSlot
-	}
-	e, ok := g.fleet.get(choice.Endpoint)
-	if !ok {
-		g.holder.Release(ticket, clslot.Outcome{}, now)
-		return nil, clroute.RefusedNoSlot
-	}
-	g.table.Sent(e.id, w.route.Prefix, now)
-	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
-		zap.Stringer("reason", choice.Reason), zap.String("service", e.service), zap.String("version", e.version),
-		zap.String("data_centre", e.dataCentre), zap.Duration("expected_first_token", choice.Expected),
-		zap.Int("cached_tokens", choice.CachedTokens))
-	return &place{endpoint: e, choice: choice, ticket: ticket}, choice.Reason
-}
-
 func (g *gate) refusalOf(w *work, p *place, reason clroute.Reason) *Refusal {
 	if p != nil {
 		return nil
@@ -284,35 +209,6 @@
 	return refuseUnavailable(RunNot, "no endpoint can take the request: "+reason.String(), time.Second)
 }
 
-// release ends an attempt and gives its slot to the next request.
-func (g *gate) release(p *place, o clslot.Outcome, r clroute.Result) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.holder.Release(p.ticket, o, now)
-	if p.alone {
-		g.holder.Unreserve(p.endpoint.id)
-	}
-	r.Expected = p.choice.Expected
-	g.table.Ended(p.endpoint.id, r, now)
-	g.refreshSlots(p.endpoint.id, now)
-	g.pump(queueKey{p.endpoint.service, p.endpoint.version}, now)
-}
-
-// firstToken notes the time to the first token of a request that runs, as that
-// of a short prompt: a long prompt's would look like a cold endpoint's.
-func (g *gate) firstToken(w *work, p *place, d time.Duration) {
-	tokens := max(0, w.route.Tokens-p.choice.CachedTokens)
-	d = time.Duration(float64(d) * shortPromptTokens / float64(shortPromptTokens+tokens))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.holder.FirstToken(p.endpoint.id, d)
-}
-
-func (g *gate) refreshSlots(id string, now time.Time) {
-	g.table.SetSlots(id, g.holder.Available(id, now))
-}
-
 // pump admits waiting requests while there are slots for them.
 func (g *gate) pump(key queueKey, now time.Time) {
 	q := g.queues[key]
@@ -381,89 +277,6 @@
 	g.crashes.Finished(f)
 }
 
-// acquireAt waits for a slot at one endpoint, for work that only it can go on with.
-func (g *gate) acquireAt(ctx context.Context, w *work, e endpoint) (*place, bool) {
-	g.mu.Lock()
-	g.pinned[e.id]++
-	g.mu.Unlock()
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.pinned[e.id]--; g.pinned[e.id] <= 0 {
-			delete(g.pinned, e.id)
-		}
-	}()
-	for {
-		if p, ok := g.takeAt(w, e); ok {
-			return p, true
-		}
-		g.wake()
-		if clwait.Pause(ctx, pinnedPause) != nil {
-			return nil, false
-		}
-	}
-}
-
-func (g *gate) takeAt(w *work, e endpoint) (*place, bool) {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	ticket, ok := g.holder.Acquire(e.id, now)
-	g.refreshSlots(e.id, now)
-	if !ok {
-		return nil, false
-	}
-	g.log.Info("Endpoint picked.", zap.String("request", w.id), zap.String("endpoint", e.id),
-		zap.String("reason", "holds the stream"), zap.String("service", e.service), zap.String("version", e.version))
-	return &place{endpoint: e, ticket: ticket}, true
-}
-
-// tryAcquire takes a place elsewhere if one is free now.
-func (g *gate) tryAcquire(w *work) (*place, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.assign(w)
-	if w.route.Alone {
-		return nil, false
-	}
-	p, _ := g.pick(w, time.Now())
-	return p, p != nil
-}
-
-// giveBack frees a place at which nothing was sent.
-func (g *gate) giveBack(p *place) {
-	if !p.lost {
-		g.release(p, clslot.Outcome{}, clroute.Result{})
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p.alone {
-		g.holder.Unreserve(p.endpoint.id)
-	}
-}
-
-// renew replaces a ticket that has waited too long for its request to be sent.
-func (g *gate) renew(p *place) bool {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Before(p.ticket.SendBefore) {
-		return true
-	}
-	g.holder.Release(p.ticket, clslot.Outcome{}, now)
-	var ticket clslot.Ticket
-	var ok bool
-	if p.alone {
-		ticket, ok = g.holder.AcquireAlone(p.endpoint.id, now)
-	} else {
-		ticket, ok = g.holder.Acquire(p.endpoint.id, now)
-	}
-	p.ticket, p.lost = ticket, !ok
-	g.refreshSlots(p.endpoint.id, now)
-	return ok
-}
-
 // wake makes the demand loop look at the queues at once.
 func (g *gate) wake() {
 	select {
@@ -485,120 +298,6 @@
 	g.budget.Request(service, time.Now())
 }
 
-// setEndpoints takes endpoints from the fleet.
-func (g *gate) setEndpoints(set []endpoint, removed []string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.setAdmitted(set)
-	for _, id := range removed {
-		g.table.Remove(id)
-		g.holder.Revoke(id)
-	}
-}
-
-// setAdmitted puts the endpoints that the configuration admits into the table.
-func (g *gate) setAdmitted(set []endpoint) {
-	v := g.views.load()
-	for _, e := range set {
-		if v != nil && v.admits(e) {
-			g.table.Set(clroute.Endpoint{ID: e.id, Service: e.service, Version: e.version, DataCentre: e.dataCentre})
-			_, leaving := g.fleet.isLeaving(e.id)
-			g.table.SetLeaving(e.id, leaving)
-		} else {
-			g.table.Remove(e.id)
-		}
-	}
-}
-
-func (g *gate) setLeaving(id string, at time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.SetLeaving(id, true)
-	g.holder.Revoke(id)
-	g.refreshSlots(id, time.Now())
-	until := time.Now().Add(leavingFactLifetime)
-	g.crashes.Announced(id, lo.Ternary(at.After(until), at, until))
-}
-
-// applyView takes a configuration revision. Requests that wait for a version
-// that gets no more traffic are assigned again.
-func (g *gate) applyView(v *view) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for dc, out := range v.out {
-		g.table.SetDataCentre(dc, out)
-	}
-	g.setAdmitted(g.fleet.all())
-	g.reassign()
-}
-
-// suspend stops new work for a version at once.
-func (g *gate) suspend(key queueKey) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.suspended[key] {
-		return
-	}
-	g.suspended[key] = true
-	g.log.Info("Version is suspended. It gets no new work.", zap.String("service", key.service), zap.String("version", key.version))
-	g.reassign()
-}
-
-func (g *gate) reassign() {
-	now := time.Now()
-	for key, q := range g.queues {
-		svc := g.views.load().services[key.service]
-		if svc == nil || q.Len() == 0 || g.current(svc, key.version) {
-			continue
-		}
-		for {
-			r, _, ok := q.Take(now)
-			if !ok {
-				break
-			}
-			r.Value.w.service = svc
-			if refused := g.offer(g.assign(r.Value.w), r.Value, now); refused != nil {
-				r.Value.result <- waitResult{refusal: refuseOverload(refused)}
-			}
-		}
-	}
-}
-
-// current reports whether the version gets traffic.
-func (g *gate) current(svc *clstate.Service, version string) bool {
-	s := g.views.load().split(svc)
-	return version == s.Old || version == s.New && !s.NewSuspended && !g.suspended[queueKey{svc.GetName(), version}]
-}
-
-// report takes an endpoint's load.
-func (g *gate) report(id string, l clendpoint.Load) {
-	now := time.Now()
-	g.fleet.setLoad(id, l)
-	if l.Leaving {
-		g.fleet.markLeaving(id, time.Time{})
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.Report(id, clroute.Load{BootID: l.BootID, ProducedAt: l.ProducedAt, Running: l.Running, Waiting: l.Waiting})
-	if l.Cold {
-		g.holder.Revoke(id)
-		g.refreshSlots(id, now)
-	}
-}
-
-// restarted takes the report of an endpoint's new start and drops the slots
-// that were granted for the former one.
-func (g *gate) restarted(id string, e *clendpoint.RestartedError) {
-	g.report(id, e.Load)
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.holder.Restarted(id, e.Want)
-	g.refreshSlots(id, now)
-	g.log.Info("Endpoint has restarted. Its slots wait for new grants.", zap.String("endpoint", id),
-		zap.String("former_boot_id", e.Want), zap.String("boot_id", e.Load.BootID))
-}
-
 func refuseOverload(r *cladmission.Refusal) *Refusal {
 	status := fiber.StatusServiceUnavailable
 	if r.Kind == cladmission.KindQueueFull {
