Run five fleets of the process tests at a time

Cause: the package took 181 s with three fleets at a time, at a load of 2.8 on 10 cores; most tests wait for leases and deadlines.

Change: five at a time.

--- a/clharness/main_test.go
+++ b/clharness/main_test.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// maxFleets bounds the fleets that run at the same time.
-	maxFleets  = 3
+	// maxFleets bounds the fleets that run at the same time: 5 keep a load of about
+	// 5, on a machine of 10 cores.
+	maxFleets  = 5
 	pollEvery  = 20 * time.Millisecond
 	buildLimit = 5 * time.Minute
 	// healWithin bounds waits that no promise limits, such as a restart.
