Say once what stood twice in retries, slots and experiments

Cause: read again as a whole, several pieces stood twice. The rule of whether another attempt may be made was in generation.retry and in passage.mayRetry word for word; a first-token time could reach a Holder by Outcome.FirstToken, which no process used any more, and by Holder.FirstToken; idle slots were dropped in four places and a holding was made in two; two experiments started a control process with a move each; a restart was looked for in an error in two places; two functions of the identification of connections took parameters that they did not need.

Change: handler.mayRetry, Holder.holding, holding.dropIdle, startMoving and restartOf; Outcome.FirstToken is gone, and the tests that set it call Holder.FirstToken with the same times. Behaviour and all checks are as before.

--- a/clbench/control_process.go
+++ b/clbench/control_process.go
@@ -197,19 +197,29 @@
 	return nil
 }
 
+// startMoving starts a control process that carries out a version move.
+func startMoving(ctx context.Context) (*controlBench, error) {
+	b, err := startControl(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.startMove(ctx); err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
 // evidenceAt measures the sums that the holder of the control lease receives
 // during a version move. Entries hand their batches to a sum of their data
 // centre in this process, so that all calls counted here are those to the
 // holder. The same without these calls shows what making the sums takes.
 func evidenceAt(ctx context.Context, r *Result, entries int) error {
-	b, err := startControl(ctx)
+	b, err := startMoving(ctx)
 	if err != nil {
 		return err
 	}
 	defer b.close()
-	if err := b.startMove(ctx); err != nil {
-		return err
-	}
 	t := &clpeer.Transport{Token: peerToken, Timeout: time.Second}
 	m := &metered{next: t.Peer(b.peer)}
 	without := sumsFor(ctx, r, entries, taker{}, b.peer)
@@ -261,14 +271,11 @@
 // summingAt measures a process that sums the reports of the entries of its data
 // centre, which come over loopback, and passes them on.
 func summingAt(ctx context.Context, r *Result, entries int) error {
-	b, err := startControl(ctx)
+	b, err := startMoving(ctx)
 	if err != nil {
 		return err
 	}
 	defer b.close()
-	if err := b.startMove(ctx); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &clpeer.Transport{Token: peerToken, Timeout: 5 * time.Second}
--- a/clbench/slots.go
+++ b/clbench/slots.go
@@ -167,7 +167,8 @@
 		}
 		for _, q := range w.tickets[w.tick()] {
 			w.running[q.ticket.Endpoint]--
-			w.holders[q.entry].Release(q.ticket, clslot.Outcome{Healthy: true, FirstToken: 200 * time.Millisecond}, w.now)
+			w.holders[q.entry].FirstToken(q.ticket.Endpoint, 200*time.Millisecond)
+			w.holders[q.entry].Release(q.ticket, clslot.Outcome{Healthy: true}, w.now)
 		}
 		delete(w.tickets, w.tick())
 		for arrivals += w.rnd.ExpFloat64() * perTick; arrivals >= 1; arrivals-- {
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -112,7 +112,7 @@
 	if err != nil || call.BootID == "" {
 		return c, err
 	}
-	return h.identify(ctx, c, call, t)
+	return identify(ctx, c, call, t)
 }
 
 func dial(ctx context.Context, addr netip.AddrPort, t Timeouts) (*conn, error) {
--- a/clendpoint/identify.go
+++ b/clendpoint/identify.go
@@ -17,8 +17,8 @@
 
 // identify reads the load report over the new connection and returns the
 // connection if it leads to the start of the endpoint that the call is for.
-func (h *HTTP) identify(ctx context.Context, c *conn, call Call, t Timeouts) (*conn, error) {
-	l, keep, err := h.readLoad(ctx, c, call)
+func identify(ctx context.Context, c *conn, call Call, t Timeouts) (*conn, error) {
+	l, keep, err := readLoad(ctx, c)
 	if err != nil {
 		_ = c.Conn.Close()
 		return nil, errors.Wrap(err, "read the boot ID")
@@ -41,14 +41,14 @@
 
 // readLoad sends a request for the load report and reports whether the
 // connection can carry another request.
-func (h *HTTP) readLoad(ctx context.Context, c *conn, call Call) (Load, bool, error) {
+func readLoad(ctx context.Context, c *conn) (Load, bool, error) {
 	c.begin(ctx, Timeouts{FirstByte: identifyTimeout, BetweenReads: identifyTimeout})
 	defer func() {
 		if c.stop != nil {
 			c.stop()
 		}
 	}()
-	if _, err := c.send(Call{Endpoint: call.Endpoint, Method: http.MethodGet, Path: loadPath}); err != nil {
+	if _, err := c.send(Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath}); err != nil {
 		return Load{}, false, err
 	}
 	a, err := c.readAnswer(http.MethodGet, nil)
--- a/clentry/attempt.go
+++ b/clentry/attempt.go
@@ -79,8 +79,7 @@
 	}
 	answer, err := r.client.Do(ctx, c)
 	if err != nil {
-		var restarted *clendpoint.RestartedError
-		if errors.As(err, &restarted) {
+		if restarted := restartOf(err); restarted != nil {
 			r.gate.restarted(p.endpoint.id, restarted)
 		}
 		a.settle(err)
@@ -153,6 +152,13 @@
 	return ""
 }
 
+// restartOf returns the restart because of which the request was not sent, or nil.
+func restartOf(err error) *clendpoint.RestartedError {
+	var e *clendpoint.RestartedError
+	errors.As(err, &e) // e stays nil if there is none.
+	return e
+}
+
 func isBroken(err error) bool {
 	return kindOf(err) == clendpoint.KindBroken && !isCallerGone(err)
 }
@@ -162,8 +168,7 @@
 // was found before the request was sent is no fault of the request's attempt.
 func endpointFault(err error, status int) bool {
 	if err != nil {
-		var restarted *clendpoint.RestartedError
-		return !isCallerGone(err) && kindOf(err) != "" && !errors.As(err, &restarted)
+		return !isCallerGone(err) && kindOf(err) != "" && restartOf(err) == nil
 	}
 	return status >= 500
 }
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -164,20 +164,7 @@
 
 // retry says whether another attempt may be made; a nil refusal means yes.
 func (g *generation) retry(cause error) *Refusal {
-	run := RunUnknown
-	if !g.sent {
-		run = RunNot
-	}
-	switch {
-	case g.ctx.Err() != nil:
-		return refuseUnavailable(run, "the request's time is over: "+cause.Error(), time.Second)
-	case g.attempts >= g.h.maxAttempts:
-		return refuseUnavailable(run, "all attempts failed: "+cause.Error(), time.Second)
-	case !g.h.gate.retryAllowed(g.w.service.GetName()):
-		return refuseUnavailable(run, "the retry budget is used up: "+cause.Error(), time.Second)
-	}
-	g.w.startBy = time.Now().Add(maxQueueWait)
-	return nil
+	return g.h.mayRetry(g.ctx, g.w, g.attempts, g.sent, cause)
 }
 
 // fail excludes the endpoint of a failed attempt. A stream whose tokens were
--- a/clentry/handler.go
+++ b/clentry/handler.go
@@ -166,3 +166,22 @@
 		}
 	}
 }
+
+// mayRetry says whether another attempt may be made after some, of which sent
+// says that a byte may have reached an endpoint; a nil refusal means yes.
+func (h *handler) mayRetry(ctx context.Context, w *work, attempts int, sent bool, cause error) *Refusal {
+	run := RunNot
+	if sent {
+		run = RunUnknown
+	}
+	switch {
+	case ctx.Err() != nil:
+		return refuseUnavailable(run, "the request's time is over: "+cause.Error(), time.Second)
+	case attempts >= h.maxAttempts:
+		return refuseUnavailable(run, "all attempts failed: "+cause.Error(), time.Second)
+	case !h.gate.retryAllowed(w.service.GetName()):
+		return refuseUnavailable(run, "the retry budget is used up: "+cause.Error(), time.Second)
+	}
+	w.startBy = time.Now().Add(maxQueueWait)
+	return nil
+}
--- a/clentry/plain.go
+++ b/clentry/plain.go
@@ -117,20 +117,7 @@
 }
 
 func (p *passage) mayRetry(cause error, sent bool) *Refusal {
-	run := RunNot
-	if sent {
-		run = RunUnknown
-	}
-	switch {
-	case p.ctx.Err() != nil:
-		return refuseUnavailable(run, "the request's time is over: "+cause.Error(), time.Second)
-	case p.attempts >= p.h.maxAttempts:
-		return refuseUnavailable(run, "all attempts failed: "+cause.Error(), time.Second)
-	case !p.h.gate.retryAllowed(p.svc.GetName()):
-		return refuseUnavailable(run, "the retry budget is used up: "+cause.Error(), time.Second)
-	}
-	p.w.startBy = time.Now().Add(maxQueueWait)
-	return nil
+	return p.h.mayRetry(p.ctx, p.w, p.attempts, sent, cause)
 }
 
 func (p *passage) reply(a *wholeAnswer) error {
--- a/clslot/capacity_test.go
+++ b/clslot/capacity_test.go
@@ -146,7 +146,8 @@
 		if r.static {
 			r.owned[x.entry]++
 		} else {
-			r.holders[x.entry].Release(x.ticket, Outcome{Healthy: true, FirstToken: time.Second}, r.now)
+			r.holders[x.entry].FirstToken(x.ticket.Endpoint, time.Second)
+			r.holders[x.entry].Release(x.ticket, Outcome{Healthy: true}, r.now)
 		}
 	}
 	delete(r.ends, key)
--- a/clslot/exclusive.go
+++ b/clslot/exclusive.go
@@ -12,11 +12,7 @@
 // runs beside it. From the next demand on the grantor gives the endpoint to no
 // other entry, and this entry takes no ordinary slot there, until Unreserve.
 func (h *Holder) Reserve(endpoint string, now time.Time) {
-	e := h.endpoints[endpoint]
-	if e == nil {
-		e = &holding{peakSince: now}
-		h.endpoints[endpoint] = e
-	}
+	e := h.holding(endpoint, now)
 	e.reserving, e.exclusive = true, false
 }
 
@@ -24,7 +20,7 @@
 func (h *Holder) Unreserve(endpoint string) {
 	if e := h.endpoints[endpoint]; e != nil && e.reserving {
 		e.reserving, e.exclusive = false, false
-		e.slots = min(e.slots, e.inUse)
+		e.dropIdle()
 		e.unreserved = true
 	}
 }
--- a/clslot/holder.go
+++ b/clslot/holder.go
@@ -35,9 +35,6 @@
 		Healthy bool
 		// Failed says that the endpoint is at fault.
 		Failed bool
-		// FirstToken is the time to the first token; 0 if there was none, or if
-		// Holder.FirstToken was called with it.
-		FirstToken time.Duration
 	}
 
 	holding struct {
@@ -156,9 +153,6 @@
 	if o.Failed {
 		e.failed++
 	}
-	if o.FirstToken > 0 {
-		e.firstTokens.add(o.FirstToken)
-	}
 }
 
 // FirstToken takes the time to the first token of a running request, so that the
@@ -173,11 +167,7 @@
 // that wait for a slot there. From now on the entry uses no more slots than the
 // demand says, and applies no answer to an earlier demand.
 func (h *Holder) Demand(endpoint string, waiting int, now time.Time) Demand {
-	e := h.endpoints[endpoint]
-	if e == nil {
-		e = &holding{peakSince: now}
-		h.endpoints[endpoint] = e
-	}
+	e := h.holding(endpoint, now)
 	wanted := e.wanted(h.cfg, waiting, now)
 	if e.reserving {
 		wanted = max(1, e.inUse)
@@ -216,7 +206,7 @@
 	e.slots, e.expires, e.bootID = g.Slots, e.sentAt.Add(g.Lifetime), g.BootID
 	if e.ended != "" && g.BootID == e.ended {
 		// The grantor has not seen the restart yet.
-		e.slots = min(e.slots, e.inUse)
+		e.dropIdle()
 	}
 	e.exclusive = g.Exclusive && e.reserving
 	return now.Before(e.expires)
@@ -225,7 +215,7 @@
 // Revoke drops the idle slots of an endpoint that is known to be cold or leaving.
 func (h *Holder) Revoke(endpoint string) {
 	if e := h.endpoints[endpoint]; e != nil {
-		e.slots = min(e.slots, e.inUse)
+		e.dropIdle()
 		e.waiting = false
 	}
 }
@@ -239,7 +229,7 @@
 	}
 	e.ended = bootID
 	if e.bootID == bootID {
-		e.slots = min(e.slots, e.inUse)
+		e.dropIdle()
 	}
 }
 
@@ -267,6 +257,19 @@
 	return due
 }
 
+// holding returns what is held at an endpoint, of which nothing need be known yet.
+func (h *Holder) holding(endpoint string, now time.Time) *holding {
+	e := h.endpoints[endpoint]
+	if e == nil {
+		e = &holding{peakSince: now}
+		h.endpoints[endpoint] = e
+	}
+	return e
+}
+
+// dropIdle gives up the slots that no request uses.
+func (e *holding) dropIdle() { e.slots = min(e.slots, e.inUse) }
+
 // wanted returns the slots to ask for: those that the last IdleAfter needed, and
 // a few ahead while the endpoint is in use.
 func (e *holding) wanted(cfg Config, waiting int, now time.Time) int {
