Refuse what cannot begin on time, and order endpoints when spot ones leave

The planner ordered others at the usual price, and took the order back when its note of the refusal ran out 4 s later, before they had booted; the engines' queues grew beyond the target and every answer was late. One stream that crashed before its first event was passed on as complete: the error of a connection that closed wraps io.EOF, which the check took for the end.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -62,7 +62,7 @@
 		version  uint64
 		loaded   bool
 		ordered  map[orderKey]sentOrder
-		refused  map[string]map[string]time.Time
+		planners map[string]*Planner
 		fenced   uint64
 		firstWin int64
 	}
@@ -96,8 +96,6 @@
 	reorderAfter = 6 * time.Second
 	// retryAfter spaces orders that got no answer.
 	retryAfter = 1500 * time.Millisecond
-	// refusedFor is how long no spot endpoints are ordered where there were none.
-	refusedFor = 4 * time.Second
 )
 
 // Run competes for the lease and does the duties until ctx ends.
@@ -142,7 +140,7 @@
 func (d *Duties) round(ctx context.Context, by Holder) {
 	if d.fencing != by.Fencing {
 		d.fencing, d.loaded = by.Fencing, false
-		d.ordered, d.refused = map[orderKey]sentOrder{}, map[string]map[string]time.Time{}
+		d.ordered, d.planners = map[orderKey]sentOrder{}, map[string]*Planner{}
 	}
 	if d.fenced >= by.Fencing {
 		return // another holder is ahead; the lease will show it
@@ -266,17 +264,21 @@
 func (d *Duties) order(ctx context.Context, by Holder) {
 	now := clclock.Now()
 	for _, s := range d.Situations() {
-		s.Refused = d.refused[s.Service]
-		for _, o := range Plan(s, now) {
+		p := d.planners[s.Service]
+		if p == nil {
+			p = &Planner{}
+			d.planners[s.Service] = p
+		}
+		for _, o := range p.Plan(s, now) {
 			if d.fenced >= by.Fencing {
 				return
 			}
-			d.place(ctx, by, s, o, now)
+			d.place(ctx, by, s, p, o, now)
 		}
 	}
 }
 
-func (d *Duties) place(ctx context.Context, by Holder, s Situation, o Order, now time.Time) {
+func (d *Duties) place(ctx context.Context, by Holder, s Situation, p *Planner, o Order, now time.Time) {
 	key := orderKey{o.Service, o.DataCentre, o.Spot}
 	last, sent := d.ordered[key]
 	have := 0
@@ -288,9 +290,6 @@
 	if sent && last.count == o.Count && (have == o.Count || now.Sub(last.at) < reorderAfter) || !sent && have == o.Count {
 		return
 	}
-	if o.Spot && have < o.Count && now.Before(s.Refused[o.DataCentre]) {
-		return
-	}
 	if _, ok := d.Held(); !ok {
 		return
 	}
@@ -301,10 +300,9 @@
 		zap.Int("count", o.Count), zap.Int("have", have), zap.Float64("load", s.Load), zap.Uint64("fencing", by.Fencing), zap.Error(err))
 	switch {
 	case errors.Is(err, ErrRefused):
-		if d.refused[o.Service] == nil {
-			d.refused[o.Service] = map[string]time.Time{}
+		if o.Spot {
+			p.Refused(o.DataCentre, now)
 		}
-		d.refused[o.Service][o.DataCentre] = now.Add(refusedFor)
 		d.ordered[key] = sentOrder{o.Count, now}
 	case err == nil:
 		d.ordered[key] = sentOrder{o.Count, now}
--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -3,6 +3,7 @@
 package clduty
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -28,8 +29,20 @@
 		Have []clcatalog.Endpoint
 		// Load is the number of endpoints that the present requests keep busy.
 		Load float64
-		// Refused holds until when no spot endpoints are to be had, by data centre.
-		Refused map[string]time.Time
+		// Out are the data centres that are to get no requests.
+		Out map[string]bool
+	}
+
+	// Planner decides the orders for one service. The zero value is ready.
+	Planner struct {
+		// refused holds until when no spot endpoints are to be had, by data centre.
+		refused map[string]time.Time
+		// ordered holds when more spot endpoints were last ordered, by data centre.
+		ordered map[string]time.Time
+		// demand is the number of endpoints at the usual price in force, which
+		// falls only after it was too high for calmFor.
+		demand    int
+		highSince time.Time
 	}
 
 	// place is one data centre of a situation.
@@ -41,65 +54,130 @@
 )
 
 const (
-	// busyTarget is the part of the endpoints that should be busy: at half,
-	// the loss of a data centre's spot endpoints leaves the rest below full.
+	// busyTarget is the part of the endpoints that should be busy. Requests
+	// come in bunches, and a first event waits for the prompts before it.
 	busyTarget = 0.5
-	// spotReserve is how many spot endpoints a data centre has at least; they
-	// cost a fifth of the others, and a bursts of requests comes sooner than
-	// an order.
-	spotReserve = 2
-	// demandReserve is how many endpoints that cannot be reclaimed all data
-	// centres have together at least.
-	demandReserve = 3
+	// spotSurplus is how many spot endpoints there are beyond the need: the
+	// loss of one data centre of three leaves almost enough.
+	spotSurplus = 1.3
+	// leastSpot is how many spot endpoints a data centre has at least; a burst
+	// comes sooner than an order.
+	leastSpot = 2
+	// leastDemand is how many endpoints that cannot be reclaimed there are at least.
+	leastDemand = 1
+	// calmFor is how long endpoints at the usual price stay after the spot
+	// ones are enough again, because reclaims come in waves.
+	calmFor = 6 * time.Second
+	// refusedFor is how long no spot endpoints are ordered where there were none.
+	refusedFor = 3 * time.Second
+	// bootSlack is how much longer than the stated boot time an endpoint may
+	// take to register.
+	bootSlack = 2 * time.Second
 )
 
-// Plan returns the orders for a service.
-func Plan(s Situation, now time.Time) []Order {
+// Refused records that there were no spot endpoints in a data centre.
+func (p *Planner) Refused(dataCentre string, now time.Time) {
+	if p.refused == nil {
+		p.refused = make(map[string]time.Time)
+	}
+	p.refused[dataCentre] = now.Add(refusedFor)
+	delete(p.ordered, dataCentre)
+}
+
+// Plan returns the orders for the service. Spot endpoints are spread over the
+// data centres, and what they lack of the need is ordered at the usual price,
+// the cheapest data centre first, as soon as some are announced to leave.
+func (p *Planner) Plan(s Situation, now time.Time) []Order {
 	places := placesOf(s)
 	if len(places) == 0 {
 		return nil
 	}
 	need := max(1, int(math.Ceil(s.Load/busyTarget)))
-	perPlace := int(math.Ceil(float64(need) / float64(len(places))))
+	perPlace := max(leastSpot, int(math.Ceil(float64(need)*spotSurplus/float64(len(places)))))
 	var orders []Order
-	for i, p := range places {
-		demand := demandReserve / len(places)
-		if i < demandReserve%len(places) {
-			demand++
-		}
-		spot := max(spotReserve, perPlace)
-		if now.Before(s.Refused[p.name]) {
-			// What is not to be had is ordered at the usual price, as far as
-			// the load needs it.
-			demand = max(demand, perPlace-p.spot)
-		}
-		demand = min(demand, s.Scaling.Max)
-		spot = min(spot, s.Scaling.Max-demand)
-		if demand < p.demand && p.spot < spot {
-			// The endpoints that are to replace others must have started.
-			demand = max(demand, min(p.demand, s.Scaling.Max-spot))
+	expected := 0
+	spots := make([]int, len(places))
+	for i, pl := range places {
+		spots[i] = min(perPlace, s.Scaling.Max)
+		expected += p.expectedSpot(pl, spots[i], s.Scaling.Boot, now)
+		if pl.spot < spots[i] && now.Before(p.refused[pl.name]) {
+			spots[i] = pl.spot // asking again would only be refused
 		}
-		if short := s.Scaling.Min - demand - spot; short > 0 {
-			demand += short
+		if pl.spot < spots[i] && p.ordered[pl.name].IsZero() {
+			if p.ordered == nil {
+				p.ordered = make(map[string]time.Time)
+			}
+			p.ordered[pl.name] = now
+		} else if pl.spot >= spots[i] {
+			delete(p.ordered, pl.name)
 		}
+	}
+	demand := p.settle(max(leastDemand, need-expected), now)
+	for i, n := range spreadDemand(places, spots, demand, s.Scaling) {
 		orders = append(orders,
-			Order{Service: s.Service, DataCentre: p.name, Spot: true, Count: spot},
-			Order{Service: s.Service, DataCentre: p.name, Count: demand})
+			Order{Service: s.Service, DataCentre: places[i].name, Spot: true, Count: min(spots[i], s.Scaling.Max-n)},
+			Order{Service: s.Service, DataCentre: places[i].name, Count: n})
 	}
 	return orders
 }
 
-// placesOf returns the data centres, the cheapest first.
+// expectedSpot returns the spot endpoints that a data centre has or gets soon.
+func (p *Planner) expectedSpot(pl place, target int, boot time.Duration, now time.Time) int {
+	ordered := p.ordered[pl.name]
+	if now.Before(p.refused[pl.name]) || ordered.IsZero() || now.Sub(ordered) > boot+bootSlack || pl.demand > 0 {
+		return pl.spot
+	}
+	return max(pl.spot, target)
+}
+
+// settle lets the number of endpoints at the usual price rise at once and fall late.
+func (p *Planner) settle(demand int, now time.Time) int {
+	switch {
+	case demand >= p.demand:
+		p.demand, p.highSince = demand, time.Time{}
+	case p.highSince.IsZero():
+		p.highSince = now
+	case now.Sub(p.highSince) >= calmFor:
+		p.demand, p.highSince = demand, time.Time{}
+	}
+	return p.demand
+}
+
+// spreadDemand divides endpoints at the usual price among the data centres:
+// those that run stay if they are still wanted, as a new one has to boot.
+func spreadDemand(places []place, spots []int, demand int, sc clcatalog.Scaling) []int {
+	out := make([]int, len(places))
+	for i := range places {
+		out[i] = max(0, sc.Min-spots[i])
+		demand -= out[i]
+	}
+	for i, pl := range places {
+		n := max(0, min(demand, pl.demand-out[i], sc.Max-out[i]))
+		out[i] += n
+		demand -= n
+	}
+	for demand > 0 {
+		placed := false
+		for i := range places {
+			if demand > 0 && out[i] < sc.Max {
+				out[i]++
+				demand--
+				placed = true
+			}
+		}
+		if !placed {
+			break
+		}
+	}
+	return out
+}
+
+// placesOf returns the data centres that may get requests, the cheapest first.
 func placesOf(s Situation) []place {
 	places := lo.MapToSlice(s.Scaling.Prices, func(name string, price float64) place { return place{name: name, price: price} })
+	places = slices.DeleteFunc(places, func(p place) bool { return s.Out[p.name] })
 	slices.SortFunc(places, func(a, b place) int {
-		if a.price != b.price {
-			return int(math.Copysign(1, a.price-b.price))
-		}
-		if a.name < b.name {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.name, b.name))
 	})
 	for _, e := range s.Have {
 		for i := range places {
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -60,7 +60,7 @@
 		// running and pending are this gateway's work: requests, and prompt
 		// tokens of requests without a first event.
 		running int
-		pending float64
+		pending Pending
 		conns   int
 		peers   map[string]Busy
 		// failures is the recent part of answers that are failures.
@@ -83,9 +83,13 @@
 	// Busy is the work of another gateway at one endpoint.
 	Busy struct {
 		Running int
-		Pending float64
+		Pending Pending
 	}
 
+	// Pending are prompt tokens of requests without a first event, by rank;
+	// engines read the prompts of lower ranks first.
+	Pending [Ranks]float64
+
 	// Split divides a service's requests between two versions.
 	Split struct {
 		// Version gets Share of the requests, and all other versions the rest.
@@ -103,9 +107,11 @@
 )
 
 const (
+	// Ranks is the number of ranks that are told apart; later ones count as the last.
+	Ranks = 4
 	// defaultReadRate is a cautious guess of the prompt tokens that an engine
 	// reads in a second, until it is learnt.
-	defaultReadRate = 40_000
+	defaultReadRate = 50_000
 	// newVersionHold is how long a version that appears beside another waits
 	// for the operator's intent, which may be learnt after the endpoints.
 	newVersionHold = 3 * time.Second
@@ -303,7 +309,42 @@
 	b := Busy{Running: e.running, Pending: e.pending}
 	for _, p := range e.peers {
 		b.Running += p.Running
-		b.Pending += p.Pending
+		for rank, tokens := range p.Pending {
+			b.Pending[rank] += tokens
+		}
 	}
 	return b
 }
+
+// upTo returns the tokens that are read before those of a new request of the rank.
+func (p Pending) upTo(rank int) float64 {
+	sum := 0.0
+	for i := 0; i <= bounded(rank); i++ {
+		sum += p[i]
+	}
+	return sum
+}
+
+// Encode returns the tokens as they are sent to other gateways.
+func (p Pending) Encode() []uint32 {
+	last := 0
+	out := make([]uint32, 0, Ranks)
+	for i, tokens := range p {
+		out = append(out, uint32(max(0, tokens)))
+		if out[i] > 0 {
+			last = i + 1
+		}
+	}
+	return out[:last]
+}
+
+// DecodePending reverses Encode.
+func DecodePending(tokens []uint32) Pending {
+	var p Pending
+	for i, n := range tokens {
+		p[bounded(i)] += float64(n)
+	}
+	return p
+}
+
+func bounded(rank int) int { return min(Ranks-1, max(0, rank)) }
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -66,7 +66,7 @@
 	e := c.e
 	e.running++
 	e.conns++
-	e.pending += c.Unread
+	e.pending[c.rank] += c.Unread
 	s := f.service(c.service)
 	s.demand.Requests++
 	s.demand.Seconds += c.Unread / s.readRate
@@ -91,9 +91,9 @@
 		observed := float64(took) / float64(c.Expected) * c.e.factor
 		c.e.factor += learnWeight * (min(maxFactor, max(minFactor, observed)) - c.e.factor)
 	}
-	// Only an endpoint without other work shows how fast it reads.
-	if c.Unread >= leastSample && c.Running == 0 && took > 0 {
-		rate := c.Unread / took.Seconds()
+	// Only an endpoint with little other work shows how fast it reads.
+	if reading := took - firstEventBase; c.Unread >= leastSample && c.Running <= 1 && reading > 0 {
+		rate := c.Unread / reading.Seconds()
 		s.readRate += learnWeight * (min(maxReadRate, max(minReadRate, rate)) - s.readRate)
 	}
 	if c.Unread == 0 {
@@ -132,7 +132,7 @@
 func (f *Fleet) endPending(c *Choice) {
 	if !c.started {
 		c.started = true
-		c.e.pending = max(0, c.e.pending-c.Unread)
+		c.e.pending[c.rank] = max(0, c.e.pending[c.rank]-c.Unread)
 	}
 }
 
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -24,6 +24,11 @@
 		Tried []string
 		// Left is the time until the request must have been answered.
 		Left time.Duration
+		// Target is the time to the first event that callers count as on time;
+		// 0 means none.
+		Target time.Duration
+		// Rank is the request's urgency, 0 being the highest.
+		Rank int
 	}
 
 	// Part is a piece of a prompt that requests may share.
@@ -52,6 +57,9 @@
 
 		e       *endpoint
 		service string
+		rank    int
+		// alone is the expected time to the first event on an idle endpoint.
+		alone   time.Duration
 		started bool
 	}
 
@@ -98,6 +106,8 @@
 	// connShare leaves a part of the connections that an endpoint accepts for
 	// connections that end or begin.
 	connShare = 0.85
+	// retrySpread keeps callers that were refused at once from returning at once.
+	retrySpread = 500 * time.Millisecond
 	// retrySoon is when to come back if nothing is known about when room is expected.
 	retrySoon = 500 * time.Millisecond
 	// firstEventBase is the part of a first event's latency that does not
@@ -136,14 +146,25 @@
 	if best == nil {
 		return nil, refusal
 	}
-	if best.Expected > r.Left {
+	if limit := f.limit(d, r, best); best.Expected > limit {
 		refusal.Reason = ReasonNoTimeLeft
-		refusal.RetryAfter = max(retrySoon, best.Expected-r.Left)
+		refusal.RetryAfter = best.Expected - limit + time.Duration(f.Rand.Int64N(int64(retrySpread)))
 		return nil, refusal
 	}
 	return best, nil
 }
 
+// limit returns the expected time to the first event above which a request is
+// refused. A queue that grows beyond what is on time makes all later requests
+// late and serves none more, so that a prompt that would have to wait behind
+// others for longer is refused at once.
+func (f *Fleet) limit(d *clcatalog.Service, r Request, c *Choice) time.Duration {
+	if d.Engine == nil || r.Target <= 0 {
+		return r.Left
+	}
+	return min(r.Left, max(r.Target, 2*c.alone))
+}
+
 // best returns the endpoint with the lowest score of one side of the split, or nil.
 func (f *Fleet) best(s *service, d *clcatalog.Service, r Request, useNew bool, now time.Time) (*Choice, *Refusal) {
 	refusal := &Refusal{Reason: ReasonNone, RetryAfter: retrySoon, Counts: map[Reason]int{}}
@@ -212,7 +233,7 @@
 	b := e.busy()
 	c := &Choice{
 		Endpoint: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-		Running: b.Running, Starting: now.Sub(e.since) < startingFor, e: e, service: r.Service,
+		Running: b.Running, Starting: now.Sub(e.since) < startingFor, e: e, service: r.Service, rank: bounded(r.Rank),
 	}
 	slots := max(1, e.Slots)
 	fill := float64(b.Running) / float64(slots)
@@ -225,12 +246,13 @@
 		expected = latency.Seconds() * (1 + fill)
 	} else {
 		c.Unread = e.unread(r.Parts, now)
-		expected = firstEventBase.Seconds() + (b.Pending+c.Unread)/s.readRate*(1+slotSlowdown*fill)
+		expected = firstEventBase.Seconds() + (b.Pending.upTo(r.Rank)+c.Unread)/s.readRate*(1+slotSlowdown*fill)
 		if over := b.Running - slots; over >= 0 {
 			expected += fullWait.Seconds() * float64(over+1) / float64(slots)
 		}
 	}
 	c.Expected = time.Duration(expected * e.factor * float64(time.Second))
+	c.alone = time.Duration((firstEventBase.Seconds() + c.Unread/s.readRate) * float64(time.Second))
 	return c
 }
 
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -89,9 +89,11 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && len(s.Rest()) == 0:
+		// A connection that closed within the answer wraps io.EOF; only the
+		// plain one says that the answer is whole.
+		case err == io.EOF && len(s.Rest()) == 0:
 			return g.endStream(a, p, events)
-		case errors.Is(err, io.EOF):
+		case err == io.EOF:
 			return g.failed(ctx, a, &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("the stream ended within an event")})
 		default:
 			return g.failed(ctx, a, err)
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -181,7 +181,7 @@
 	}
 	answer, err := g.Client.Do(ctx, clendpoint.Call{
 		Endpoint: a.choice.Address, Method: a.r.Method, Path: a.r.RequestURI,
-		Header: g.Headers.Forward(a.r.Header, stamp), Body: a.body, Timeouts: g.timeouts(a.call, left),
+		Header: g.Headers.Forward(a.r.Header, stamp), Body: a.body, Timeouts: g.timeouts(a, left),
 	})
 	if err != nil {
 		return g.failed(ctx, a, err)
@@ -205,11 +205,11 @@
 
 // timeouts limit how long an endpoint may be silent. A request that cannot be
 // repeated waits as long as its caller does.
-func (g *Gateway) timeouts(c *call, left time.Duration) clendpoint.Timeouts {
+func (g *Gateway) timeouts(c *attempt, left time.Duration) clendpoint.Timeouts {
 	t := clendpoint.Timeouts{Connect: min(left, connectTimeout), FirstByte: left, BetweenReads: left}
 	if c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts {
 		if c.route.Kind == clcatalog.Streaming {
-			t.FirstByte, t.BetweenReads = min(left, streamSilence), min(left, streamSilence)
+			t.FirstByte, t.BetweenReads = min(left, streamSilence+c.choice.Expected), min(left, streamSilence)
 		} else {
 			t.FirstByte = time.Duration(float64(left) * firstShare)
 			t.BetweenReads = t.FirstByte
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -188,6 +188,7 @@
 func (g *Gateway) pick(c *call) (*clfleet.Choice, *clfleet.Refusal, clfleet.Request) {
 	req := clfleet.Request{
 		ID: c.says.ID, Service: c.service, Parts: c.says.Parts, Tried: c.tried, Left: time.Until(c.end),
+		Target: c.route.TargetLatency, Rank: c.route.Rank(c.account),
 	}
 	if len(req.Parts) == 0 && c.says.PromptTokens > 0 {
 		req.Parts = []clfleet.Part{{ID: c.fingerprint, Tokens: c.says.PromptTokens}}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -153,7 +153,7 @@
 		d.Spending = append(d.Spending, &clgossip.Spending{Account: account, Cost: cost})
 	}
 	for _, w := range n.fleet.Work() {
-		d.Busy = append(d.Busy, &clgossip.Busy{Endpoint: w.Endpoint, Running: uint32(w.Running), PendingTokens: uint32(w.Pending)})
+		d.Busy = append(d.Busy, &clgossip.Busy{Endpoint: w.Endpoint, Running: uint32(w.Running), PendingTokens: w.Pending.Encode()})
 	}
 	for number, counts := range n.usage.Own() {
 		d.Windows = append(d.Windows, &clgossip.Window{Number: number, Counts: counts})
@@ -188,7 +188,7 @@
 		}), now)
 	}
 	n.fleet.Learn(d.GetName(), lo.Map(d.GetBusy(), func(b *clgossip.Busy, _ int) clfleet.Work {
-		return clfleet.Work{Endpoint: b.GetEndpoint(), Busy: clfleet.Busy{Running: int(b.GetRunning()), Pending: float64(b.GetPendingTokens())}}
+		return clfleet.Work{Endpoint: b.GetEndpoint(), Busy: clfleet.Busy{Running: int(b.GetRunning()), Pending: clfleet.DecodePending(b.GetPendingTokens())}}
 	}))
 	n.usage.Learn(d.GetName(), d.GetBoot(), lo.SliceToMap(d.GetWindows(), func(w *clgossip.Window) (int64, map[string]uint64) {
 		return w.GetNumber(), w.GetCounts()
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -411,13 +412,16 @@
 		return nil
 	}
 	var out []clduty.Situation
+	n.mu.Lock()
+	evacuated := maps.Clone(n.out)
+	n.mu.Unlock()
 	for _, s := range cat.Services {
 		if s.Scaling == nil {
 			continue
 		}
 		have := n.fleet.Endpoints(s.Name)
 		have = slices.DeleteFunc(have, func(e clcatalog.Endpoint) bool { return e.Leaving })
-		out = append(out, clduty.Situation{Service: s.Name, Scaling: *s.Scaling, Have: have, Load: n.load.busy(s.Name, clclock.Now())})
+		out = append(out, clduty.Situation{Service: s.Name, Scaling: *s.Scaling, Have: have, Load: n.load.busy(s.Name, clclock.Now()), Out: evacuated})
 	}
 	return out
 }
