--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -63,8 +63,11 @@
 		loaded   bool
 		ordered  map[orderKey]sentOrder
 		planners map[string]*Planner
-		fenced   uint64
-		firstWin int64
+		// fenced is the highest own fencing number that the cloud has refused.
+		fenced uint64
+		// first is the window in which this process started; it knows too
+		// little of the ones before.
+		first int64
 	}
 
 	orderKey struct {
@@ -101,6 +104,7 @@
 // Run competes for the lease and does the duties until ctx ends.
 func (d *Duties) Run(ctx context.Context) error {
 	d.init()
+	d.first = d.Usage.Number(d.Now())
 	ended := make(chan error, 1)
 	go d.runLease(ctx, ended)
 	t := time.NewTicker(tick)
@@ -162,10 +166,7 @@
 	}
 	now := d.Now()
 	current := d.Usage.Number(now)
-	if d.firstWin == 0 {
-		d.firstWin = current
-	}
-	for n := max(d.firstWin, current-keptWindows+1); n < current; n++ {
+	for n := max(d.first, current-keptWindows+1); n < current; n++ {
 		if now.Before(d.Usage.End(n).Add(gather)) || d.known(n) != nil {
 			continue
 		}
@@ -303,7 +304,7 @@
 		if o.Spot {
 			p.Refused(o.DataCentre, now)
 		}
-		d.ordered[key] = sentOrder{o.Count, now}
+		d.ordered[key] = sentOrder{have, now}
 	case err == nil:
 		d.ordered[key] = sentOrder{o.Count, now}
 	default:
--- /dev/null
+++ b/internal/coordination/clduty/duties_test.go
@@ -0,0 +1,144 @@
+// This file tests the holder of the duties against a store and a cloud that misbehave.
+
+package clduty
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// recordingCloud keeps what it accepts, and may lose answers or refuse.
+type recordingCloud struct {
+	mu       sync.Mutex
+	reports  map[int64]map[string]uint64
+	calls    int
+	loseNext int
+	refuse   bool
+	// differing counts reports for a window that differ from the accepted one.
+	differing int
+	byToken   map[uint64]string
+	shared    int
+}
+
+func (c *recordingCloud) ReportUsage(_ context.Context, by Holder, window int64, counts map[string]uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.refuse {
+		return ErrRefused
+	}
+	if c.reports == nil {
+		c.reports, c.byToken = map[int64]map[string]uint64{}, map[uint64]string{}
+	}
+	if name, ok := c.byToken[by.Fencing]; ok && name != by.Name {
+		c.shared++
+	}
+	c.byToken[by.Fencing] = by.Name
+	if old, ok := c.reports[window]; ok && !maps.Equal(old, counts) {
+		c.differing++
+	}
+	c.reports[window] = maps.Clone(counts)
+	if c.loseNext > 0 {
+		c.loseNext--
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+func (c *recordingCloud) OrderEndpoints(context.Context, Holder, Order) error { return nil }
+
+func (c *recordingCloud) state() (windows, calls, differing, shared int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.reports), c.calls, c.differing, c.shared
+}
+
+func newDuties(name string, store clstore.Store, cloud Cloud, usage *Usage) *Duties {
+	return &Duties{
+		Name: name, Process: name + "/1", TTL: 600 * time.Millisecond, Store: store, Cloud: cloud, Usage: usage,
+		Due: 20 * time.Second, Now: time.Now, Candidate: func() bool { return true }, Reports: true, Logger: zap.NewNop(),
+	}
+}
+
+// beginSoon counts a request in the present window and in the next one, as the
+// duties begin in either.
+func beginSoon(u *Usage) {
+	u.Began("x", time.Now())
+	u.Began("x", time.Now().Add(u.Window))
+}
+
+// Guards against two different reports for one window: the first holder's
+// answer is lost, it dies, and its successor has counted more since.
+func TestSuccessorRepeatsTheReport(t *testing.T) {
+	store := &clstore.Memory{}
+	cloud := &recordingCloud{loseNext: 1 << 30}
+	usage := &Usage{Window: time.Second}
+	beginSoon(usage)
+	first, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- newDuties("a", store, cloud, usage).Run(first) }()
+	require.Eventually(t, func() bool { n, _, _, _ := cloud.state(); return n >= 1 }, 10*time.Second, 10*time.Millisecond)
+	stop()
+	require.NoError(t, <-ended)
+	cloud.mu.Lock()
+	cloud.loseNext = 0
+	cloud.mu.Unlock()
+
+	more := &Usage{Window: time.Second}
+	for n, counts := range usage.Own() {
+		more.Learn("a", 1, map[int64]map[string]uint64{n: counts})
+		more.Learn("c", 1, map[int64]map[string]uint64{n: {"x": 5}})
+	}
+	second, stopSecond := context.WithCancel(t.Context())
+	_, before, _, _ := cloud.state()
+	go func() { ended <- newDuties("b", store, cloud, more).Run(second) }()
+	require.Eventually(t, func() bool { _, calls, _, _ := cloud.state(); return calls > before }, 10*time.Second, 10*time.Millisecond)
+	stopSecond()
+	require.NoError(t, <-ended)
+	_, _, differing, shared := cloud.state()
+	require.Zero(t, differing, "reports of one window with different counts")
+	require.Zero(t, shared, "holders with the same fencing number")
+}
+
+// Guards against a holder that goes on calling after the cloud has refused its
+// fencing number.
+func TestRefusedHolderStops(t *testing.T) {
+	cloud := &recordingCloud{refuse: true}
+	usage := &Usage{Window: time.Second}
+	beginSoon(usage)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- newDuties("a", &clstore.Memory{}, cloud, usage).Run(ctx) }()
+	require.Eventually(t, func() bool { _, calls, _, _ := cloud.state(); return calls == 1 }, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	_, calls, _, _ := cloud.state()
+	require.Equal(t, 1, calls)
+	stop()
+	require.NoError(t, <-ended)
+}
+
+// Guards against a report that is sent although it could not be stored first.
+func TestNothingIsReportedUnstored(t *testing.T) {
+	store := &clstore.Memory{Fault: func(op, key string) clstore.Fault {
+		if op == "update" && key == reportsKey {
+			return clstore.FaultUnavailable
+		}
+		return clstore.FaultNone
+	}}
+	cloud := &recordingCloud{}
+	usage := &Usage{Window: time.Second}
+	beginSoon(usage)
+	ctx, stop := context.WithTimeout(t.Context(), 4*time.Second)
+	defer stop()
+	require.NoError(t, newDuties("a", store, cloud, usage).Run(ctx))
+	_, calls, _, _ := cloud.state()
+	require.Zero(t, calls)
+}
--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -27,7 +27,8 @@
 		Scaling clcatalog.Scaling
 		// Have are the endpoints that are not leaving.
 		Have []clcatalog.Endpoint
-		// Load is the number of endpoints that the present requests keep busy.
+		// Load is the number of endpoints that the present requests keep busy;
+		// below 0 it is not known yet, and the present size is kept.
 		Load float64
 		// Out are the data centres that are to get no requests.
 		Out map[string]bool
@@ -43,6 +44,8 @@
 		// falls only after it was too high for calmFor.
 		demand    int
 		highSince time.Time
+		// placed is how many of these were last ordered, by data centre.
+		placed map[string]int
 	}
 
 	// place is one data centre of a situation.
@@ -57,6 +60,9 @@
 	// busyTarget is the part of the endpoints that should be busy. Requests
 	// come in bunches, and a first event waits for the prompts before it.
 	busyTarget = 0.5
+	// busyDemandTarget is the same for endpoints at the usual price that stand
+	// in for spot ones for a while.
+	busyDemandTarget = 0.7
 	// spotSurplus is how many spot endpoints there are beyond the need: the
 	// loss of one data centre of three leaves almost enough.
 	spotSurplus = 1.3
@@ -65,6 +71,9 @@
 	leastSpot = 2
 	// leastDemand is how many endpoints that cannot be reclaimed there are at least.
 	leastDemand = 1
+	// demandRoom is how many places of a data centre are kept from spot
+	// endpoints, so that there is room for others before spot ones have left.
+	demandRoom = 1
 	// calmFor is how long endpoints at the usual price stay after the spot
 	// ones are enough again, because reclaims come in waves.
 	calmFor = 6 * time.Second
@@ -92,13 +101,17 @@
 	if len(places) == 0 {
 		return nil
 	}
-	need := max(1, int(math.Ceil(s.Load/busyTarget)))
+	load := s.Load
+	if load < 0 {
+		load = float64(len(s.Have)) * busyTarget
+	}
+	need := max(1, int(math.Ceil(load/busyTarget)))
 	perPlace := max(leastSpot, int(math.Ceil(float64(need)*spotSurplus/float64(len(places)))))
 	var orders []Order
 	expected := 0
 	spots := make([]int, len(places))
 	for i, pl := range places {
-		spots[i] = min(perPlace, s.Scaling.Max)
+		spots[i] = min(perPlace, max(1, s.Scaling.Max-demandRoom))
 		expected += p.expectedSpot(pl, spots[i], s.Scaling.Boot, now)
 		if pl.spot < spots[i] && now.Before(p.refused[pl.name]) {
 			spots[i] = pl.spot // asking again would only be refused
@@ -112,8 +125,8 @@
 			delete(p.ordered, pl.name)
 		}
 	}
-	demand := p.settle(max(leastDemand, need-expected), now)
-	for i, n := range spreadDemand(places, spots, demand, s.Scaling) {
+	demand := p.settle(max(leastDemand, int(math.Ceil(load/busyDemandTarget))-expected), now)
+	for i, n := range p.spread(places, spots, demand, s.Scaling) {
 		orders = append(orders,
 			Order{Service: s.Service, DataCentre: places[i].name, Spot: true, Count: min(spots[i], s.Scaling.Max-n)},
 			Order{Service: s.Service, DataCentre: places[i].name, Count: n})
@@ -143,31 +156,30 @@
 	return p.demand
 }
 
-// spreadDemand divides endpoints at the usual price among the data centres:
-// those that run stay if they are still wanted, as a new one has to boot.
-func spreadDemand(places []place, spots []int, demand int, sc clcatalog.Scaling) []int {
+// spread divides endpoints at the usual price among the data centres, where
+// spot ones leave room. Those that run or boot stay while they are wanted, as a
+// new one has to boot. A data centre that would have fewer endpoints than it
+// must gets more besides.
+func (p *Planner) spread(places []place, spots []int, demand int, sc clcatalog.Scaling) []int {
 	out := make([]int, len(places))
-	for i := range places {
-		out[i] = max(0, sc.Min-spots[i])
-		demand -= out[i]
-	}
 	for i, pl := range places {
-		n := max(0, min(demand, pl.demand-out[i], sc.Max-out[i]))
-		out[i] += n
-		demand -= n
+		out[i] = max(0, min(demand, max(pl.demand, p.placed[pl.name]), sc.Max-pl.spot))
+		demand -= out[i]
 	}
-	for demand > 0 {
-		placed := false
+	for free := true; demand > 0 && free; {
+		free = false
 		for i := range places {
-			if demand > 0 && out[i] < sc.Max {
+			if demand > 0 && out[i] < sc.Max-places[i].spot {
 				out[i]++
 				demand--
-				placed = true
+				free = true
 			}
 		}
-		if !placed {
-			break
-		}
+	}
+	p.placed = make(map[string]int, len(places))
+	for i, pl := range places {
+		p.placed[pl.name] = out[i]
+		out[i] = max(out[i], sc.Min-spots[i])
 	}
 	return out
 }
--- /dev/null
+++ b/internal/coordination/clduty/plan_test.go
@@ -0,0 +1,193 @@
+// This file tests the orders for endpoints.
+
+package clduty
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/stretchr/testify/require"
+)
+
+// cloudModel carries orders out: endpoints boot, and spot ones may be reclaimed.
+type cloudModel struct {
+	now       time.Time
+	scaling   clcatalog.Scaling
+	endpoints []modelEndpoint
+	// dryUntil is until when no spot endpoints are to be had anywhere.
+	dryUntil time.Time
+	planner  Planner
+	load     float64
+	orders   int
+	last     map[Order]bool
+	cost     float64
+}
+
+type modelEndpoint struct {
+	dc      string
+	spot    bool
+	readyAt time.Time
+	leaves  time.Time
+}
+
+const modelStep = 250 * time.Millisecond
+
+func newCloudModel(load float64) *cloudModel {
+	m := &cloudModel{now: time.Unix(1000, 0), load: load, last: map[Order]bool{}, scaling: clcatalog.Scaling{
+		Min: 1, Max: 6, Boot: 4 * time.Second, SpotPrice: 0.18, Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1},
+	}}
+	for _, dc := range []string{"a", "b", "c"} {
+		for range 3 {
+			m.endpoints = append(m.endpoints, modelEndpoint{dc: dc})
+		}
+	}
+	return m
+}
+
+func (m *cloudModel) have() []clcatalog.Endpoint {
+	var out []clcatalog.Endpoint
+	for _, e := range m.endpoints {
+		if !e.readyAt.After(m.now) && e.leaves.IsZero() {
+			out = append(out, clcatalog.Endpoint{DataCentre: e.dc, Spot: e.spot})
+		}
+	}
+	return out
+}
+
+// ready returns the endpoints that serve, those that are about to leave included.
+func (m *cloudModel) ready() int {
+	n := 0
+	for _, e := range m.endpoints {
+		if !e.readyAt.After(m.now) {
+			n++
+		}
+	}
+	return n
+}
+
+// step plans once and carries the orders out.
+func (m *cloudModel) step() {
+	m.now = m.now.Add(modelStep)
+	kept := m.endpoints[:0]
+	for _, e := range m.endpoints {
+		if e.leaves.IsZero() || m.now.Before(e.leaves) {
+			kept = append(kept, e)
+			price := m.scaling.Prices[e.dc]
+			if e.spot {
+				price *= m.scaling.SpotPrice
+			}
+			m.cost += price * modelStep.Seconds()
+		}
+	}
+	m.endpoints = kept
+	for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load}, m.now) {
+		m.carryOut(o)
+	}
+}
+
+func (m *cloudModel) carryOut(o Order) {
+	n := 0
+	for _, e := range m.endpoints {
+		if e.dc == o.DataCentre && e.spot == o.Spot && e.leaves.IsZero() {
+			n++
+		}
+	}
+	if n != o.Count {
+		m.orders++
+	}
+	for ; n < o.Count; n++ {
+		if o.Spot && m.now.Before(m.dryUntil) {
+			m.planner.Refused(o.DataCentre, m.now)
+			return
+		}
+		m.endpoints = append(m.endpoints, modelEndpoint{dc: o.DataCentre, spot: o.Spot, readyAt: m.now.Add(m.scaling.Boot)})
+	}
+	for i := range m.endpoints {
+		if e := &m.endpoints[i]; n > o.Count && e.dc == o.DataCentre && e.spot == o.Spot && e.leaves.IsZero() {
+			e.leaves = m.now.Add(2 * time.Second)
+			n--
+		}
+	}
+}
+
+// reclaim announces that all spot endpoints of a data centre leave.
+func (m *cloudModel) reclaim(dc string, dryFor time.Duration) {
+	for i := range m.endpoints {
+		if e := &m.endpoints[i]; e.dc == dc && e.spot && e.leaves.IsZero() {
+			e.leaves = m.now.Add(2500 * time.Millisecond)
+		}
+	}
+	m.dryUntil = m.now.Add(dryFor)
+}
+
+func (m *cloudModel) run(d time.Duration, each func()) {
+	for end := m.now.Add(d); m.now.Before(end); {
+		m.step()
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// Guards against all spot endpoints leaving within seconds with none to be
+// had for a while: endpoints at the usual price must take their place and
+// stay, instead of being taken back before they have booted.
+func TestWaveOfReclaims(t *testing.T) {
+	m := newCloudModel(3)
+	m.run(20*time.Second, nil)
+	require.GreaterOrEqual(t, m.ready(), 6)
+	least := m.ready()
+	watch := func() { least = min(least, m.ready()) }
+	for _, dc := range []string{"c", "b", "a"} {
+		m.reclaim(dc, 14*time.Second)
+		m.run(5*time.Second, watch)
+	}
+	require.GreaterOrEqual(t, least, 3, "the load keeps three busy; a boot takes longer than the notice")
+	m.run(4*time.Second, nil)
+	require.GreaterOrEqual(t, float64(m.ready()), m.load/busyDemandTarget)
+	m.run(20*time.Second, watch)
+	require.GreaterOrEqual(t, float64(m.ready()), m.load/busyTarget)
+	demand := 0
+	for _, e := range m.endpoints {
+		if !e.spot {
+			demand++
+		}
+	}
+	require.LessOrEqual(t, demand, 2, "the spot endpoints are back")
+}
+
+// Guards against orders that flap while nothing changes, and against a bill
+// near that of the usual price.
+func TestSteadyLoad(t *testing.T) {
+	m := newCloudModel(2)
+	m.run(20*time.Second, nil)
+	m.orders, m.cost = 0, 0
+	m.run(60*time.Second, nil)
+	require.Zero(t, m.orders)
+	require.Less(t, m.cost, 0.5*60*9, "nine endpoints at the usual price cost about 9 a second")
+}
+
+// Guards against more endpoints than a data centre may have, fewer than it
+// must have, and orders for one that is out.
+func TestBounds(t *testing.T) {
+	for _, load := range []float64{0, 1, 4, 9, 100} {
+		m := newCloudModel(load)
+		m.run(20*time.Second, func() {
+			count := map[string]int{}
+			for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load}, m.now) {
+				require.GreaterOrEqual(t, o.Count, 0)
+				count[o.DataCentre] += o.Count
+			}
+			for dc, n := range count {
+				require.GreaterOrEqual(t, n, 1, "%s at load %v", dc, load)
+				require.LessOrEqual(t, n, 6, "%s at load %v", dc, load)
+			}
+		})
+	}
+	var p Planner
+	for _, o := range p.Plan(Situation{Scaling: newCloudModel(0).scaling, Load: 3, Out: map[string]bool{"b": true}}, time.Unix(1000, 0)) {
+		require.NotEqual(t, "b", o.DataCentre)
+	}
+	require.Nil(t, p.Plan(Situation{}, time.Unix(1000, 0)))
+}
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -1,9 +1,12 @@
-// Package clmirror keeps copies of the objects of one kind that lie in the
-// platform's store, and knows how recent they are.
+// This file defines the copy of the objects of one kind.
+
 package clmirror
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,7 +17,7 @@
 )
 
 type (
-	// Source reads the objects of one kind.
+	// Source reads the objects of one kind from the store.
 	Source[T any] interface {
 		// List returns all objects; the batch's Changes replace what was known.
 		List(ctx context.Context) (Batch[T], error)
@@ -27,7 +30,7 @@
 	// Batch is the outcome of a read.
 	Batch[T any] struct {
 		Changes []Change[T]
-		// Cursor is where a later watch goes on.
+		// Cursor is the store's revision, after which a later watch goes on.
 		Cursor uint64
 	}
 
@@ -36,134 +39,290 @@
 		Name    string
 		Value   T
 		Removed bool
-		// Err says why an object that is there cannot be used; Removed is then set.
-		Err error
+		// Revision is the store's revision of the change.
+		Revision uint64
+		// Why says why an object that is there cannot be used; Removed is then set.
+		Why string
 	}
 
-	// Mirror follows a Source. Exported fields are set before Run.
+	// Mirror keeps a copy of the objects of one kind. Exported fields are set
+	// before the Hub that it belongs to runs.
 	Mirror[T any] struct {
 		Name   string
 		Source Source[T]
-		// Wait is how long a watch waits for a change, which bounds the age of
-		// Confirmed on a calm store.
-		Wait time.Duration
+		// Wait is how long a watch waits for a change, and Pause the time
+		// between two; both bound the age of Confirmed on a calm store.
+		Wait, Pause time.Duration
 		// Apply gets each change of the copy, in order; complete says that
 		// changes are all objects there are.
 		Apply func(changes []Change[T], complete bool)
-		// OnFailure, if set, is called after a failed call.
-		OnFailure func()
-		Logger    *zap.Logger
+		// Leads says that this mirror finds out whether the store is back when
+		// it was lost, and that the others wait for it.
+		Leads  bool
+		Logger *zap.Logger
+
+		hub *Hub
 
 		mu        sync.Mutex
 		confirmed time.Time
 		cancel    context.CancelFunc
-		ready     chan struct{}
-		once      sync.Once
+		objects   map[string]T
+		listed    bool
+		// cursor is the store's revision that the copy has reached, and newest
+		// that of its last change.
+		cursor, newest uint64
+		// sequence counts the changes of the copy; log holds the last ones.
+		sequence uint64
+		log      []Change[T]
+	}
+
+	// Position is how far a follower has got with one reader's copy.
+	Position struct {
+		// Reader is the reader's start; another one counts anew.
+		Reader   uint64
+		Sequence uint64
+		// Cursor is the store's revision that the copy has reached, and Newest
+		// that of its last change.
+		Cursor, Newest uint64
+	}
+
+	// delta is what a reader sends of one kind.
+	delta[T any] struct {
+		Changes  []Change[T]
+		Complete bool
+		Position Position
+	}
+
+	// mirror is a Mirror of any kind, as its Hub sees it.
+	mirror interface {
+		name() string
+		run(ctx context.Context)
+		attach(h *Hub)
+		// since returns what a follower lacks, or nil if that is nothing.
+		since(p Position) ([]byte, error)
+		// take applies what a reader has sent.
+		take(data []byte) (Position, error)
+		position() Position
+		Renew()
 	}
 )
 
 // ErrHistoryGone says that a watch cannot go on and that the objects must be listed again.
 var ErrHistoryGone = errors.New("the store has dropped the history; list again")
 
+// errBehind says that a reader knows less than its follower.
+var errBehind = errors.New("the reader is behind this copy; read from another one")
+
 const (
 	// callSlack is the time that a call may take beyond its wait; the store
 	// answers in milliseconds, and in a few hundred when it is slow.
-	callSlack = 900 * time.Millisecond
+	callSlack = 700 * time.Millisecond
 	// firstBackoff and maxBackoff space calls that fail: a store that is back
-	// is noticed soon, and all gateways together stay far below its rates.
+	// is noticed soon, and the readers together stay far below its rates.
 	firstBackoff = 60 * time.Millisecond
-	maxBackoff   = 500 * time.Millisecond
+	maxBackoff   = 600 * time.Millisecond
 	// calm is the least time between two watches, so that a series of changes
 	// costs a few calls and not one each.
-	calm = 40 * time.Millisecond
+	calm = 150 * time.Millisecond
+	// roleCheck is how often a copy that another gateway feeds asks whether it
+	// is to read the store.
+	roleCheck = 100 * time.Millisecond
+	// maxWaitForLead is how long a mirror waits for the leading one at most.
+	maxWaitForLead = 3 * time.Second
+	// loggedChanges bounds the changes that followers can catch up with; those
+	// that lack more get the whole copy.
+	loggedChanges = 1024
 )
 
-// Run follows the source until ctx ends.
-func (m *Mirror[T]) Run(ctx context.Context) {
-	m.init()
-	var cursor uint64
-	backoff, listed, lost := firstBackoff, false, false
+// Confirmed returns the latest time at which the copy was known to be
+// complete, or zero before the first list.
+func (m *Mirror[T]) Confirmed() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmed
+}
+
+// Confirm records that another gateway's copy, which this one follows, was
+// complete at a time.
+func (m *Mirror[T]) Confirm(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listed && at.After(m.confirmed) {
+		m.confirmed = at
+	}
+}
+
+// Renew abandons a waiting watch, whose connection may have gone silent.
+func (m *Mirror[T]) Renew() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cancel != nil {
+		m.cancel()
+	}
+}
+
+func (m *Mirror[T]) name() string { return m.Name }
+
+func (m *Mirror[T]) attach(h *Hub) { m.hub = h }
+
+// run reads the store until ctx ends, while this gateway is a reader.
+func (m *Mirror[T]) run(ctx context.Context) {
+	backoff, lost := firstBackoff, false
 	for ctx.Err() == nil {
+		if !m.hub.reads() && m.isListed() {
+			pause(ctx, roleCheck)
+			continue
+		}
 		sent := clclock.Now()
-		batch, err := m.call(ctx, listed, cursor)
+		batch, complete, err := m.call(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			listed = false
-			m.Logger.Info("history is gone, listing again", zap.String("kind", m.Name), zap.Uint64("cursor", cursor))
+			m.mu.Lock()
+			m.listed = false
+			m.mu.Unlock()
+			m.Logger.Info("history is gone, listing again", zap.String("kind", m.Name))
 		case err != nil:
 			if !lost && ctx.Err() == nil {
 				lost = true
-				m.Logger.Warn("store lost", zap.String("kind", m.Name), zap.Uint64("cursor", cursor), zap.Error(err))
-			}
-			if m.OnFailure != nil {
-				m.OnFailure()
+				m.Logger.Warn("store lost", zap.String("kind", m.Name), zap.Error(err))
 			}
-			pause(ctx, backoff/2+rand.N(backoff))
+			m.backOff(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		default:
 			if lost {
 				m.Logger.Info("store regained", zap.String("kind", m.Name), zap.Uint64("cursor", batch.Cursor))
 			}
-			m.Apply(batch.Changes, !listed)
-			cursor, backoff, listed, lost = batch.Cursor, firstBackoff, true, false
-			m.confirm(sent)
-			if len(batch.Changes) > 0 {
-				pause(ctx, calm)
+			m.change(batch.Changes, complete, batch.Cursor, sent)
+			backoff, lost = firstBackoff, false
+			if len(batch.Changes) > 0 || m.Pause > 0 {
+				pause(ctx, max(calm, m.Pause))
 			}
 		}
 	}
 }
 
-// Confirmed returns the latest time at which the copy was known to be
-// complete, or zero before the first list.
-func (m *Mirror[T]) Confirmed() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.confirmed
-}
-
-// Ready is closed after the first list.
-func (m *Mirror[T]) Ready() <-chan struct{} {
-	m.init()
-	return m.ready
+// backOff waits after a failed call. While the store is lost, only the leading
+// mirror asks again and again, as refused calls are priced too.
+func (m *Mirror[T]) backOff(ctx context.Context, d time.Duration) {
+	if m.Leads {
+		// The others' watches may hang on connections that have gone silent.
+		m.hub.Renew()
+		pause(ctx, d)
+		return
+	}
+	end := clclock.Now().Add(maxWaitForLead)
+	for pause(ctx, d); ctx.Err() == nil && !m.hub.confirmedLately() && clclock.Now().Before(end); {
+		pause(ctx, roleCheck)
+	}
 }
 
-// Renew abandons a waiting watch, whose connection may have gone silent.
-func (m *Mirror[T]) Renew() {
+func (m *Mirror[T]) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.cancel != nil {
-		m.cancel()
-	}
+	return m.listed
 }
 
-func (m *Mirror[T]) init() { m.once.Do(func() { m.ready = make(chan struct{}) }) }
-
-func (m *Mirror[T]) call(ctx context.Context, listed bool, cursor uint64) (Batch[T], error) {
+func (m *Mirror[T]) call(ctx context.Context) (b Batch[T], complete bool, err error) {
+	m.mu.Lock()
+	listed, cursor := m.listed, m.cursor
 	limit := callSlack
 	if listed {
 		limit += m.Wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	m.mu.Lock()
 	m.cancel = cancel
 	m.mu.Unlock()
+	defer cancel()
 	if !listed {
-		return m.Source.List(ctx)
+		b, err = m.Source.List(ctx)
+		return b, true, err
 	}
-	return m.Source.Watch(ctx, cursor, m.Wait)
+	b, err = m.Source.Watch(ctx, cursor, m.Wait)
+	return b, false, err
 }
 
-// confirm records a call's time of sending: the store answered later, so its
-// state was at least that recent.
-func (m *Mirror[T]) confirm(sent time.Time) {
+// change applies changes to the copy, which was complete at confirmed unless
+// that is zero, and passes them on.
+func (m *Mirror[T]) change(changes []Change[T], complete bool, cursor uint64, confirmed time.Time) {
+	m.mu.Lock()
+	if complete || m.objects == nil {
+		m.objects = make(map[string]T, len(changes))
+	}
+	for _, c := range changes {
+		if c.Removed {
+			delete(m.objects, c.Name)
+		} else {
+			m.objects[c.Name] = c.Value
+		}
+		m.newest = max(m.newest, c.Revision)
+	}
+	m.sequence += uint64(len(changes))
+	m.log = append(m.log, changes...)
+	if over := len(m.log) - loggedChanges; over > 0 {
+		m.log = m.log[over:]
+	}
+	if complete {
+		// Followers cannot tell from the log what a list has left out.
+		m.log = nil
+		m.sequence++
+	}
+	m.listed, m.cursor = true, max(cursor, m.cursor)
+	if confirmed.After(m.confirmed) {
+		m.confirmed = confirmed
+	}
+	m.mu.Unlock()
+	m.Apply(changes, complete)
+	if len(changes) > 0 || complete {
+		m.hub.notify()
+	}
+}
+
+func (m *Mirror[T]) position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Position{Sequence: m.sequence, Cursor: m.cursor, Newest: m.newest}
+}
+
+func (m *Mirror[T]) since(p Position) ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.confirmed.IsZero() {
-		close(m.ready)
+	if !m.listed {
+		return nil, nil
 	}
-	m.confirmed = sent
+	d := delta[T]{Position: Position{Reader: m.hub.Self, Sequence: m.sequence, Cursor: m.cursor, Newest: m.newest}}
+	lacks := m.sequence - p.Sequence
+	switch {
+	case p.Reader != m.hub.Self || p.Sequence > m.sequence || lacks > uint64(len(m.log)):
+		d.Complete = true
+		for name, v := range maps.All(m.objects) {
+			d.Changes = append(d.Changes, Change[T]{Name: name, Value: v})
+		}
+	case lacks == 0:
+		return nil, nil
+	default:
+		d.Changes = m.log[uint64(len(m.log))-lacks:]
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(d); err != nil {
+		return nil, errors.Wrap(err, "encode changes")
+	}
+	return b.Bytes(), nil
+}
+
+func (m *Mirror[T]) take(data []byte) (Position, error) {
+	var d delta[T]
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d); err != nil {
+		return Position{}, errors.Wrap(err, "decode changes")
+	}
+	if d.Position.Newest < m.position().Newest {
+		return Position{}, errBehind
+	}
+	m.change(d.Changes, d.Complete, d.Position.Cursor, time.Time{})
+	m.mu.Lock()
+	// The reader's last change may be a removal that its copy does not show.
+	m.newest = max(m.newest, d.Position.Newest)
+	m.mu.Unlock()
+	return d.Position, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/limits/clquota/ledger_test.go
@@ -0,0 +1,122 @@
+// This file tests quotas that several gateways spend together.
+
+package clquota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const exchangeEvery = 200 * time.Millisecond
+
+// Guards against gateways that together admit more than an account's quota in
+// any window, beyond what they admit between two exchanges, also while some of
+// them are cut off from each other.
+func TestGatewaysKeepTheQuotaTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst, cost, window = 1000.0, 1000.0, 20.0, 8 * time.Second
+		n := rapid.IntRange(2, 9).Draw(t, "gateways")
+		demand := rapid.Float64Range(0.5, 6).Draw(t, "demand as a multiple of the rate")
+		cutAt := time.Duration(rapid.IntRange(2, 10).Draw(t, "cut at, s")) * time.Second
+		cutFor := time.Duration(rapid.IntRange(0, 8).Draw(t, "cut for, s")) * time.Second
+		ledgers := make([]*Ledger, n)
+		now := time.Unix(1000, 0)
+		start := now
+		for i := range ledgers {
+			ledgers[i] = &Ledger{}
+			ledgers[i].SetLimit("a", rate, burst, now)
+		}
+		type admission struct{ at time.Time }
+		var admitted []admission
+		perStep := demand * rate / cost / float64(n) * 0.01
+		owed := make([]float64, n)
+		for step := 0; now.Sub(start) < 20*time.Second; step++ {
+			now = now.Add(10 * time.Millisecond)
+			for i, l := range ledgers {
+				for owed[i] += perStep; owed[i] >= 1; owed[i]-- {
+					if ok, _ := l.Admit("a", cost, now); ok {
+						admitted = append(admitted, admission{now})
+					}
+				}
+			}
+			if step%20 == 0 {
+				exchange(ledgers, now, now.Sub(start) >= cutAt && now.Sub(start) < cutAt+cutFor)
+			}
+		}
+		// Between two exchanges each gateway sees the same level, so that the
+		// sum exceeds it by at most what arrives meanwhile; a gateway that is
+		// cut off goes by its peers' last rates.
+		slack := demand * rate * 2 * exchangeEvery.Seconds()
+		if cutFor > 0 {
+			slack += rate * 1.2
+		}
+		for i, first := range admitted {
+			sum := 0.0
+			for _, a := range admitted[i:] {
+				if a.at.Sub(first.at) >= window {
+					break
+				}
+				sum += cost
+			}
+			if limit := rate*window.Seconds() + burst + slack; sum > limit {
+				t.Fatalf("%.0f admitted in a window, the limit is %.0f", sum, limit)
+			}
+		}
+	})
+}
+
+// exchange sends each ledger's sums to the others, but for the first one if it is cut off.
+func exchange(ledgers []*Ledger, now time.Time, cut bool) {
+	for i, from := range ledgers {
+		for j, to := range ledgers {
+			if i != j && !(cut && (i == 0 || j == 0)) {
+				to.Learn(fmt.Sprint(i), 1, from.Spent(), now)
+			}
+		}
+	}
+}
+
+// Guards against a refusal of requests within the quota, and against a caller
+// that is told to come back too early.
+func TestAdmit(t *testing.T) {
+	l := &Ledger{}
+	now := time.Unix(1000, 0)
+	ok, _ := l.Admit("unlimited", 1e9, now)
+	require.True(t, ok)
+	l.SetLimit("a", 100, 200, now)
+	ok, _ = l.Admit("a", 100, now)
+	require.True(t, ok, "half of the burst is granted at the start")
+	ok, wait := l.Admit("a", 50, now)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, wait)
+	now = now.Add(wait)
+	ok, _ = l.Admit("a", 50, now)
+	require.True(t, ok)
+	l.Refund("a", 50)
+	ok, _ = l.Admit("a", 50, now)
+	require.True(t, ok, "a request that has not run costs nothing")
+	now = now.Add(time.Minute)
+	ok, _ = l.Admit("a", 1000, now)
+	require.True(t, ok, "a request above the burst is admitted from a full bucket")
+	ok, _ = l.Admit("a", 1, now.Add(time.Second))
+	require.False(t, ok, "and is paid for")
+}
+
+// Guards against a restarted peer whose sums begin anew being taken for
+// spending that was undone.
+func TestRestartedPeer(t *testing.T) {
+	l := &Ledger{}
+	now := time.Unix(1000, 0)
+	l.SetLimit("a", 100, 200, now)
+	l.Learn("p", 1, map[string]float64{"a": 5000}, now)
+	l.Learn("p", 2, map[string]float64{"a": 10}, now)
+	l.Learn("p", 2, map[string]float64{"a": 60}, now)
+	ok, _ := l.Admit("a", 51, now)
+	require.False(t, ok)
+	ok, _ = l.Admit("a", 50, now)
+	require.True(t, ok)
+}
--- a/internal/model/clcatalog/catalog.go
+++ b/internal/model/clcatalog/catalog.go
@@ -94,8 +94,9 @@
 	Account struct {
 		Name string
 		Keys []string
-		// Priority takes precedence over the route's, if set.
-		Priority *int
+		// Priority takes precedence over the route's, if HasPriority is set.
+		Priority    int
+		HasPriority bool
 		// InTokens says that Rate and Burst count tokens and not requests.
 		InTokens bool
 		// PlainTokens is the cost of a request that states no tokens.
@@ -195,8 +196,8 @@
 
 // Rank returns the priority of a request: the account's, or else the route's.
 func (r *Route) Rank(a *Account) int {
-	if a != nil && a.Priority != nil {
-		return *a.Priority
+	if a != nil && a.HasPriority {
+		return a.Priority
 	}
 	return r.Priority
 }
--- a/internal/routing/clfleet/cold.go
+++ b/internal/routing/clfleet/cold.go
@@ -22,14 +22,14 @@
 	return s.ColdPerSecond * coldUse / float64(max(1, f.gateways))
 }
 
-// setCold starts a cold period. The first request comes at a random time, so
-// that many gateways with a small share each do not all send one at once.
+// setCold starts a cold period. Each gateway begins with a random part of a
+// request, so that many with a small share each do not all send one at once.
 func (e *endpoint) setCold(now time.Time, lasts time.Duration, rate float64, rnd *rand.Rand) {
 	if rate <= 0 {
 		return
 	}
 	e.coldUntil, e.coldAt = now.Add(lasts), now
-	e.coldTokens = rnd.Float64() + min(0, rate-1)
+	e.coldTokens = rnd.Float64()
 	clear(e.cache)
 }
 
--- /dev/null
+++ b/internal/routing/clfleet/fleet_test.go
@@ -0,0 +1,329 @@
+// This file tests the choice of endpoints.
+
+package clfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/stretchr/testify/require"
+)
+
+var testStart = time.Unix(1000, 0)
+
+// newFleet returns a gateway's table in data centre "a" with an engine service
+// "llm" and a plain service "api".
+func newFleet(gateways int, endpoints ...clcatalog.Endpoint) *Fleet {
+	f := &Fleet{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))}
+	c := &clcatalog.Catalog{Services: []clcatalog.Service{
+		{Name: "llm", MaxConns: 370, ColdStart: 3 * time.Second, ColdPerSecond: 14, Engine: &clcatalog.Engine{Slots: 64}},
+		{Name: "api", MaxConns: 110},
+	}}
+	c.Index()
+	f.SetCatalog(c)
+	f.SetGateways(gateways)
+	for _, e := range endpoints {
+		f.Put(e, testStart)
+	}
+	f.Listed()
+	return f
+}
+
+func engine(id, dc, version string) clcatalog.Endpoint {
+	return clcatalog.Endpoint{
+		ID: id, Service: "llm", DataCentre: dc, Version: version, Slots: 64, Born: 1,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), 80),
+	}
+}
+
+func llmRequest(id string) Request {
+	return Request{
+		ID: id, Service: "llm", Left: 15 * time.Second, Target: time.Second,
+		Parts: []Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}, {ID: 1000 + uint64(len(id)), Tokens: 6000}},
+	}
+}
+
+// Guards against requests to endpoints that must get none.
+func TestFilters(t *testing.T) {
+	leaving := engine("leaving", "a", "v1")
+	leaving.Leaving = true
+	other := engine("other-service", "a", "v1")
+	other.Service = "api"
+	for _, tc := range []struct {
+		name   string
+		change func(f *Fleet)
+		want   Reason
+	}{
+		{"none registered", func(f *Fleet) { f.Retain(nil) }, ReasonNone},
+		{"leaving", func(f *Fleet) { f.Remove("e") }, ReasonLeaving},
+		{"data centre out", func(f *Fleet) { f.Remove("leaving"); f.SetOut([]string{"a"}, testStart) }, ReasonOut},
+		{"on trial", func(f *Fleet) {
+			f.Remove("leaving")
+			f.SetSplit("llm", Split{Version: "v1", Active: true})
+		}, ReasonVersion},
+	} {
+		f := newFleet(3, engine("e", "a", "v1"), leaving, other)
+		c, refused := f.Pick(llmRequest("r"), testStart)
+		require.Nil(t, refused)
+		require.Equal(t, "e", c.Endpoint)
+		tc.change(f)
+		_, refused = f.Pick(llmRequest("r"), testStart)
+		require.NotNil(t, refused, tc.name)
+		require.Equal(t, tc.want, refused.Reason, tc.name)
+		require.Positive(t, refused.RetryAfter)
+	}
+}
+
+// Guards against a cold endpoint that all gateways together send more than it
+// tolerates in any second, whatever their number.
+func TestColdEndpointIsShared(t *testing.T) {
+	for _, gateways := range []int{1, 3, 9, 73} {
+		var sent []time.Time
+		var fleets []*Fleet
+		for g := range gateways {
+			f := newFleet(gateways)
+			f.Rand = rand.New(rand.NewPCG(uint64(g), 7))
+			cold := engine("e", "a", "v1")
+			cold.ColdFor = 3 * time.Second
+			f.Put(cold, testStart)
+			fleets = append(fleets, f)
+		}
+		for now := testStart; now.Before(testStart.Add(3 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			for _, f := range fleets {
+				if c, _ := f.Pick(llmRequest("r"), now); c != nil {
+					f.Begin(c, llmRequest("r"), now)
+					f.FirstEvent(c, 50*time.Millisecond)
+					f.Finish(c, Answered, now)
+					sent = append(sent, now)
+				}
+			}
+		}
+		require.NotEmpty(t, sent, "%d gateways", gateways)
+		for i := range sent {
+			n := 0
+			for _, s := range sent[i:] {
+				if s.Sub(sent[i]) < time.Second {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, 26, "%d gateways: 14 a second, half more and 5", gateways)
+		}
+	}
+}
+
+// Guards against an endpoint that kept its ID over a restart being taken for
+// the warm one with a full cache that it was.
+func TestRestartForgets(t *testing.T) {
+	f := newFleet(1, engine("e", "a", "v1"))
+	r := llmRequest("r")
+	c, _ := f.Pick(r, testStart)
+	f.Begin(c, r, testStart)
+	again, _ := f.Pick(r, testStart)
+	require.Zero(t, again.Unread)
+	reborn := engine("e", "a", "v1")
+	reborn.Born = 2
+	f.Put(reborn, testStart)
+	again, _ = f.Pick(r, testStart)
+	require.Equal(t, 11500.0, again.Unread)
+	require.Zero(t, again.Running)
+	f.Finish(c, Broken, testStart)
+	again, _ = f.Pick(r, testStart)
+	require.Zero(t, again.Running, "the former start's attempt does not count")
+}
+
+// Guards against a version on trial that gets more than its share, and against
+// the old version's requests that go to it when the old one has no endpoint left.
+func TestSplit(t *testing.T) {
+	f := newFleet(1, engine("old", "a", "v1"), engine("new", "a", "v2"))
+	f.SetSplit("llm", Split{Version: "v2", Share: 0.1, Active: true})
+	counts := map[string]int{}
+	for i := range 5000 {
+		c, refused := f.Pick(llmRequest(fmt.Sprint("request-", i)), testStart)
+		require.Nil(t, refused)
+		counts[c.Version]++
+	}
+	require.InDelta(t, 500, counts["v2"], 100)
+	f.Remove("old")
+	refusals := 0
+	for i := range 1000 {
+		if _, refused := f.Pick(llmRequest(fmt.Sprint("request-", i)), testStart); refused != nil {
+			refusals++
+		}
+	}
+	require.InDelta(t, 900, refusals, 60)
+	f.Put(engine("old", "a", "v1"), testStart)
+	f.Remove("new")
+	_, refused := f.Pick(llmRequest("any"), testStart)
+	require.Nil(t, refused, "a new version without endpoints leaves its share to the old one")
+}
+
+// Guards against a version that gets requests before the operator's intent,
+// which may be learnt after its endpoints, says how many.
+func TestNewVersionWaitsForItsIntent(t *testing.T) {
+	f := newFleet(1, engine("old", "a", "v1"))
+	f.Put(engine("new", "a", "v2"), testStart)
+	for i := range 200 {
+		c, _ := f.Pick(llmRequest(fmt.Sprint(i)), testStart.Add(newVersionHold/2))
+		require.Equal(t, "old", c.Endpoint)
+	}
+}
+
+// Guards against requests with the same shared prompt that are spread over
+// the endpoints of a data centre, each of which would read it again.
+func TestSharedPromptsStayTogether(t *testing.T) {
+	f := newFleet(1, engine("a1", "a", "v1"), engine("a2", "a", "v1"), engine("a3", "a", "v1"), engine("b1", "b", "v1"))
+	byPrefix := map[uint64]string{}
+	for i := range 300 {
+		r := llmRequest("r")
+		r.Parts[1].ID = uint64(100 + i%30)
+		r.Parts[2].ID = uint64(10_000 + i)
+		c, _ := f.Pick(r, testStart)
+		require.NotEqual(t, "b1", c.Endpoint, "an idle endpoint of the own data centre is nearer")
+		if first, ok := byPrefix[r.Parts[1].ID]; ok {
+			require.Equal(t, first, c.Endpoint)
+		}
+		byPrefix[r.Parts[1].ID] = c.Endpoint
+		f.Begin(c, r, testStart)
+		f.FirstEvent(c, c.Expected)
+		f.Finish(c, Answered, testStart)
+	}
+	used := map[string]bool{}
+	for _, e := range byPrefix {
+		used[e] = true
+	}
+	require.Len(t, used, 3)
+}
+
+// Guards against the burst in which all gateways queue prompts at the engines
+// until every answer is late: a request that cannot begin on time is refused
+// at once, urgent ones pass those that are not, and what is admitted begins on time.
+func TestBurstIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(1, engine("a1", "a", "v1"), engine("a2", "a", "v1"))
+	admitted := 0
+	for i := range 200 {
+		r := llmRequest(fmt.Sprint("r", i))
+		r.Parts = []Part{{ID: uint64(i), Tokens: 6000}}
+		r.Rank = 1
+		c, refused := f.Pick(r, testStart)
+		if refused != nil {
+			require.Equal(t, ReasonNoTimeLeft, refused.Reason)
+			require.Less(t, refused.RetryAfter, 2*time.Second)
+			continue
+		}
+		require.LessOrEqual(t, c.Expected, time.Second)
+		f.Begin(c, r, testStart)
+		admitted++
+	}
+	require.InDelta(t, 15, admitted, 4, "two engines read about 50 tokens in a ms")
+	urgent := llmRequest("urgent")
+	c, refused := f.Pick(urgent, testStart)
+	require.Nil(t, refused)
+	require.Less(t, c.Expected, 500*time.Millisecond)
+}
+
+// Guards against a prompt so large that it could never begin on time being
+// refused for ever.
+func TestLargestPromptIsServed(t *testing.T) {
+	f := newFleet(1, engine("a1", "a", "v1"))
+	r := llmRequest("r")
+	r.Parts = []Part{{ID: 9, Tokens: 120_000}}
+	_, refused := f.Pick(r, testStart)
+	require.Nil(t, refused)
+}
+
+// Guards against gateways that all choose the endpoint that the others have
+// just filled: what they report counts like own work.
+func TestOthersWorkCounts(t *testing.T) {
+	f := newFleet(2, engine("a1", "a", "v1"), engine("a2", "a", "v1"))
+	r := llmRequest("r")
+	first, _ := f.Pick(r, testStart)
+	var busy []Work
+	for _, e := range []string{"a1", "a2"} {
+		if e == first.Endpoint {
+			busy = append(busy, Work{Endpoint: f.endpoints[e].hash, Busy: Busy{Running: 30, Pending: Pending{0: 40_000}}})
+		}
+	}
+	f.Learn("other", busy)
+	second, _ := f.Pick(r, testStart)
+	require.NotEqual(t, first.Endpoint, second.Endpoint)
+	f.Learn("other", nil)
+	third, _ := f.Pick(r, testStart)
+	require.Equal(t, first.Endpoint, third.Endpoint)
+}
+
+// Guards against an endpoint that fails while the others do not, and against
+// one that cannot be reached, keeping their share; both are tried again later.
+func TestFailuresAreAvoidedForAWhile(t *testing.T) {
+	f := newFleet(1, engine("a1", "a", "v1"), engine("a2", "a", "v1"))
+	r := Request{ID: "r", Service: "llm", Left: time.Second}
+	now := testStart
+	for range 10 {
+		c, _ := f.Pick(r, now)
+		f.Begin(c, r, now)
+		if c.Endpoint == "a1" {
+			f.Finish(c, Failed, now)
+		} else {
+			f.Finish(c, Answered, now)
+		}
+	}
+	for range 20 {
+		c, _ := f.Pick(r, now)
+		require.Equal(t, "a2", c.Endpoint)
+	}
+	c, _ := f.Pick(r, now)
+	f.Begin(c, r, now)
+	f.Finish(c, Unreachable, now)
+	c, _ = f.Pick(r, now)
+	require.Equal(t, "a1", c.Endpoint, "a failing endpoint is better than one that cannot be reached")
+	now = now.Add(10 * ratioHalfLife)
+	seen := map[string]bool{}
+	for range 50 {
+		c, _ = f.Pick(r, now)
+		seen[c.Endpoint] = true
+	}
+	require.Len(t, seen, 2)
+}
+
+// Guards against a data centre's endpoints getting full load at once when it
+// is taken back: they may have become cold meanwhile.
+func TestReturnedDataCentreIsCold(t *testing.T) {
+	f := newFleet(9, engine("a1", "a", "v1"))
+	f.SetOut([]string{"a"}, testStart)
+	f.SetOut(nil, testStart)
+	sent := 0
+	for i := range 100 {
+		r := llmRequest(fmt.Sprint(i))
+		if c, _ := f.Pick(r, testStart.Add(time.Duration(i)*10*time.Millisecond)); c != nil {
+			f.Begin(c, r, testStart)
+			f.Finish(c, Answered, testStart)
+			sent++
+		}
+	}
+	require.LessOrEqual(t, sent, 3, "a ninth of what a cold endpoint tolerates in a second")
+}
+
+// Guards against gateways that together open more connections than an endpoint accepts.
+func TestConnectionsAreShared(t *testing.T) {
+	const gateways = 9
+	total := 0
+	for range gateways {
+		f := newFleet(gateways)
+		f.Put(clcatalog.Endpoint{ID: "p", Service: "api", DataCentre: "a", Slots: 6}, testStart)
+		for {
+			r := Request{ID: "r", Service: "api", Left: time.Second}
+			c, refused := f.Pick(r, testStart)
+			if refused != nil {
+				require.Equal(t, ReasonFull, refused.Reason)
+				break
+			}
+			f.Begin(c, r, testStart)
+			total++
+		}
+	}
+	require.LessOrEqual(t, total, 110)
+	require.Greater(t, total, 80)
+}
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -97,6 +97,10 @@
 	// homeBonus draws requests with the same prompt prefix to one endpoint
 	// while nobody remembers to have sent the prefix anywhere.
 	homeBonus = 60 * time.Millisecond
+	// alike are scores that differ by less than what estimates are good for;
+	// among these the choice is random, so that gateways with the same facts
+	// do not all choose the same endpoint.
+	alike = 5 * time.Millisecond
 	// slotSlowdown is how much slower a full batch makes each step.
 	slotSlowdown = 0.5
 	// fullWait is the expected wait for a slot, per request in front, as a part of a second by slots.
@@ -184,7 +188,8 @@
 		if e == home {
 			score -= homeBonus
 		}
-		if score < bestScore || score == bestScore && f.Rand.IntN(2) == 0 {
+		score += time.Duration(f.Rand.Int64N(int64(alike)))
+		if score < bestScore {
 			best, bestScore = c, score
 		}
 	}
--- a/internal/serving/clnode/load.go
+++ b/internal/serving/clnode/load.go
@@ -15,6 +15,8 @@
 		gateway map[meterKey]*meterReading
 		// peak holds the highest recent load of each service.
 		peak map[string]peak
+		// since is when the first request for each service was seen.
+		since map[string]time.Time
 	}
 
 	meterKey struct{ service, gateway string }
@@ -38,6 +40,8 @@
 	// meterLifetime is how long a silent gateway's rate counts; its callers
 	// are elsewhere by then.
 	meterLifetime = 5 * time.Second
+	// meterWarmUp is how long requests must have come before the load is known.
+	meterWarmUp = 2 * meterSpan
 	// peakLifetime keeps the endpoints that a wave needed until the next one.
 	peakLifetime = 20 * time.Second
 )
@@ -47,7 +51,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.gateway == nil {
-		m.gateway, m.peak = make(map[meterKey]*meterReading), make(map[string]peak)
+		m.gateway, m.peak, m.since = make(map[meterKey]*meterReading), make(map[string]peak), make(map[string]time.Time)
+	}
+	if _, ok := m.since[service]; !ok && seconds > 0 {
+		m.since[service] = now
 	}
 	k := meterKey{service, gateway}
 	r := m.gateway[k]
@@ -64,10 +71,14 @@
 	r.seconds, r.at = seconds, now
 }
 
-// busy returns the highest recent number of endpoints that are kept busy.
+// busy returns the highest recent number of endpoints that are kept busy, or
+// -1 while too little has been seen to tell.
 func (m *loadMeter) busy(service string, now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if since, ok := m.since[service]; !ok || now.Sub(since) < meterWarmUp {
+		return -1
+	}
 	sum := 0.0
 	for k, r := range m.gateway {
 		if k.service == service && now.Sub(r.at) < meterLifetime {
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -3,6 +3,9 @@
 package clnode
 
 import (
+	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
@@ -29,31 +32,67 @@
 		Name: "gateways", Source: n.Store.Members(), Wait: watchWait, Apply: n.applyMembers, Logger: l,
 	}
 	n.config = &clmirror.Mirror[*clcatalog.Catalog]{
-		Name: "configuration", Source: n.Store.Configuration(), Wait: confirmEvery, Apply: n.applyConfig, Logger: l,
-		// The others' watches may hang on connections that have gone silent.
-		OnFailure: n.renewWatches,
+		Name: "configuration", Source: n.Store.Configuration(), Wait: time.Millisecond, Pause: confirmEvery, Apply: n.applyConfig, Leads: true, Logger: l,
 	}
+	n.hub = &clmirror.Hub{
+		Self: n.exchange.Self.Boot, Address: n.Settings.PeerAddress, Readers: n.readers,
+		Gateways: func() int { return len(n.peers()) }, Confirmed: n.config.Confirmed, Confirm: n.config.Confirm, Logger: l,
+	}
+	clmirror.Add(n.hub, n.config)
+	clmirror.Add(n.hub, n.endpoints)
+	clmirror.Add(n.hub, n.rollouts)
+	clmirror.Add(n.hub, n.evacuations)
+	clmirror.Add(n.hub, n.members)
+}
+
+// overshootUse is the part of the tolerated overshoot that is granted, so that
+// requests within the quota are not refused because the gateways' counts lag;
+// the rest covers the lag itself.
+const overshootUse = 0.5
+
+// slackUse returns the part of the tolerated slack that an account may use at
+// once: at most a quarter of its own burst, as the lag grows with its requests.
+func slackUse(a clcatalog.Account, s Settings) float64 {
+	if a.Rate <= 0 {
+		return 0
+	}
+	return min(s.QuotaSlack, a.Burst) / 4
 }
 
-func (n *Node) renewWatches() {
-	n.endpoints.Renew()
-	n.rollouts.Renew()
-	n.evacuations.Renew()
-	n.members.Renew()
+// readers returns the gateways that this one may follow: those of its data
+// centre that are alive and rank before it, or else none.
+func (n *Node) readers() []netip.AddrPort {
+	var ranked []clcatalog.Member
+	for _, name := range n.exchange.Alive() {
+		if m, ok := n.member(name); ok && m.DataCentre == n.Settings.DataCentre && m.Name < n.Settings.Name {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b clcatalog.Member) int { return strings.Compare(a.Name, b.Name) })
+	return lo.Map(ranked, func(m clcatalog.Member, _ int) netip.AddrPort { return m.Address })
+}
+
+func (n *Node) member(name string) (clcatalog.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m, ok := n.known[name]
+	return m, ok
 }
 
 func (n *Node) applyConfig(changes []clmirror.Change[*clcatalog.Catalog], _ bool) {
 	for _, c := range changes {
 		if c.Removed {
-			n.Logger.Warn("configuration cannot be used", zap.String("object", c.Name), zap.Error(c.Err))
+			n.Logger.Warn("configuration cannot be used", zap.String("object", c.Name), zap.String("why", c.Why))
 			continue
 		}
 		if old := n.gateway.Catalog(); old != nil && old.Version >= c.Value.Version {
 			continue
 		}
+		// A copy that came from another gateway lacks the look-ups.
+		c.Value.Index()
 		now := clclock.Now()
 		for _, a := range c.Value.Accounts {
-			n.quotas.SetLimit(a.Name, a.Rate, a.Burst, now)
+			n.quotas.SetLimit(a.Name, a.Rate*(1+overshootUse*n.Settings.QuotaOvershoot), a.Burst+slackUse(a, n.Settings), now)
 		}
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
@@ -74,7 +113,7 @@
 	for _, c := range changes {
 		if c.Removed {
 			n.fleet.Remove(c.Name)
-			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name), zap.Error(c.Err))
+			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name), zap.String("why", c.Why))
 			continue
 		}
 		n.fleet.Put(c.Value, now)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -73,6 +73,7 @@
 		clock    *clclock.TrueTime
 		ready    *clobserve.Readiness
 
+		hub         *clmirror.Hub
 		config      *clmirror.Mirror[*clcatalog.Catalog]
 		endpoints   *clmirror.Mirror[clcatalog.Endpoint]
 		rollouts    *clmirror.Mirror[clcatalog.Rollout]
@@ -85,18 +86,20 @@
 		intents map[string]clcatalog.Rollout
 		out     map[string]bool
 		load    loadMeter
+		started time.Time
 		written map[string]clcatalog.RolloutOutcome
 	}
 )
 
 const (
-	// confirmEvery is the wait of the configuration's watch, by which keys are
-	// confirmed; the others are woken when it fails, and may wait longer.
-	confirmEvery = time.Second
+	// confirmEvery is the time between two reads of the configuration, by which
+	// keys are confirmed; the other kinds are read anew when it fails, and
+	// their watches may wait longer.
+	confirmEvery = 400 * time.Millisecond
 	watchWait    = 15 * time.Second
 	// trustShare is the part of the revocation time in which a confirmed key
 	// is trusted; the rest covers the call that confirms and the way of a request.
-	trustShare = 0.7
+	trustShare = 0.82
 	// drainAfter is when a stopping gateway has been taken out of the
 	// ingress, which asks once a second and takes two misses.
 	drainAfter = 3200 * time.Millisecond
@@ -122,17 +125,14 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.Settings = n.Settings.withDefaults()
 	n.build()
+	n.started = clclock.Now()
 	n.Logger.Info("started", zap.String("gateway", n.Settings.Name), zap.Uint64("boot", n.exchange.Self.Boot),
 		zap.String("data_centre", n.Settings.DataCentre), zap.Stringer("callers", n.Settings.CallerAddress))
 	// The parts go on while the gateway drains; the duties do not.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var g errgroup.Group
-	g.Go(func() error { n.config.Run(parts); return nil })
-	g.Go(func() error { n.endpoints.Run(parts); return nil })
-	g.Go(func() error { n.rollouts.Run(parts); return nil })
-	g.Go(func() error { n.evacuations.Run(parts); return nil })
-	g.Go(func() error { n.members.Run(parts); return nil })
+	g.Go(func() error { return n.hub.Run(parts) })
 	g.Go(func() error { return n.exchange.Run(parts) })
 	g.Go(func() error { n.runSteps(parts); return nil })
 	g.Go(func() error { n.runRegister(parts); return nil })
@@ -408,7 +408,7 @@
 // situations returns the services whose endpoints are ordered.
 func (n *Node) situations() []clduty.Situation {
 	cat := n.gateway.Catalog()
-	if cat == nil {
+	if cat == nil || slices.Contains(n.ready.Reasons(), conditionEndpoints) {
 		return nil
 	}
 	var out []clduty.Situation
--- a/internal/serving/clnode/settings.go
+++ b/internal/serving/clnode/settings.go
@@ -45,6 +45,10 @@
 	// after its end it must be reported.
 	UsageWindow, UsageDue time.Duration
 
+	// QuotaOvershoot and QuotaSlack are by how much the gateways together may
+	// exceed a quota: a part of it, and an amount besides.
+	QuotaOvershoot, QuotaSlack float64
+
 	// TrialShare and TrialFloor bound the requests that a bad version may get.
 	TrialShare, TrialFloor float64
 }
