--- a/internal/model/clclock/clock_test.go
+++ b/internal/model/clclock/clock_test.go
@@ -16,9 +16,9 @@
 	now := time.Now()
 	tt.Observe("a", now)
 	tt.Observe("b", now.Add(-2*time.Second))
-	require.InDelta(t, 0, tt.Now().Sub(time.Now()).Seconds(), 0.1)
+	require.InDelta(t, 0, time.Until(tt.Now()).Seconds(), 0.1)
 	tt.Observe("b", now.Add(2*time.Second))
-	require.InDelta(t, 0, tt.Now().Sub(time.Now()).Seconds(), 0.1)
+	require.InDelta(t, 0, time.Until(tt.Now()).Seconds(), 0.1)
 }
 
 // Guards against an estimate that follows this machine's own wrong clock when
@@ -28,7 +28,7 @@
 	for _, m := range []string{"a", "b", "c"} {
 		tt.Observe(m, time.Now().Add(3*time.Second))
 	}
-	require.InDelta(t, 3, tt.Now().Sub(time.Now()).Seconds(), 0.1)
+	require.InDelta(t, 3, time.Until(tt.Now()).Seconds(), 0.1)
 }
 
 // Guards against a clock that stands still or runs backwards.
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -86,8 +86,6 @@
 		intents map[string]clcatalog.Rollout
 		out     map[string]bool
 		load    loadMeter
-		started time.Time
-		written map[string]clcatalog.RolloutOutcome
 	}
 )
 
@@ -109,9 +107,6 @@
 	probeTimeout = 300 * time.Millisecond
 	// idleConns is how long connections to endpoints are kept, below usual idle limits.
 	idleConns = 3 * time.Second
-	// memoryShare is the part of the process's memory at which the garbage
-	// collector works harder.
-	memoryShare = 0.7
 )
 
 // Conditions of a gateway's readiness.
@@ -125,7 +120,6 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.Settings = n.Settings.withDefaults()
 	n.build()
-	n.started = clclock.Now()
 	n.Logger.Info("started", zap.String("gateway", n.Settings.Name), zap.Uint64("boot", n.exchange.Self.Boot),
 		zap.String("data_centre", n.Settings.DataCentre), zap.Stringer("callers", n.Settings.CallerAddress))
 	// The parts go on while the gateway drains; the duties do not.
@@ -176,7 +170,6 @@
 	n.usage = &clduty.Usage{Window: s.UsageWindow}
 	n.known, n.seen = map[string]clcatalog.Member{}, map[string]time.Time{}
 	n.intents, n.out = map[string]clcatalog.Rollout{}, map[string]bool{}
-	n.written = map[string]clcatalog.RolloutOutcome{}
 	n.exchange = &clgossip.Exchange{
 		Self:  clcatalog.Member{Name: s.Name, Boot: boot, Address: s.PeerAddress, DataCentre: s.DataCentre},
 		Peers: n.peers, Fill: n.fill, Take: n.take, Clock: n.clock, Logger: component("exchange"),
