--- a/cmd/chestnutlead/daemons.go
+++ b/cmd/chestnutlead/daemons.go
@@ -30,6 +30,7 @@
 		clcommand.Daemon("entry", "run an entry process", runEntry),
 		clcommand.Daemon("control", "run a control process", runControl),
 		gatewayCommand(),
+		explainCommand(),
 	}
 }
 
--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 )
@@ -33,7 +34,7 @@
 		at   time.Time
 		// spent and rate are by account; rate is for a second.
 		spent, rate map[string]float64
-		// assumed was taken for the peer while it was silent.
+		// assumed was taken for the peer since its last report, at its last rate.
 		assumed   map[string]float64
 		assumedTo time.Time
 	}
@@ -43,14 +44,12 @@
 	// firstLevel is the part of the burst that a starting process grants,
 	// because it does not know what was spent just before.
 	firstLevel = 0.5
-	// silentAfter is several exchanges long: a peer that is silent longer
-	// goes on spending, as far as this process knows.
-	silentAfter = time.Second
 	// silentUntil is when a silent peer counts as gone; the ingress needs a
 	// few seconds to send its clients elsewhere.
 	silentUntil = 10 * time.Second
-	// rateWeight smooths a peer's rate over about two seconds of exchanges.
-	rateWeight = 0.1
+	// rateSpan smooths a peer's rate over the bunches in which requests come,
+	// whatever the time between two exchanges is.
+	rateSpan = time.Second
 	// longestWait bounds the time after which a caller is told to come back.
 	longestWait = 10 * time.Second
 )
@@ -133,12 +132,12 @@
 			b.level = min(b.burst, b.level-delta+p.assumed[account])
 		}
 		if !p.at.IsZero() && elapsed > 0 {
-			p.rate[account] += rateWeight * (delta/elapsed - p.rate[account])
+			p.rate[account] += (1 - math.Exp(-elapsed/rateSpan.Seconds())) * (delta/elapsed - p.rate[account])
 		}
 		p.spent[account] = total
 	}
 	clear(p.assumed)
-	p.at, p.assumedTo = now, now.Add(silentAfter)
+	p.at, p.assumedTo = now, now
 }
 
 // Forget ends the spending that is assumed of a peer that has announced its end.
@@ -148,7 +147,9 @@
 	delete(l.peers, name)
 }
 
-// advance fills the buckets up to now, and takes what silent peers probably spend.
+// advance fills the buckets up to now, and takes what the peers have probably
+// spent since their last reports: the more gateways there are, the longer is
+// the time between two of them.
 func (l *Ledger) advance(now time.Time) {
 	for _, b := range l.buckets {
 		if dt := now.Sub(b.at).Seconds(); dt > 0 {
--- /dev/null
+++ b/internal/operator/clexplain/doc.go
@@ -0,0 +1,2 @@
+// Package clexplain finds in the logs of gateways what happened to a request.
+package clexplain
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -35,7 +35,8 @@
 		// The stream's status has been sent, so that this one cannot be.
 		return verdict{outcome: clfleet.Failed, err: errors.Errorf("answer %d to a resumed stream", a.answer.Status)}
 	}
-	if failed && a.mayRepeatFailure() {
+	if failed && a.mayRepeatFailure() && len(body) <= answerBytes {
+		a.failure = &failure{attempt: a, body: body}
 		return verdict{outcome: clfleet.Failed, err: errors.Errorf("answer %d", a.answer.Status)}
 	}
 	g.began(a)
@@ -62,6 +63,17 @@
 	return verdict{outcome: clfleet.Answered, done: true}
 }
 
+// passFailure passes a failure on that no other endpoint's answer has replaced.
+func (g *Gateway) passFailure(f *failure) {
+	g.began(f.attempt)
+	f.w.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
+	f.copyHeader()
+	if _, err := f.w.Write(f.body); err != nil {
+		g.Logger.Info("caller left before the answer", zap.String("request", f.says.ID), zap.Error(err))
+	}
+	g.finished(f.attempt, 0)
+}
+
 // mayRepeatFailure reports whether a failure that the endpoint answered may be
 // replaced by another endpoint's answer.
 func (c *call) mayRepeatFailure() bool {
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -128,6 +128,8 @@
 		// Ends the connection without the end of the body, so that the answer
 		// does not look complete.
 		panic(http.ErrAbortHandler)
+	case c.failure != nil:
+		g.passFailure(c.failure)
 	case !c.mayHaveRun:
 		if c.account != nil {
 			g.Quotas.Refund(c.account.Name, c.cost)
--- a/internal/serving/clgateway/gateway_test.go
+++ b/internal/serving/clgateway/gateway_test.go
@@ -39,6 +39,8 @@
 		{"answered", "/book/1", []script{ok}, 200, "ok", 1},
 		{"failure of a booking is passed on", "/book/1", []script{failed, failed}, 500, "bad", 1},
 		{"failure of a repeatable request is tried elsewhere", "/get/1", []script{failed, failed}, 500, "bad", 2},
+		{"failure without another endpoint is passed on", "/get/1", []script{failed}, 500, "bad", 1},
+		{"failure, then a broken connection", "/get/1", []script{failed, cut}, 0, "", -1},
 		{"full endpoints are tried and then refused", "/book/1", []script{notRun, notRun, notRun}, 503, "", 2},
 		{"full endpoint, then another", "/book/1", []script{notRun, ok}, 200, "ok", -1},
 		{"booking whose connection breaks may have run", "/book/1", []script{cut, cut}, 502, "", 1},
@@ -59,7 +61,10 @@
 			require.NoError(t, err)
 			b, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
-			require.Equal(t, tc.status, resp.StatusCode, "%s", b)
+			if tc.status != 0 {
+				require.Equal(t, tc.status, resp.StatusCode, "%s", b)
+			}
+			require.False(t, resp.StatusCode == 500 && string(b) != "bad", "a failure that no endpoint answered")
 			require.Less(t, time.Since(begin), 2250*time.Millisecond, "held past the route's time")
 			if tc.body != "" {
 				require.Equal(t, tc.body, string(b))
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -40,6 +40,14 @@
 		// mayHaveRun says that an attempt ended without proof that it did not run.
 		mayHaveRun bool
 		tried      []string
+		// failure is the last failure that an endpoint has answered.
+		failure *failure
+	}
+
+	// failure is an endpoint's whole answer that another one's may replace.
+	failure struct {
+		*attempt
+		body []byte
 	}
 
 	// refusal is an answer of the gateway's own.
