--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -63,6 +63,8 @@
 		loaded   bool
 		ordered  map[orderKey]sentOrder
 		planners map[string]*Planner
+		// loads are the last known loads, at first the predecessor's.
+		loads Loads
 		// fenced is the highest own fencing number that the cloud has refused.
 		fenced uint64
 		// first is the window in which this process started; it knows too
@@ -143,6 +145,7 @@
 
 func (d *Duties) round(ctx context.Context, by Holder) {
 	if d.fencing != by.Fencing {
+		d.inherit()
 		d.fencing, d.loaded = by.Fencing, false
 		d.ordered, d.planners = map[orderKey]sentOrder{}, map[string]*Planner{}
 	}
@@ -157,6 +160,30 @@
 	}
 }
 
+// inherit takes over what the predecessor knew of the load.
+func (d *Duties) inherit() {
+	d.loads.Reset()
+	payload, _ := d.lease.Inherited()
+	if err := proto.Unmarshal(payload, &d.loads); err != nil {
+		d.Logger.Warn("the predecessor's loads cannot be read", zap.Error(err))
+	}
+	if d.loads.Busy == nil {
+		d.loads.Busy = make(map[string]float64)
+	}
+	d.Logger.Info("duties taken over", zap.Any("loads", d.loads.GetBusy()))
+}
+
+// knownLoad returns a service's load, or the predecessor's while this process
+// has seen too little, and leaves it to a successor.
+func (d *Duties) knownLoad(s Situation) float64 {
+	if s.Load >= 0 {
+		d.loads.Busy[s.Service] = s.Load
+	} else if inherited, ok := d.loads.GetBusy()[s.Service]; ok {
+		return inherited
+	}
+	return s.Load
+}
+
 // report sends what is due. Each report is stored before it is sent, because
 // the cloud may accept a call whose answer is lost, and must not get another
 // one for the same window with other counts.
@@ -265,6 +292,7 @@
 func (d *Duties) order(ctx context.Context, by Holder) {
 	now := clclock.Now()
 	for _, s := range d.Situations() {
+		s.Load = d.knownLoad(s)
 		p := d.planners[s.Service]
 		if p == nil {
 			p = &Planner{}
@@ -277,6 +305,12 @@
 			d.place(ctx, by, s, p, o, now)
 		}
 	}
+	payload, err := proto.Marshal(&d.loads)
+	if err != nil {
+		d.Logger.Error("loads cannot be encoded", zap.Error(err))
+		return
+	}
+	d.lease.SetPayload(payload)
 }
 
 func (d *Duties) place(ctx context.Context, by Holder, s Situation, p *Planner, o Order, now time.Time) {
--- a/internal/coordination/clduty/duties_test.go
+++ b/internal/coordination/clduty/duties_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -26,6 +27,7 @@
 	differing int
 	byToken   map[uint64]string
 	shared    int
+	orders    []Order
 }
 
 func (c *recordingCloud) ReportUsage(_ context.Context, by Holder, window int64, counts map[string]uint64) error {
@@ -53,7 +55,18 @@
 	return nil
 }
 
-func (c *recordingCloud) OrderEndpoints(context.Context, Holder, Order) error { return nil }
+func (c *recordingCloud) OrderEndpoints(_ context.Context, _ Holder, o Order) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = append(c.orders, o)
+	return nil
+}
+
+func (c *recordingCloud) ordered() []Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Order(nil), c.orders...)
+}
 
 func (c *recordingCloud) state() (windows, calls, differing, shared int) {
 	c.mu.Lock()
@@ -142,3 +155,34 @@
 	_, calls, _, _ := cloud.state()
 	require.Zero(t, calls)
 }
+
+// Guards against a successor that has just started and takes what a reclaim
+// has left for what the requests need: it must go by its predecessor's load.
+func TestSuccessorKnowsTheLoad(t *testing.T) {
+	store := &clstore.Memory{}
+	scaling := clcatalog.Scaling{Min: 1, Max: 6, Boot: 4 * time.Second, SpotPrice: 0.2, Prices: map[string]float64{"a": 1, "b": 1, "c": 1}}
+	run := func(name string, load float64, have int) []Order {
+		cloud := &recordingCloud{}
+		d := newDuties(name, store, cloud, &Usage{Window: time.Second})
+		d.Orders = true
+		var endpoints []clcatalog.Endpoint
+		for i := range have {
+			endpoints = append(endpoints, clcatalog.Endpoint{DataCentre: []string{"a", "b", "c"}[i%3], Spot: true})
+		}
+		d.Situations = func() []Situation {
+			return []Situation{{Service: "s", Scaling: scaling, Have: endpoints, Load: load}}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		require.NoError(t, d.Run(ctx))
+		return cloud.ordered()
+	}
+	run("a", 5, 12)
+	spots := map[string]int{}
+	for _, o := range run("b", -1, 3) {
+		if o.Spot {
+			spots[o.DataCentre] = o.Count
+		}
+	}
+	require.GreaterOrEqual(t, float64(spots["a"]+spots["b"]+spots["c"]), 5/busyTarget, "%v", spots)
+}
--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -112,6 +112,10 @@
 	spots := make([]int, len(places))
 	for i, pl := range places {
 		spots[i] = min(perPlace, max(1, s.Scaling.Max-demandRoom))
+		if s.Load < 0 {
+			// What is there may be what is left after a reclaim.
+			spots[i] = max(spots[i], pl.spot)
+		}
 		expected += p.expectedSpot(pl, spots[i], s.Scaling.Boot, now)
 		if pl.spot < spots[i] && now.Before(p.refused[pl.name]) {
 			spots[i] = pl.spot // asking again would only be refused
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -191,3 +191,20 @@
 	}
 	require.Nil(t, p.Plan(Situation{}, time.Unix(1000, 0)))
 }
+
+// Guards against fewer endpoints while the load is not known.
+func TestUnknownLoadKeepsWhatIsThere(t *testing.T) {
+	m := newCloudModel(4)
+	m.run(20*time.Second, nil)
+	before := m.ready()
+	m.planner, m.load = Planner{}, -1
+	m.reclaim("a", time.Minute)
+	m.run(4*time.Second, nil)
+	spots := 0
+	for _, e := range m.have() {
+		if e.Spot {
+			spots++
+		}
+	}
+	require.GreaterOrEqual(t, spots, before*2/3-1, "those of the two other data centres")
+}
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -152,6 +152,9 @@
 	}
 	if limit := f.limit(d, r, best); best.Expected > limit {
 		refusal.Reason = ReasonNoTimeLeft
+		// What is refused is load too, for which endpoints are to be ordered.
+		s.demand.Requests++
+		s.demand.Seconds += best.Unread / s.readRate
 		refusal.RetryAfter = best.Expected - limit + time.Duration(f.Rand.Int64N(int64(retrySpread)))
 		return nil, refusal
 	}
