Keep a large system's size at its start, and count full slots as load

Cause: on the grown first site 112 endpoints register over seconds. The first orders went by the few that were known and took the others away; the load then counted only prompts, though engines with 16 slots fill up by running requests.

Ruled out: waiting for the load to be known (the endpoints at the usual price are paid for meanwhile; an idle system counts those that boot instead).

--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -30,6 +30,9 @@
 		// Load is the number of endpoints that the present requests keep busy;
 		// below 0 it is not known yet, and the present size is kept.
 		Load float64
+		// Idle says that no request has been seen yet, so that endpoints which
+		// boot are as good as those that run.
+		Idle bool
 		// Out are the data centres that are to get no requests.
 		Out map[string]bool
 	}
@@ -46,6 +49,11 @@
 		highSince time.Time
 		// placed is how many of these were last ordered, by data centre.
 		placed map[string]int
+		// baseline, most and grownAt follow the endpoints while the load is
+		// not known: the size to keep, the most seen, and when that last grew.
+		baseline float64
+		most     int
+		grownAt  time.Time
 	}
 
 	// place is one data centre of a situation.
@@ -74,6 +82,9 @@
 	// demandRoom is how many places of a data centre are kept from spot
 	// endpoints, so that there is room for others before spot ones have left.
 	demandRoom = 1
+	// settleFor is longer than the time between the first reports of endpoints
+	// that start together.
+	settleFor = 1500 * time.Millisecond
 	// calmFor is how long endpoints at the usual price stay after the spot
 	// ones are enough again, because reclaims come in waves.
 	calmFor = 6 * time.Second
@@ -103,7 +114,10 @@
 	}
 	load := s.Load
 	if load < 0 {
-		load = float64(len(s.Have)) * busyTarget
+		if !p.settled(s.Have, now) {
+			return nil
+		}
+		load = p.baseline * busyTarget
 	}
 	need := max(1, int(math.Ceil(load/busyTarget)))
 	perPlace := max(leastSpot, int(math.Ceil(float64(need)*spotSurplus/float64(len(places)))))
@@ -116,7 +130,7 @@
 			// What is there may be what is left after a reclaim.
 			spots[i] = max(spots[i], pl.spot)
 		}
-		expected += p.expectedSpot(pl, spots[i], s.Scaling.Boot, now)
+		target := spots[i]
 		if pl.spot < spots[i] && now.Before(p.refused[pl.name]) {
 			spots[i] = pl.spot // asking again would only be refused
 		}
@@ -128,6 +142,7 @@
 		} else if pl.spot >= spots[i] {
 			delete(p.ordered, pl.name)
 		}
+		expected += p.expectedSpot(pl, target, s, now)
 	}
 	demand := p.settle(max(leastDemand, int(math.Ceil(load/busyDemandTarget))-expected), now)
 	for i, n := range p.spread(places, spots, demand, s.Scaling) {
@@ -138,10 +153,28 @@
 	return orders
 }
 
+// settled follows the endpoints that are there while the load is not known, and
+// reports whether all have probably registered: after a start of the whole
+// system they do so one after the other, and orders that go by a part of them
+// would take the others away. The baseline does not grow with spot endpoints
+// that are there beyond the need.
+func (p *Planner) settled(have []clcatalog.Endpoint, now time.Time) bool {
+	spot := lo.CountBy(have, func(e clcatalog.Endpoint) bool { return e.Spot })
+	p.baseline = max(p.baseline, float64(len(have)-spot), float64(spot)/spotSurplus)
+	if len(have) > p.most || p.grownAt.IsZero() {
+		p.most, p.grownAt = len(have), now
+	}
+	return p.most > 0 && now.Sub(p.grownAt) >= settleFor || p.ordering()
+}
+
+// ordering reports whether orders have been given.
+func (p *Planner) ordering() bool { return p.placed != nil }
+
 // expectedSpot returns the spot endpoints that a data centre has or gets soon.
-func (p *Planner) expectedSpot(pl place, target int, boot time.Duration, now time.Time) int {
+func (p *Planner) expectedSpot(pl place, target int, s Situation, now time.Time) int {
 	ordered := p.ordered[pl.name]
-	if now.Before(p.refused[pl.name]) || ordered.IsZero() || now.Sub(ordered) > boot+bootSlack || pl.demand > 0 {
+	due := now.Sub(ordered) <= s.Scaling.Boot+bootSlack
+	if ordered.IsZero() || !due || now.Before(p.refused[pl.name]) || pl.demand > 0 && !s.Idle {
 		return pl.spot
 	}
 	return max(pl.spot, target)
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -208,3 +208,68 @@
 	}
 	require.GreaterOrEqual(t, spots, before*2/3-1, "those of the two other data centres")
 }
+
+// Guards against a start at which the endpoints register one after the other,
+// and the first orders, which go by a part of them, take the others away.
+func TestStartOfALargeSystem(t *testing.T) {
+	var p Planner
+	scaling := clcatalog.Scaling{Min: 1, Max: 80, Boot: 4 * time.Second, SpotPrice: 0.18, Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1}}
+	var have []clcatalog.Endpoint
+	now := time.Unix(1000, 0)
+	for range 48 {
+		now = now.Add(modelStep)
+		for i := range 3 {
+			if len(have) < 112 {
+				have = append(have, clcatalog.Endpoint{DataCentre: []string{"a", "b", "c"}[i]})
+			}
+		}
+		demand, spot := 0, 0
+		for _, o := range p.Plan(Situation{Scaling: scaling, Have: have, Load: -1}, now) {
+			if o.Spot {
+				spot += o.Count
+			} else {
+				demand += o.Count
+			}
+		}
+		if demand+spot > 0 {
+			require.GreaterOrEqual(t, demand, len(have)/2, "as long as there are no spot endpoints")
+		}
+	}
+	for _, dc := range []string{"a", "b", "c"} {
+		for range 49 {
+			have = append(have, clcatalog.Endpoint{DataCentre: dc, Spot: true})
+		}
+	}
+	for range 80 {
+		now = now.Add(modelStep)
+		spot, demand := 0, 0
+		for _, o := range p.Plan(Situation{Scaling: scaling, Have: have, Load: -1}, now) {
+			if o.Spot {
+				spot += o.Count
+			} else {
+				demand += o.Count
+			}
+		}
+		require.InDelta(t, 147, spot, 3, "112 endpoints and 30% more, and no growth from that")
+	}
+}
+
+// Guards against a bill for both kinds of endpoints while nobody asks for anything.
+func TestIdleStart(t *testing.T) {
+	m := newCloudModel(-1)
+	demandAfter := func(idle bool) int {
+		p, now, n := Planner{}, time.Unix(1000, 0), 0
+		for range 10 {
+			now = now.Add(modelStep)
+			n = 0
+			for _, o := range p.Plan(Situation{Scaling: m.scaling, Have: m.have(), Load: -1, Idle: idle}, now) {
+				if !o.Spot {
+					n += o.Count
+				}
+			}
+		}
+		return n
+	}
+	require.LessOrEqual(t, demandAfter(true), 1)
+	require.GreaterOrEqual(t, demandAfter(false), 6, "requests are served by what runs")
+}
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -260,18 +260,18 @@
 	return lo.Map(f.service(name).endpoints, func(e *endpoint, _ int) clcatalog.Endpoint { return e.Endpoint })
 }
 
-// Occupancy returns the part of a service's slots that is taken, as far as is known.
-func (f *Fleet) Occupancy(name string) float64 {
+// Busy returns the number of endpoints whose slots the running requests would
+// fill, as far as is known.
+func (f *Fleet) Busy(name string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	running, slots := 0, 0
+	running, slots, n := 0, 0, 0
 	for _, e := range f.service(name).endpoints {
-		if !e.Leaving {
-			running += e.busy().Running
-			slots += e.Slots
-		}
+		running += e.busy().Running
+		slots += e.Slots
+		n++
 	}
-	return float64(running) / float64(max(1, slots))
+	return float64(running*n) / float64(max(1, slots))
 }
 
 func (f *Fleet) service(name string) *service {
--- a/internal/serving/clnode/load.go
+++ b/internal/serving/clnode/load.go
@@ -71,9 +71,18 @@
 	r.seconds, r.at = seconds, now
 }
 
-// busy returns the highest recent number of endpoints that are kept busy, or
-// -1 while too little has been seen to tell.
-func (m *loadMeter) busy(service string, now time.Time) float64 {
+// idle reports whether no request for the service has been seen.
+func (m *loadMeter) idle(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.since[service]
+	return !ok
+}
+
+// busy returns the highest recent number of endpoints that are kept busy, by
+// reading prompts or by requests that fill their slots, or -1 while too little
+// has been seen to tell.
+func (m *loadMeter) busy(service string, slots float64, now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if since, ok := m.since[service]; !ok || now.Sub(since) < meterWarmUp {
@@ -85,6 +94,7 @@
 			sum += r.rate
 		}
 	}
+	sum = max(sum, slots)
 	p := m.peak[service]
 	if sum >= p.value || now.Sub(p.at) > peakLifetime {
 		p = peak{sum, now}
