--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 WIRE_PROTOS := clwire/peer.proto clwire/operator.proto
 PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
 
-.PHONY: help build tools generate generate-check format-check lint test model demo bench
+.PHONY: help build tools generate generate-check format-check lint test fuzz model demo bench
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -43,6 +43,11 @@
 	go test $$(go list ./... | grep -v '/clharness$$')
 	go test -count=1 ./clharness
 
+fuzz: ## Fuzzes what is decoded from outside, for half a minute; finds go to testdata/fuzz and are tests from then on.
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform/cladapter
+	go test -run '^$$' -fuzz FuzzParseRequest -fuzztime 10s ./platform/cladapter
+	go test -run '^$$' -fuzz FuzzSplitter -fuzztime 10s ./internal/serving/clstream
+
 model: ## Checks the specifications and that their variants with one guard removed fail.
 	model/check.sh
 
