Count each request once for the retry budget, and keep a full endpoint's connection

A request whose endpoints could not be reached counted once for each try towards the budget; the answer of a full endpoint was left unread, which closed its connection.

--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -63,14 +64,23 @@
 	streamSilence = 1700 * time.Millisecond
 	// answerBytes bounds an answer that is read as a whole before it is passed on.
 	answerBytes = 1 << 20
+	// shedBytes bounds what is read of the answer of an endpoint that did not
+	// run the request.
+	shedBytes = 4 << 10
 	// cutRetryAfter is when to come back after an attempt that did not run.
 	cutRetryAfter = 300 * time.Millisecond
+
+	// reasonBudget and reasonUnconfirmed stand beside the fleet's reasons for
+	// not sending a request.
+	reasonBudget      clfleet.Reason = "retry_budget"
+	reasonUnconfirmed clfleet.Reason = "configuration_unconfirmed"
 )
 
 // forward sends the request until an endpoint has answered, and answers the caller.
 func (g *Gateway) forward(ctx context.Context, c *call) {
 	var p progress
 	var last verdict
+	g.Retries.Request(c.service, c.arrived)
 	for unsent := 0; unsent < unsentTries; {
 		choice, refused, req := g.pick(c)
 		if choice == nil {
@@ -78,14 +88,11 @@
 			return
 		}
 		if c.sends > 0 && !g.Retries.Retry(c.service, time.Now()) {
-			g.giveUp(c, &p, last, &clfleet.Refusal{Reason: "retry_budget", RetryAfter: cutRetryAfter})
+			g.giveUp(c, &p, last, &clfleet.Refusal{Reason: reasonBudget, RetryAfter: cutRetryAfter})
 			return
 		}
-		if c.sends == 0 {
-			g.Retries.Request(c.service, time.Now())
-		}
 		if refused := g.unlessStale(nil); refused != nil && c.account != nil {
-			g.giveUp(c, &p, last, &clfleet.Refusal{Reason: "configuration_unconfirmed", RetryAfter: refused.retryAfter})
+			g.giveUp(c, &p, last, &clfleet.Refusal{Reason: reasonUnconfirmed, RetryAfter: refused.retryAfter})
 			return
 		}
 		last = g.attempt(ctx, c, choice, req, &p)
@@ -193,6 +200,10 @@
 	case a.facts.ID != "" && a.facts.ID != a.says.ID:
 		return g.abandon(a, clfleet.Broken, errors.Errorf("answer to request %s", a.facts.ID))
 	case a.facts.NotRun:
+		// A short answer that is read whole leaves the connection for others.
+		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, shedBytes)); err != nil {
+			g.Logger.Debug("answer of a full endpoint broke off", zap.String("request", a.says.ID), zap.Error(err))
+		}
 		v := g.abandon(a, clfleet.Shed, errors.Errorf("endpoint answered %d without running the request", answer.Status))
 		v.notRun = true
 		return v
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -79,7 +79,7 @@
 		// says that latency can be compared.
 		Outcome(service, version, route string, failed, warm bool, latency time.Duration)
 		// Demand counts a request that arrived for a service.
-		Demand(service string, tokens float64)
+		Demand(service string)
 	}
 
 	// Gateway serves callers. Exported fields are set before Run.
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -119,14 +119,14 @@
 			return &refusal{http.StatusTooManyRequests, "over_quota", wait}
 		}
 	}
-	g.Record.Demand(c.service, tokens)
+	g.Record.Demand(c.service)
 	return nil
 }
 
 // unlessStale replaces a refusal that a later configuration may not contain.
 func (g *Gateway) unlessStale(refused *refusal) *refusal {
 	if ok, wait := g.Fresh(); !ok {
-		return &refusal{http.StatusServiceUnavailable, "configuration_unconfirmed", wait}
+		return &refusal{http.StatusServiceUnavailable, string(reasonUnconfirmed), wait}
 	}
 	return refused
 }
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -69,7 +69,7 @@
 }
 func (*testRecorder) Tried(string, string, string)                              {}
 func (*testRecorder) Outcome(string, string, string, bool, bool, time.Duration) {}
-func (*testRecorder) Demand(string, float64)                                    {}
+func (*testRecorder) Demand(string)                                             {}
 
 // world is a gateway in front of scripted endpoints.
 type world struct {
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -267,6 +267,6 @@
 }
 
 // Demand counts a request that arrived for a service.
-func (n *Node) Demand(service string, _ float64) {
+func (n *Node) Demand(service string) {
 	n.load.learn(service, n.Settings.Name, n.exchange.Self.Boot, n.fleet.Demand()[service].Seconds, clclock.Now())
 }
