--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -103,7 +103,8 @@
 	alike = 5 * time.Millisecond
 	// slotSlowdown is how much slower a full batch makes each step.
 	slotSlowdown = 0.5
-	// fullWait is the expected wait for a slot, per request in front, as a part of a second by slots.
+	// fullWait is how long a request usually holds a slot; with n slots one of
+	// a full endpoint becomes free every fullWait/n.
 	fullWait = 2 * time.Second
 	// failurePenalty is what an endpoint's failures beyond its service's count as.
 	failurePenalty = 3 * time.Second
