Wait with clwait in the gateway's loops

Cause: the last read found that clmirror, clgossip and clnode waited with their own timers and tickers, which clwait.Pause and clwait.Every already provide. Ruled out: one form for Duties.Run too; it acts before its first tick, which clwait.Every does not.

--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
@@ -105,12 +106,9 @@
 	for ctx.Err() == nil {
 		e.send()
 		interval := max(shortestInterval, time.Duration(len(e.Peers()))*time.Second/datagramsPerSecond)
-		t := time.NewTimer(interval*9/10 + rand.N(interval/5))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
+		if clwait.Pause(ctx, interval*9/10+rand.N(interval/5)) != nil {
+			return
 		}
-		t.Stop()
 	}
 }
 
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -325,11 +326,5 @@
 	return d.Position, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
+// pause waits for d; the callers' loops look at ctx themselves.
+func pause(ctx context.Context, d time.Duration) { _ = clwait.Pause(ctx, d) }
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clduty"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
@@ -128,7 +129,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return n.hub.Run(parts) })
 	g.Go(func() error { return n.exchange.Run(parts) })
-	g.Go(func() error { n.runSteps(parts); return nil })
+	g.Go(func() error { return n.runSteps(parts) })
 	g.Go(func() error { n.runRegister(parts); return nil })
 	g.Go(func() error { n.runReload(parts); return nil })
 	g.Go(func() error { return n.runReadiness(parts) })
@@ -237,17 +238,8 @@
 }
 
 // runSteps decides again and again what depends on time.
-func (n *Node) runSteps(ctx context.Context) {
-	t := time.NewTicker(steps)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		n.step(ctx)
-	}
+func (n *Node) runSteps(ctx context.Context) error {
+	return clwait.Every(ctx, steps, func(time.Time) { n.step(ctx) })
 }
 
 func (n *Node) step(ctx context.Context) {
@@ -352,12 +344,9 @@
 			return
 		}
 		n.Logger.Warn("registration failed", zap.Error(err))
-		t := time.NewTimer(backoff/2 + rand.N(backoff))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
+		if clwait.Pause(ctx, backoff/2+rand.N(backoff)) != nil {
+			return
 		}
-		t.Stop()
 	}
 }
 
