Let the first gateway that the store serves read it, and order sooner in reclaims

Cause: the store turned a third of the gateways away, the first three readers by name among them. Ruled out: the age limit of 1.1 s and the questions themselves, which the log shows to be in time. A gateway that the store turns away now says so in its digests, at once to its data centre; the others leave it out of the ranking. While the store answers nobody, only the leading mirror asks.

While a reclaim is recent, the spot endpoints of one more data centre are not counted on; the load is known after 3 s and not 6; endpoints at the usual price follow the present load and not the peak.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -292,7 +292,9 @@
 func (d *Duties) order(ctx context.Context, by Holder) {
 	now := clclock.Now()
 	for _, s := range d.Situations() {
-		s.Load = d.knownLoad(s)
+		if s.Load = d.knownLoad(s); s.Current < 0 {
+			s.Current = s.Load
+		}
 		p := d.planners[s.Service]
 		if p == nil {
 			p = &Planner{}
--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -30,6 +30,8 @@
 		// Load is the number of endpoints that the present requests keep busy;
 		// below 0 it is not known yet, and the present size is kept.
 		Load float64
+		// Current is the same without the memory of an earlier peak.
+		Current float64
 		// Idle says that no request has been seen yet, so that endpoints which
 		// boot are as good as those that run.
 		Idle bool
@@ -41,6 +43,10 @@
 	Planner struct {
 		// refused holds until when no spot endpoints are to be had, by data centre.
 		refused map[string]time.Time
+		// spots holds the spot endpoints last seen, by data centre, and
+		// reclaimed when those of a data centre were last announced to leave.
+		spots     map[string]int
+		reclaimed time.Time
 		// ordered holds when more spot endpoints were last ordered, by data centre.
 		ordered map[string]time.Time
 		// demand is the number of endpoints at the usual price in force, which
@@ -71,9 +77,13 @@
 	// busyDemandTarget is the same for endpoints at the usual price that stand
 	// in for spot ones for a while.
 	busyDemandTarget = 0.7
-	// spotSurplus is how many spot endpoints there are beyond the need: the
-	// loss of one data centre of three leaves almost enough.
-	spotSurplus = 1.3
+	// spotSurplus is how many spot endpoints there are beyond the need. With it
+	// and busyTarget, one data centre of three alone can carry the load for the
+	// seconds that it takes to boot others.
+	spotSurplus = 1.5
+	// spotSurplusUnknown is the same while the load is not known, and the need
+	// is a guess that is rather too high.
+	spotSurplusUnknown = 1.3
 	// leastSpot is how many spot endpoints a data centre has at least; a burst
 	// comes sooner than an order.
 	leastSpot = 2
@@ -86,8 +96,12 @@
 	// that start together.
 	settleFor = 1500 * time.Millisecond
 	// calmFor is how long endpoints at the usual price stay after the spot
-	// ones are enough again, because reclaims come in waves.
-	calmFor = 6 * time.Second
+	// ones are enough again, which are cold at first.
+	calmFor = 4 * time.Second
+	// reclaimWave is how long after a reclaim the spot endpoints of one more
+	// data centre are not counted on: reclaims come in waves, and a notice is
+	// shorter than a boot.
+	reclaimWave = 15 * time.Second
 	// refusedFor is how long no spot endpoints are ordered where there were none.
 	refusedFor = 3 * time.Second
 	// bootSlack is how much longer than the stated boot time an endpoint may
@@ -112,17 +126,19 @@
 	if len(places) == 0 {
 		return nil
 	}
-	load := s.Load
+	p.noteReclaims(places, now)
+	load, current, surplus := s.Load, s.Current, spotSurplus
 	if load < 0 {
 		if !p.settled(s.Have, now) {
 			return nil
 		}
 		load = p.baseline * busyTarget
+		current, surplus = load, spotSurplusUnknown
 	}
 	need := max(1, int(math.Ceil(load/busyTarget)))
-	perPlace := max(leastSpot, int(math.Ceil(float64(need)*spotSurplus/float64(len(places)))))
+	perPlace := max(leastSpot, int(math.Ceil(float64(need)*surplus/float64(len(places)))))
 	var orders []Order
-	expected := 0
+	expected, largest := 0, 0
 	spots := make([]int, len(places))
 	for i, pl := range places {
 		spots[i] = min(perPlace, max(1, s.Scaling.Max-demandRoom))
@@ -142,9 +158,14 @@
 		} else if pl.spot >= spots[i] {
 			delete(p.ordered, pl.name)
 		}
-		expected += p.expectedSpot(pl, target, s, now)
+		n := p.expectedSpot(pl, target, s, now)
+		expected += n
+		largest = max(largest, n)
 	}
-	demand := p.settle(max(leastDemand, int(math.Ceil(load/busyDemandTarget))-expected), now)
+	if now.Sub(p.reclaimed) < reclaimWave {
+		expected -= largest
+	}
+	demand := p.settle(max(leastDemand, int(math.Ceil(current/busyDemandTarget))-expected), now)
 	for i, n := range p.spread(places, spots, demand, s.Scaling) {
 		orders = append(orders,
 			Order{Service: s.Service, DataCentre: places[i].name, Spot: true, Count: min(spots[i], s.Scaling.Max-n)},
@@ -153,6 +174,20 @@
 	return orders
 }
 
+// noteReclaims looks for data centres that have lost all their spot endpoints
+// at once, which no order of the planner's own does.
+func (p *Planner) noteReclaims(places []place, now time.Time) {
+	if p.spots == nil {
+		p.spots = make(map[string]int)
+	}
+	for _, pl := range places {
+		if pl.spot == 0 && p.spots[pl.name] > 0 {
+			p.reclaimed = now
+		}
+		p.spots[pl.name] = pl.spot
+	}
+}
+
 // settled follows the endpoints that are there while the load is not known, and
 // reports whether all have probably registered: after a start of the whole
 // system they do so one after the other, and orders that go by a part of them
@@ -160,7 +195,7 @@
 // that are there beyond the need.
 func (p *Planner) settled(have []clcatalog.Endpoint, now time.Time) bool {
 	spot := lo.CountBy(have, func(e clcatalog.Endpoint) bool { return e.Spot })
-	p.baseline = max(p.baseline, float64(len(have)-spot), float64(spot)/spotSurplus)
+	p.baseline = max(p.baseline, float64(len(have)-spot), float64(spot)/spotSurplusUnknown)
 	if len(have) > p.most || p.grownAt.IsZero() {
 		p.most, p.grownAt = len(have), now
 	}
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -81,7 +81,7 @@
 		}
 	}
 	m.endpoints = kept
-	for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load}, m.now) {
+	for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load, Current: m.load}, m.now) {
 		m.carryOut(o)
 	}
 }
@@ -157,6 +157,26 @@
 	require.LessOrEqual(t, demand, 2, "the spot endpoints are back")
 }
 
+// Guards against a large system that loses its spot endpoints in one data
+// centre after the other, faster than others boot: at the first notice those
+// of the next data centre must not be counted on.
+func TestReclaimsFasterThanABoot(t *testing.T) {
+	m := newCloudModel(33)
+	m.scaling.Max = 76
+	m.run(20*time.Second, nil)
+	least := m.ready()
+	watch := func() { least = min(least, m.ready()) }
+	for _, wave := range []struct {
+		dc   string
+		next time.Duration
+	}{{"c", time.Second}, {"b", 3 * time.Second}, {"a", 4 * time.Second}} {
+		m.reclaim(wave.dc, 14*time.Second)
+		m.run(wave.next, watch)
+	}
+	require.GreaterOrEqual(t, least, 33, "as many as the load keeps busy")
+	require.GreaterOrEqual(t, float64(m.ready()), m.load/busyDemandTarget)
+}
+
 // Guards against orders that flap while nothing changes, and against a bill
 // near that of the usual price.
 func TestSteadyLoad(t *testing.T) {
@@ -175,7 +195,7 @@
 		m := newCloudModel(load)
 		m.run(20*time.Second, func() {
 			count := map[string]int{}
-			for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load}, m.now) {
+			for _, o := range m.planner.Plan(Situation{Service: "s", Scaling: m.scaling, Have: m.have(), Load: m.load, Current: m.load}, m.now) {
 				require.GreaterOrEqual(t, o.Count, 0)
 				count[o.DataCentre] += o.Count
 			}
@@ -186,7 +206,7 @@
 		})
 	}
 	var p Planner
-	for _, o := range p.Plan(Situation{Scaling: newCloudModel(0).scaling, Load: 3, Out: map[string]bool{"b": true}}, time.Unix(1000, 0)) {
+	for _, o := range p.Plan(Situation{Scaling: newCloudModel(0).scaling, Load: 3, Current: 3, Out: map[string]bool{"b": true}}, time.Unix(1000, 0)) {
 		require.NotEqual(t, "b", o.DataCentre)
 	}
 	require.Nil(t, p.Plan(Situation{}, time.Unix(1000, 0)))
--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -43,6 +43,7 @@
 	boot, sequence uint64
 	at             time.Time
 	leaving        bool
+	storeLost      bool
 }
 
 const (
@@ -78,7 +79,7 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.send()
+	e.send(toAll)
 }
 
 // Alive returns the names of the other gateways that were heard lately and do not leave.
@@ -95,6 +96,19 @@
 	return names
 }
 
+// StoreLost reports whether a gateway last said that the store does not serve it.
+func (e *Exchange) StoreLost(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard[name].storeLost
+}
+
+// Announce sends a digest at once to the gateways of this data centre, which
+// must not wait for the next one: the gateways that read the store change.
+func (e *Exchange) Announce() {
+	e.send(func(p clcatalog.Member) bool { return p.DataCentre == e.Self.DataCentre })
+}
+
 // LastHeard returns when a gateway was heard, or zero.
 func (e *Exchange) LastHeard(name string) time.Time {
 	e.mu.Lock()
@@ -104,7 +118,7 @@
 
 func (e *Exchange) runSend(ctx context.Context) {
 	for ctx.Err() == nil {
-		e.send()
+		e.send(toAll)
 		interval := max(shortestInterval, time.Duration(len(e.Peers()))*time.Second/datagramsPerSecond)
 		if clwait.Pause(ctx, interval*9/10+rand.N(interval/5)) != nil {
 			return
@@ -112,7 +126,10 @@
 	}
 }
 
-func (e *Exchange) send() {
+func toAll(clcatalog.Member) bool { return true }
+
+// send sends a digest to the registered gateways that to selects.
+func (e *Exchange) send(to func(clcatalog.Member) bool) {
 	e.mu.Lock()
 	conn := e.conn
 	e.sequence++
@@ -131,7 +148,7 @@
 		return
 	}
 	for _, p := range e.Peers() {
-		if p.Name == e.Self.Name {
+		if p.Name == e.Self.Name || !to(p) {
 			continue
 		}
 		_, err = conn.WriteToUDPAddrPort(b, p.Address)
@@ -141,8 +158,12 @@
 
 // noteSend logs the first of a series of failures, as a full link fails each datagram.
 func (e *Exchange) noteSend(to netip.AddrPort, err error) {
-	if failing := err != nil; failing != e.failing {
-		e.failing = failing
+	e.mu.Lock()
+	failing := err != nil
+	changed := failing != e.failing
+	e.failing = failing
+	e.mu.Unlock()
+	if changed {
 		e.Logger.Info("sending digests", zap.Bool("failing", failing), zap.Stringer("to", to), zap.Error(err))
 	}
 }
@@ -188,6 +209,6 @@
 	if d.GetBoot() != h.boot {
 		e.Logger.Info("gateway heard", zap.String("gateway", d.GetName()), zap.Uint64("boot", d.GetBoot()))
 	}
-	e.heard[d.GetName()] = heard{boot: d.GetBoot(), sequence: d.GetSequence(), at: clclock.Now(), leaving: d.GetLeaving()}
+	e.heard[d.GetName()] = heard{boot: d.GetBoot(), sequence: d.GetSequence(), at: clclock.Now(), leaving: d.GetLeaving(), storeLost: d.GetStoreLost()}
 	return true
 }
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -37,7 +37,10 @@
 		// Confirmed and Confirm are those of the mirror whose age counts.
 		Confirmed func() time.Time
 		Confirm   func(time.Time)
-		Logger    *zap.Logger
+		// Changed, if set, is called when the store has stopped or begun to
+		// serve this gateway.
+		Changed func()
+		Logger  *zap.Logger
 
 		mirrors []mirror
 		client  http.Client
@@ -47,6 +50,8 @@
 		// readUntil is until when this gateway reads the store because no
 		// reader was of use.
 		readUntil time.Time
+		// lostUntil is until when the store is taken not to serve this gateway.
+		lostUntil time.Time
 		following netip.AddrPort
 		shunned   map[netip.AddrPort]time.Time
 		positions map[string]Position
@@ -77,6 +82,9 @@
 	// above what a slow store and a waiting watch cause, and so small that a
 	// follower that turns to the store still learns of a change in time.
 	staleAge = 1100 * time.Millisecond
+	// lostFor is how long after a failed call a gateway counts as not served
+	// by the store if it does not call again.
+	lostFor = 10 * time.Second
 	// shunFor is how long a reader that was of no use is not asked.
 	shunFor = 2 * time.Second
 	// triedReaders is the number of readers that are asked before the store is.
@@ -86,7 +94,7 @@
 	// storeProbers is how many of the gateways that find all readers stale
 	// look for themselves at a time: the store may have turned only the
 	// readers away, or be down, when each call is in vain.
-	storeProbers = 12
+	storeProbers = 6
 	// maxFeedBytes bounds an answer.
 	maxFeedBytes = 16 << 20
 )
@@ -129,6 +137,28 @@
 // confirmedLately reports whether the store has just answered.
 func (h *Hub) confirmedLately() bool { return clclock.Now().Sub(h.Confirmed()) < staleAge }
 
+// Lost reports whether the store does not serve this gateway.
+func (h *Hub) Lost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return clclock.Now().Before(h.lostUntil)
+}
+
+// noteStore records whether the store has served a call of the leading mirror.
+func (h *Hub) noteStore(served bool) {
+	h.mu.Lock()
+	now := clclock.Now()
+	wasLost := now.Before(h.lostUntil)
+	h.lostUntil = time.Time{}
+	if !served {
+		h.lostUntil = now.Add(lostFor)
+	}
+	h.mu.Unlock()
+	if wasLost == served && h.Changed != nil {
+		h.Changed()
+	}
+}
+
 // Renew makes all waiting watches begin anew.
 func (h *Hub) Renew() {
 	for _, m := range h.mirrors {
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -170,12 +170,16 @@
 func (m *Mirror[T]) run(ctx context.Context) {
 	backoff, lost := firstBackoff, false
 	for ctx.Err() == nil {
-		if !m.hub.reads() && m.isListed() {
+		// While the store does not answer, only the leading mirror asks.
+		if !m.hub.reads() && m.isListed() || !m.Leads && !m.hub.confirmedLately() {
 			pause(ctx, roleCheck)
 			continue
 		}
 		sent := clclock.Now()
 		batch, complete, err := m.call(ctx)
+		if m.Leads && ctx.Err() == nil {
+			m.hub.noteStore(err == nil || errors.Is(err, ErrHistoryGone))
+		}
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.mu.Lock()
--- a/internal/serving/clnode/load.go
+++ b/internal/serving/clnode/load.go
@@ -3,6 +3,7 @@
 package clnode
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -25,7 +26,10 @@
 		boot    uint64
 		seconds float64
 		at      time.Time
-		rate    float64
+		// rate starts at 0 and approaches the true one from below; since is
+		// when it began.
+		rate  float64
+		since time.Time
 	}
 
 	peak struct {
@@ -41,7 +45,7 @@
 	// are elsewhere by then.
 	meterLifetime = 5 * time.Second
 	// meterWarmUp is how long requests must have come before the load is known.
-	meterWarmUp = 2 * meterSpan
+	meterWarmUp = 3 * time.Second
 	// peakLifetime keeps the endpoints that a wave needed until the next one.
 	peakLifetime = 20 * time.Second
 )
@@ -59,14 +63,14 @@
 	k := meterKey{service, gateway}
 	r := m.gateway[k]
 	if r == nil || r.boot != boot {
-		m.gateway[k] = &meterReading{boot: boot, seconds: seconds, at: now}
+		m.gateway[k] = &meterReading{boot: boot, seconds: seconds, at: now, since: now}
 		return
 	}
 	dt := now.Sub(r.at)
 	if dt < meterSpan/20 {
 		return
 	}
-	weight := min(1, dt.Seconds()/meterSpan.Seconds())
+	weight := 1 - math.Exp(-dt.Seconds()/meterSpan.Seconds())
 	r.rate += weight * ((seconds-r.seconds)/dt.Seconds() - r.rate)
 	r.seconds, r.at = seconds, now
 }
@@ -79,19 +83,27 @@
 	return !ok
 }
 
-// busy returns the highest recent number of endpoints that are kept busy, by
-// reading prompts or by requests that fill their slots, or -1 while too little
-// has been seen to tell.
-func (m *loadMeter) busy(service string, slots float64, now time.Time) float64 {
+// unbiased returns the rate without the zero that it began with.
+func (r *meterReading) unbiased() float64 {
+	if r.rate == 0 {
+		return 0
+	}
+	return r.rate / (1 - math.Exp(-r.at.Sub(r.since).Seconds()/meterSpan.Seconds()))
+}
+
+// busy returns the number of endpoints that are kept busy, by reading prompts
+// or by requests that fill their slots: the highest recent one and the present
+// one. Both are -1 while too little has been seen to tell.
+func (m *loadMeter) busy(service string, slots float64, now time.Time) (highest, current float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if since, ok := m.since[service]; !ok || now.Sub(since) < meterWarmUp {
-		return -1
+		return -1, -1
 	}
 	sum := 0.0
 	for k, r := range m.gateway {
 		if k.service == service && now.Sub(r.at) < meterLifetime {
-			sum += r.rate
+			sum += r.unbiased()
 		}
 	}
 	sum = max(sum, slots)
@@ -102,5 +114,5 @@
 			m.peak[service] = p
 		}
 	}
-	return p.value
+	return p.value, sum
 }
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -4,8 +4,6 @@
 
 import (
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
@@ -36,7 +34,8 @@
 	}
 	n.hub = &clmirror.Hub{
 		Self: n.exchange.Self.Boot, Address: n.Settings.PeerAddress, Readers: n.readers,
-		Gateways: func() int { return len(n.peers()) }, Confirmed: n.config.Confirmed, Confirm: n.config.Confirm, Logger: l,
+		Gateways: func() int { return len(n.peers()) }, Confirmed: n.config.Confirmed, Confirm: n.config.Confirm,
+		Changed: n.exchange.Announce, Logger: l,
 	}
 	clmirror.Add(n.hub, n.config)
 	clmirror.Add(n.hub, n.endpoints)
@@ -59,17 +58,16 @@
 	return min(s.QuotaSlack, a.Burst) / 4
 }
 
-// readers returns the gateways that this one may follow: those of its data
-// centre that are alive and rank before it, or else none.
+// readers returns the gateways that this one may follow; none means that it
+// reads the store itself.
 func (n *Node) readers() []netip.AddrPort {
-	var ranked []clcatalog.Member
+	var others []clmirror.Candidate
 	for _, name := range n.exchange.Alive() {
-		if m, ok := n.member(name); ok && m.DataCentre == n.Settings.DataCentre && m.Name < n.Settings.Name {
-			ranked = append(ranked, m)
+		if m, ok := n.member(name); ok && m.DataCentre == n.Settings.DataCentre {
+			others = append(others, clmirror.Candidate{Name: name, Address: m.Address, Lost: n.exchange.StoreLost(name)})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b clcatalog.Member) int { return strings.Compare(a.Name, b.Name) })
-	return lo.Map(ranked, func(m clcatalog.Member, _ int) netip.AddrPort { return m.Address })
+	return clmirror.Readers(clmirror.Candidate{Name: n.Settings.Name, Address: n.Settings.PeerAddress, Lost: n.hub.Lost()}, others)
 }
 
 func (n *Node) member(name string) (clcatalog.Member, bool) {
@@ -188,6 +186,7 @@
 
 // fill adds what this process knows to a digest.
 func (n *Node) fill(d *clgossip.Digest) {
+	d.StoreLost = n.hub.Lost()
 	for account, cost := range n.quotas.Spent() {
 		d.Spending = append(d.Spending, &clgossip.Spending{Account: account, Cost: cost})
 	}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -403,8 +403,10 @@
 		}
 		have := n.fleet.Endpoints(s.Name)
 		have = slices.DeleteFunc(have, func(e clcatalog.Endpoint) bool { return e.Leaving })
-		out = append(out, clduty.Situation{Service: s.Name, Scaling: *s.Scaling, Have: have, Load: n.load.busy(s.Name, n.fleet.Busy(s.Name), clclock.Now()),
-			Idle: n.load.idle(s.Name), Out: evacuated})
+		highest, current := n.load.busy(s.Name, n.fleet.Busy(s.Name), clclock.Now())
+		out = append(out, clduty.Situation{
+			Service: s.Name, Scaling: *s.Scaling, Have: have, Load: highest, Current: current, Idle: n.load.idle(s.Name), Out: evacuated,
+		})
 	}
 	return out
 }
