Keep quotas over a restart of all gateways, and between two digests

A process that starts keeps to its share until it has heard of the others, and counts all that a peer spent which started with it.

--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -69,6 +69,72 @@
 	})
 }
 
+// Guards against all gateways that restart at once and, knowing neither what
+// was spent just before nor what the others spend until their first digests,
+// grant so much that a window over the restart exceeds the quota.
+func TestRestartOfAllGatewaysKeepsTheQuota(t *testing.T) {
+	const (
+		rate, burst, cost = 10_000.0, 20_000.0, 20.0
+		n, window         = 9, 8 * time.Second
+		demand            = 3 * rate
+		digestEvery       = 1200 * time.Millisecond
+		// What operators tolerate: a tenth beyond the quota, and an amount
+		// that is three hundredths of the largest accounts' quotas.
+		limit = (rate*8 + burst) * (1.1 + 0.03)
+	)
+	for _, restartAt := range []time.Duration{9 * time.Second, 13 * time.Second, 15 * time.Second} {
+		start := time.Unix(1000, 0)
+		ledgers := make([]*Ledger, n)
+		restart := func(now time.Time) {
+			for i := range ledgers {
+				ledgers[i] = &Ledger{Boot: uint64(now.UnixNano()) + uint64(i)*1e6}
+				ledgers[i].SetGateways(n)
+				ledgers[i].SetLimit("a", rate, burst, now)
+			}
+		}
+		restart(start)
+		var admitted []time.Time
+		next, owed := 0, 0.0
+		for now := start; now.Before(start.Add(25 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			since := now.Sub(start)
+			if since == restartAt {
+				restart(now)
+			}
+			if since%digestEvery == 0 {
+				for i, from := range ledgers {
+					for j, to := range ledgers {
+						if i != j {
+							to.Learn(fmt.Sprint(i), from.Boot, from.Spent(), now)
+						}
+					}
+				}
+			}
+			// Nobody asks for some seconds, so that the burst is there at first.
+			if since > 6*time.Second {
+				owed += demand / cost * 0.01
+			}
+			for ; owed >= 1; owed-- {
+				next++
+				if ok, _ := ledgers[next%n].Admit("a", cost, now); ok {
+					admitted = append(admitted, now)
+				}
+			}
+		}
+		most := 0.0
+		for i, first := range admitted {
+			sum := 0.0
+			for _, at := range admitted[i:] {
+				if at.Sub(first) < window {
+					sum += cost
+				}
+			}
+			most = max(most, sum)
+		}
+		require.LessOrEqual(t, most, limit, "restart at %s", restartAt)
+		require.GreaterOrEqual(t, float64(len(admitted))*cost, 0.8*rate*19, "the quota is served")
+	}
+}
+
 // exchange sends each ledger's sums to the others, but for the first one if it is cut off.
 func exchange(ledgers []*Ledger, now time.Time, cut bool) {
 	for i, from := range ledgers {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -164,7 +164,7 @@
 	n.clock = &clclock.TrueTime{}
 	n.ready = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: s.DataCentre, Rand: rand.New(rand.NewPCG(boot, rand.Uint64()))}
-	n.quotas = &clquota.Ledger{}
+	n.quotas = &clquota.Ledger{Boot: boot}
 	n.crashes = &clretry.Crashes{}
 	n.retries = &clretry.Budget{Ratio: s.RetryRatio, Floor: s.RetryFloor, Window: s.RetryWindow}
 	n.moves = &clmove.Moves{TrialShare: s.TrialShare, TrialFloor: s.TrialFloor}
@@ -251,6 +251,7 @@
 	gateways := max(1, len(n.peers()))
 	n.fleet.SetGateways(gateways)
 	n.retries.SetGateways(gateways)
+	n.quotas.SetGateways(gateways)
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
 		n.fleet.SetSplit(s.Intent.Service, s.Split)
