Keep spare spot endpoints in a wave, one home for long shared prompts, cheaper quotas

Ruled out: a lack of endpoints in the calm, as the requests before 4 s are on time. Long shared prompts (over 150 ms to read, counted twice) have one home in all data centres: bytes between them cost less than reading the prompt again.

--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -47,6 +47,10 @@
 		// reclaimed when those of a data centre were last announced to leave.
 		spots     map[string]int
 		reclaimed time.Time
+		// wanted is the most spot endpoints of a data centre that were wanted
+		// since wantedAt.
+		wanted   int
+		wantedAt time.Time
 		// ordered holds when more spot endpoints were last ordered, by data centre.
 		ordered map[string]time.Time
 		// demand is the number of endpoints at the usual price in force, which
@@ -98,6 +102,9 @@
 	// calmFor is how long endpoints at the usual price stay after the spot
 	// ones are enough again, which are cold at first.
 	calmFor = 4 * time.Second
+	// spotCalmFor is how long spot endpoints are more than wanted before some
+	// are given back: they cost little, and cannot be had in a reclaim.
+	spotCalmFor = 10 * time.Second
 	// reclaimWave is how long after a reclaim the spot endpoints of one more
 	// data centre are not counted on: reclaims come in waves, and a notice is
 	// shorter than a boot.
@@ -138,10 +145,14 @@
 	need := max(1, int(math.Ceil(load/busyTarget)))
 	perPlace := max(leastSpot, int(math.Ceil(float64(need)*surplus/float64(len(places)))))
 	var orders []Order
+	keep := p.keepsSpots(perPlace, now)
 	expected, largest := 0, 0
 	spots := make([]int, len(places))
 	for i, pl := range places {
 		spots[i] = min(perPlace, max(1, s.Scaling.Max-demandRoom))
+		if keep {
+			spots[i] = max(spots[i], min(pl.spot, s.Scaling.Max))
+		}
 		if s.Load < 0 {
 			// What is there may be what is left after a reclaim.
 			spots[i] = max(spots[i], pl.spot)
@@ -174,6 +185,20 @@
 	return orders
 }
 
+// keepsSpots reports whether spare spot endpoints stay: until fewer have been
+// wanted for a while in which no reclaim was seen.
+func (p *Planner) keepsSpots(perPlace int, now time.Time) bool {
+	if perPlace >= p.wanted || now.Sub(p.reclaimed) < reclaimWave {
+		p.wanted, p.wantedAt = max(perPlace, p.wanted), now
+		return true
+	}
+	if now.Sub(p.wantedAt) < spotCalmFor {
+		return true
+	}
+	p.wanted, p.wantedAt = perPlace, now
+	return false
+}
+
 // noteReclaims looks for data centres that have lost all their spot endpoints
 // at once, which no order of the planner's own does.
 func (p *Planner) noteReclaims(places []place, now time.Time) {
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -177,6 +177,30 @@
 	require.GreaterOrEqual(t, float64(m.ready()), m.load/busyDemandTarget)
 }
 
+// Guards against spare spot endpoints that are given back just before or in a
+// wave of reclaims, when no others are to be had.
+func TestSpareSpotEndpointsStayInAWave(t *testing.T) {
+	m := newCloudModel(60)
+	m.scaling.Max = 76
+	m.run(20*time.Second, nil)
+	spots := func() int {
+		n := 0
+		for _, e := range m.have() {
+			if e.Spot {
+				n++
+			}
+		}
+		return n
+	}
+	before := spots()
+	m.load = 15
+	m.run(5*time.Second, func() { require.Equal(t, before, spots(), "the load has only just fallen") })
+	m.reclaim("c", 14*time.Second)
+	m.run(10*time.Second, func() { require.GreaterOrEqual(t, spots(), before*2/3-1) })
+	m.run(60*time.Second, nil)
+	require.LessOrEqual(t, spots(), 48, "three times the load, and a rounding for each data centre")
+}
+
 // Guards against orders that flap while nothing changes, and against a bill
 // near that of the usual price.
 func TestSteadyLoad(t *testing.T) {
--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -58,6 +58,11 @@
 	AliveAfter = 3 * time.Second
 )
 
+// Interval returns the time between two digests of a gateway when there are n.
+func Interval(n int) time.Duration {
+	return max(shortestInterval, time.Duration(n)*time.Second/datagramsPerSecond)
+}
+
 // Run exchanges digests until ctx ends; then it tells the others that this process leaves.
 func (e *Exchange) Run(ctx context.Context) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Self.Address))
@@ -119,7 +124,7 @@
 func (e *Exchange) runSend(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.send(toAll)
-		interval := max(shortestInterval, time.Duration(len(e.Peers()))*time.Second/datagramsPerSecond)
+		interval := Interval(len(e.Peers()))
 		if clwait.Pause(ctx, interval*9/10+rand.N(interval/5)) != nil {
 			return
 		}
--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -6,7 +6,6 @@
 package clquota
 
 import (
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -19,6 +18,8 @@
 		// Boot is the start of this process in Unix nanoseconds, as peers tell
 		// theirs; 0 means that the start does not matter.
 		Boot uint64
+		// Tolerance is the amount by which an account's quota may be exceeded.
+		Tolerance float64
 
 		mu      sync.Mutex
 		buckets map[string]*bucket
@@ -39,6 +40,20 @@
 		spent float64
 		// recent is the same of the last seconds.
 		recent decaying
+		// peers is the spending of the other gateways.
+		peers map[string]*spending
+	}
+
+	// spending is what another gateway has taken from one account's quota.
+	spending struct {
+		// spent is its sum at its last report, and rate its last rate for a second.
+		spent, rate float64
+		at          time.Time
+		// recent is what it has spent in the last seconds.
+		recent decaying
+		// assumed was taken for the peer since its last report, when own was
+		// this process's sum.
+		assumed, own float64
 	}
 
 	// decaying is a sum that forgets with time.
@@ -47,17 +62,12 @@
 		at  time.Time
 	}
 
-	// peer is what another gateway has reported.
+	// peer is another gateway.
 	peer struct {
 		boot uint64
 		at   time.Time
-		// spent and rate are by account; rate is for a second.
-		spent, rate map[string]float64
-		// recent is what it has spent in the last seconds, by account.
-		recent map[string]*decaying
-		// assumed was taken for the peer since its last report, when own was
-		// this process's sum.
-		assumed, own map[string]float64
+		// startedWithUs says that all it has spent, it spent since this process began.
+		startedWithUs bool
 	}
 )
 
@@ -86,8 +96,10 @@
 	// recentSpan is how long spending tells how an account's requests are
 	// divided among the gateways; longer than the time between two digests.
 	recentSpan = 4 * time.Second
-	// mostRatio bounds how much more than this process a peer is assumed to spend.
-	mostRatio = 1.5
+	// mostRatio bounds how much more than this process a peer is assumed to
+	// spend, and mostDemand how many times its rate an account is.
+	mostRatio  = 1.5
+	mostDemand = 3
 	// longestWait bounds the time after which a caller is told to come back.
 	longestWait = 10 * time.Second
 )
@@ -104,10 +116,10 @@
 	}
 	b := l.buckets[account]
 	if b == nil {
-		b = &bucket{level: burst * firstLevel, at: now}
+		b = &bucket{level: burst * firstLevel, at: now, peers: make(map[string]*spending)}
 		l.buckets[account] = b
 	}
-	l.advance(now)
+	b.advance(now)
 	b.rate, b.burst = rate, burst
 	b.level = min(b.level, burst)
 }
@@ -121,14 +133,17 @@
 	if b == nil || b.rate <= 0 {
 		return true, 0
 	}
-	l.advance(now)
+	b.advance(now)
 	if l.starting(now) {
 		if share := l.startupShare(b, now); b.spent+cost > share {
 			wait := (b.spent + cost - share) * float64(max(1, l.gateways)) / b.rate * float64(time.Second)
 			return false, min(l.started.Add(startupFor).Sub(now), time.Duration(wait))
 		}
 	}
-	if missing := min(cost, b.burst) - b.level; missing > 0 {
+	// What the peers may have spent by now is not known; it must not go beyond
+	// the tolerance.
+	level := min(b.level, b.level-b.unheard(now)+l.Tolerance)
+	if missing := min(cost, b.burst) - level; missing > 0 {
 		return false, min(longestWait, time.Duration(missing/b.rate*float64(time.Second)))
 	}
 	b.level -= cost
@@ -182,24 +197,16 @@
 func (l *Ledger) Learn(name string, boot uint64, spent map[string]float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advance(now)
 	p := l.peers[name]
 	if p == nil || p.boot != boot {
-		p = &peer{
-			boot: boot, spent: maps.Clone(spent), rate: map[string]float64{}, recent: map[string]*decaying{},
-			assumed: map[string]float64{}, own: map[string]float64{},
-		}
-		if l.Boot != 0 && boot+uint64(sameStart) >= l.Boot {
-			// All that it has spent, it spent since this process began.
-			p.spent = make(map[string]float64)
-		} else {
-			l.synced = true // a gateway that has gone on knows what was spent
-		}
-		if l.peers == nil {
-			l.peers = make(map[string]*peer)
+		p = l.meet(name, boot)
+	}
+	for account, total := range spent {
+		if b := l.buckets[account]; b != nil {
+			b.learn(name, total, p.startedWithUs, p.at, now)
 		}
-		l.peers[name] = p
 	}
+	p.at = now
 	if l.Boot != 0 && !l.synced && l.gateways > 0 && float64(len(l.peers)) >= heardShare*float64(l.gateways-1) {
 		l.synced = true
 		for _, b := range l.buckets {
@@ -207,76 +214,104 @@
 			b.level -= b.burst * (firstLevel - startupBurst)
 		}
 	}
-	elapsed := now.Sub(p.at).Seconds()
-	for account, total := range spent {
-		delta := total - p.spent[account]
-		if b := l.buckets[account]; b != nil {
-			b.level = min(b.burst, b.level-delta+p.assumed[account])
-		}
-		if !p.at.IsZero() && elapsed > 0 {
-			p.rate[account] += (1 - math.Exp(-elapsed/rateSpan.Seconds())) * (delta/elapsed - p.rate[account])
-		}
-		p.spent[account] = total
-		if p.recent[account] == nil {
-			p.recent[account] = &decaying{}
-		}
-		p.recent[account].add(delta, now)
+}
+
+// meet begins the record of a peer's process; a former one's is dropped.
+func (l *Ledger) meet(name string, boot uint64) *peer {
+	l.forget(name)
+	p := &peer{boot: boot, startedWithUs: l.Boot != 0 && boot+uint64(sameStart) >= l.Boot}
+	if !p.startedWithUs {
+		l.synced = true // a gateway that has gone on knows what was spent
 	}
-	clear(p.assumed)
-	for account, b := range l.buckets {
-		p.own[account] = b.spent
+	if l.peers == nil {
+		l.peers = make(map[string]*peer)
 	}
-	p.at = now
+	l.peers[name] = p
+	return p
 }
 
 // Forget ends the spending that is assumed of a peer that has announced its end.
 func (l *Ledger) Forget(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.peers, name)
+	l.forget(name)
 }
 
-// advance fills the buckets up to now, and takes what the peers have probably
-// spent since their last reports: the more gateways there are, the longer is
-// the time between two of them.
-func (l *Ledger) advance(now time.Time) {
+func (l *Ledger) forget(name string) {
+	delete(l.peers, name)
 	for _, b := range l.buckets {
-		if dt := now.Sub(b.at).Seconds(); dt > 0 {
-			b.level = min(b.burst, b.level+dt*b.rate)
-			b.at = now
-		}
+		delete(b.peers, name)
 	}
-	for _, p := range l.peers {
-		to := now
-		if end := p.at.Add(silentUntil); to.After(end) {
-			to = end
+}
+
+// learn takes a peer's sum, of which what was assumed has been taken before.
+// The first sum of a peer that was there before this process says nothing of
+// what it has spent since; lastReport is its last one, of any account.
+func (b *bucket) learn(name string, total float64, startedWithUs bool, lastReport, now time.Time) {
+	b.fill(now)
+	sp := b.peers[name]
+	if sp == nil {
+		sp = &spending{spent: total, at: lastReport}
+		if startedWithUs || !lastReport.IsZero() {
+			sp.spent = 0
 		}
-		dt := to.Sub(p.at).Seconds()
-		for account, recent := range p.recent {
-			b := l.buckets[account]
-			if b == nil {
-				continue
-			}
-			if more := max(p.rate[account]*dt, p.alike(b, account, recent, now)) - p.assumed[account]; more > 0 {
-				b.level -= more
-				p.assumed[account] += more
-			}
+		b.peers[name] = sp
+	}
+	delta := total - sp.spent
+	b.level = min(b.burst, b.level-delta+sp.assumed)
+	if elapsed := now.Sub(sp.at).Seconds(); !sp.at.IsZero() && elapsed > 0 {
+		sp.rate += (1 - math.Exp(-elapsed/rateSpan.Seconds())) * (delta/elapsed - sp.rate)
+	}
+	sp.recent.add(delta, now)
+	sp.spent, sp.at, sp.assumed, sp.own = total, now, 0, b.spent
+}
+
+func (b *bucket) fill(now time.Time) {
+	if dt := now.Sub(b.at).Seconds(); dt > 0 {
+		b.level = min(b.burst, b.level+dt*b.rate)
+		b.at = now
+	}
+}
+
+// advance fills the bucket up to now, and takes what the peers have probably
+// spent since their last reports: the more gateways there are, the longer is
+// the time between two of them.
+func (b *bucket) advance(now time.Time) {
+	b.fill(now)
+	for _, sp := range b.peers {
+		if more := sp.rate*min(now.Sub(sp.at), silentUntil).Seconds() - sp.assumed; more > 0 {
+			b.level -= more
+			sp.assumed += more
 		}
 	}
 }
 
-// alike returns what the peer has spent since its last report if an account's
-// requests come to it and to this process as they lately have. Without it, all
-// gateways would at once spend the whole level that the digests show.
-func (p *peer) alike(b *bucket, account string, recent *decaying, now time.Time) float64 {
-	own := b.spent - p.own[account]
+// unheard returns what the peers have spent since their last reports, beyond
+// what advance has taken, if the account's requests come to them and to this
+// process as they lately have. Without it, all gateways would at once spend the
+// whole level that the digests show after a pause has hidden their rates.
+func (b *bucket) unheard(now time.Time) float64 {
+	own := b.recent.value(now)
 	if own <= 0 {
 		return 0
 	}
-	return own * min(mostRatio, recent.value(now)/b.recent.value(now))
+	sum, longest := 0.0, time.Duration(0)
+	for _, sp := range b.peers {
+		since := now.Sub(sp.at)
+		if since > silentUntil {
+			continue
+		}
+		longest = max(longest, since)
+		alike := (b.spent - sp.own) * min(mostRatio, sp.recent.value(now)/own)
+		sum += max(0, alike-sp.assumed)
+	}
+	return min(sum, mostDemand*b.rate*longest.Seconds())
 }
 
 func (d *decaying) value(now time.Time) float64 {
+	if d.sum == 0 {
+		return 0
+	}
 	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/recentSpan.Seconds())
 }
 
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -94,9 +94,12 @@
 	// to each answer.
 	otherDataCentreEngine = 150 * time.Millisecond
 	otherDataCentrePlain  = 15 * time.Millisecond
-	// homeBonus draws requests with the same prompt prefix to one endpoint
-	// while nobody remembers to have sent the prefix anywhere.
-	homeBonus = 60 * time.Millisecond
+	// sharedWorth is how many times the time to read the shared prompt parts
+	// counts in favour of the endpoint that has probably cached them: once for
+	// the request and once for those that wait behind it.
+	sharedWorth = 2
+	// mostSharedWorth keeps requests from waiting long for a cached prefix.
+	mostSharedWorth = 250 * time.Millisecond
 	// alike are scores that differ by less than what estimates are good for;
 	// among these the choice is random, so that gateways with the same facts
 	// do not all choose the same endpoint.
@@ -179,7 +182,7 @@
 	var best *Choice
 	bestScore := time.Duration(math.MaxInt64)
 	candidates := 0
-	home := f.home(s, r)
+	home, bonus := f.home(s, r, now)
 	for _, e := range s.endpoints {
 		if reason := f.exclude(s, d, e, r, useNew, now); reason != "" {
 			refusal.Counts[reason]++
@@ -190,7 +193,7 @@
 		c := f.estimate(s, d, e, r, now)
 		score := f.score(s, d, c, now)
 		if e == home {
-			score -= homeBonus
+			score -= bonus
 		}
 		score += time.Duration(f.Rand.Int64N(int64(alike)))
 		if score < bestScore {
@@ -283,24 +286,31 @@
 	return score
 }
 
-// home returns the endpoint of this data centre that ranks highest for the
-// request's shared prefix, so that the gateways agree without exchange.
-func (f *Fleet) home(s *service, r Request) *endpoint {
+// home returns the endpoint that ranks highest for the request's shared prefix,
+// so that the gateways agree without exchange, and how much it is preferred. A
+// prefix that takes longer to read than the way to another data centre is worth
+// has one home in all of them, and any other one in each.
+func (f *Fleet) home(s *service, r Request, now time.Time) (*endpoint, time.Duration) {
 	if len(r.Parts) < 2 {
-		return nil
+		return nil, 0
 	}
+	shared := 0
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		shared += p.Tokens
+	}
+	bonus := min(mostSharedWorth, time.Duration(sharedWorth*float64(shared)/s.readRate*float64(time.Second)))
 	key := r.Parts[len(r.Parts)-2].ID
 	var best *endpoint
 	var rank uint64
 	for _, e := range s.endpoints {
-		if e.Leaving || e.DataCentre != f.DataCentre {
+		if e.Leaving || f.out[e.DataCentre] || now.Before(e.coldUntil) || bonus < otherDataCentreEngine && e.DataCentre != f.DataCentre {
 			continue
 		}
 		if h := mix(e.hash ^ key*0x9e3779b97f4a7c15); best == nil || h > rank {
 			best, rank = e, h
 		}
 	}
-	return best
+	return best, bonus
 }
 
 // mix is the finalizer of splitmix64.
--- a/internal/serving/clnode/load.go
+++ b/internal/serving/clnode/load.go
@@ -70,6 +70,10 @@
 	if dt < meterSpan/20 {
 		return
 	}
+	if r.seconds == 0 {
+		// The rate is known from the first request on.
+		r.since = r.at
+	}
 	weight := 1 - math.Exp(-dt.Seconds()/meterSpan.Seconds())
 	r.rate += weight * ((seconds-r.seconds)/dt.Seconds() - r.rate)
 	r.seconds, r.at = seconds, now
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -164,7 +164,7 @@
 	n.clock = &clclock.TrueTime{}
 	n.ready = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: s.DataCentre, Rand: rand.New(rand.NewPCG(boot, rand.Uint64()))}
-	n.quotas = &clquota.Ledger{Boot: boot}
+	n.quotas = &clquota.Ledger{Boot: boot, Tolerance: toleranceUse * s.QuotaSlack}
 	n.crashes = &clretry.Crashes{}
 	n.retries = &clretry.Budget{Ratio: s.RetryRatio, Floor: s.RetryFloor, Window: s.RetryWindow}
 	n.moves = &clmove.Moves{TrialShare: s.TrialShare, TrialFloor: s.TrialFloor}
