Keep gateways that are cut off to their part of quotas; share cold endpoints among eight

A gateway that reaches neither the store nor most others now takes each request for as many as there are gateways like it: before, twenty that are cut off admitted 240,000 of 60,000.

Cold endpoints get requests of eight gateways each, and not of all: their shares were so small that a cold endpoint was left idle. Lists that a watch follows may be old, which costs a tenth of a call. Refused requests count half as load, since their callers come back.

--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -35,7 +35,9 @@
 	sequence uint64
 	leaving  bool
 	conn     *net.UDPConn
-	failing  bool
+	// lastDigest is when a digest last arrived.
+	lastDigest time.Time
+	failing    bool
 }
 
 // heard is the newest digest of a gateway.
@@ -114,6 +116,13 @@
 	e.send(func(p clcatalog.Member) bool { return p.DataCentre == e.Self.DataCentre })
 }
 
+// LastDigest returns when the last digest of any gateway arrived, or zero.
+func (e *Exchange) LastDigest() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastDigest
+}
+
 // LastHeard returns when a gateway was heard, or zero.
 func (e *Exchange) LastHeard(name string) time.Time {
 	e.mu.Lock()
@@ -214,6 +223,7 @@
 	if d.GetBoot() != h.boot {
 		e.Logger.Info("gateway heard", zap.String("gateway", d.GetName()), zap.Uint64("boot", d.GetBoot()))
 	}
-	e.heard[d.GetName()] = heard{boot: d.GetBoot(), sequence: d.GetSequence(), at: clclock.Now(), leaving: d.GetLeaving(), storeLost: d.GetStoreLost()}
+	e.lastDigest = clclock.Now()
+	e.heard[d.GetName()] = heard{boot: d.GetBoot(), sequence: d.GetSequence(), at: e.lastDigest, leaving: d.GetLeaving(), storeLost: d.GetStoreLost()}
 	return true
 }
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -21,7 +21,9 @@
 	// Source reads the objects of one kind from the store.
 	Source[T any] interface {
 		// List returns all objects; the batch's Changes replace what was known.
-		List(ctx context.Context) (Batch[T], error)
+		// fresh says that they must be the newest ones: others may be seconds
+		// old and cost less, and a watch after their cursor brings what they lack.
+		List(ctx context.Context, fresh bool) (Batch[T], error)
 		// Watch returns the changes after a cursor as soon as there are any,
 		// or none after about wait. It returns ErrHistoryGone if the store no
 		// longer has them.
@@ -69,6 +71,8 @@
 		cancel    context.CancelFunc
 		objects   map[string]T
 		listed    bool
+		// gone says that the store has dropped history that a watch needed.
+		gone bool
 		// cursor is the store's revision that the copy has reached, and newest
 		// that of its last change.
 		cursor, newest uint64
@@ -124,7 +128,7 @@
 	maxBackoff   = 600 * time.Millisecond
 	// calm is the least time between two watches, so that a series of changes
 	// costs a few calls and not one each.
-	calm = 150 * time.Millisecond
+	calm = 250 * time.Millisecond
 	// roleCheck is how often a copy that another gateway feeds asks whether it
 	// is to read the store.
 	roleCheck = 100 * time.Millisecond
@@ -183,7 +187,7 @@
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.mu.Lock()
-			m.listed = false
+			m.listed, m.gone = false, true
 			m.mu.Unlock()
 			m.Logger.Info("history is gone, listing again", zap.String("kind", m.Name))
 		case err != nil:
@@ -230,6 +234,8 @@
 func (m *Mirror[T]) call(ctx context.Context) (b Batch[T], complete bool, err error) {
 	m.mu.Lock()
 	listed, cursor := m.listed, m.cursor
+	// The leading mirror's answers confirm that nothing has changed since.
+	fresh := m.Leads || m.gone
 	limit := callSlack
 	if listed {
 		limit += m.Wait
@@ -239,7 +245,7 @@
 	m.mu.Unlock()
 	defer cancel()
 	if !listed {
-		b, err = m.Source.List(ctx)
+		b, err = m.Source.List(ctx, fresh)
 		return b, true, err
 	}
 	b, err = m.Source.Watch(ctx, cursor, m.Wait)
--- a/internal/coordination/clmirror/mirror_test.go
+++ b/internal/coordination/clmirror/mirror_test.go
@@ -39,7 +39,9 @@
 	return f(ctx)
 }
 
-func (s *scriptedSource) List(ctx context.Context) (Batch[int], error) { return s.next(ctx, "list") }
+func (s *scriptedSource) List(ctx context.Context, _ bool) (Batch[int], error) {
+	return s.next(ctx, "list")
+}
 
 func (s *scriptedSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (Batch[int], error) {
 	return s.next(ctx, "watch")
@@ -168,7 +170,7 @@
 	calls atomic.Int64
 }
 
-func (s *storeClient) List(context.Context) (Batch[int], error) {
+func (s *storeClient) List(context.Context, bool) (Batch[int], error) {
 	s.calls.Add(1)
 	if s.down.Load() {
 		return Batch[int]{}, errors.New("down")
--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -18,8 +18,6 @@
 		// Boot is the start of this process in Unix nanoseconds, as peers tell
 		// theirs; 0 means that the start does not matter.
 		Boot uint64
-		// Tolerance is the amount by which an account's quota may be exceeded.
-		Tolerance float64
 
 		mu      sync.Mutex
 		buckets map[string]*bucket
@@ -30,6 +28,9 @@
 		// others' spending since then is known.
 		started time.Time
 		synced  bool
+		// reach is the part of the gateways that this one is connected with; 0
+		// means all.
+		reach float64
 	}
 
 	bucket struct {
@@ -96,6 +97,9 @@
 	// recentSpan is how long spending tells how an account's requests are
 	// divided among the gateways; longer than the time between two digests.
 	recentSpan = 4 * time.Second
+	// youngFor is how long after its start a process knows too little of the
+	// others' rates to go by them.
+	youngFor = 10 * time.Second
 	// mostRatio bounds how much more than this process a peer is assumed to
 	// spend, and mostDemand how many times its rate an account is.
 	mostRatio  = 1.5
@@ -140,13 +144,18 @@
 			return false, min(l.started.Add(startupFor).Sub(now), time.Duration(wait))
 		}
 	}
-	// What the peers may have spent by now is not known; it must not go beyond
-	// the tolerance.
-	level := min(b.level, b.level-b.unheard(now)+l.Tolerance)
-	if missing := min(cost, b.burst) - level; missing > 0 {
+	level := b.level
+	if l.Boot != 0 && now.Sub(l.started) < youngFor {
+		level -= b.unheard(now)
+	}
+	charge := cost
+	if l.reach > 0 {
+		charge /= l.reach
+	}
+	if missing := min(charge, b.burst) - level; missing > 0 {
 		return false, min(longestWait, time.Duration(missing/b.rate*float64(time.Second)))
 	}
-	b.level -= cost
+	b.level -= charge
 	b.spent += cost
 	b.recent.add(cost, now)
 	return true, 0
@@ -159,6 +168,15 @@
 	l.gateways = n
 }
 
+// SetReach says which part of the gateways this one is connected with, as far
+// as it can tell. The others cannot tell it what they spend, so that each
+// request is taken for as many as there are gateways like this one.
+func (l *Ledger) SetReach(part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reach = part
+}
+
 // starting reports whether too little is known of the others' spending, so that
 // this process keeps to its share.
 func (l *Ledger) starting(now time.Time) bool {
--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -100,12 +100,13 @@
 			if since == restartAt {
 				restart(now)
 			}
-			if since%digestEvery == 0 {
-				for i, from := range ledgers {
-					for j, to := range ledgers {
-						if i != j {
-							to.Learn(fmt.Sprint(i), from.Boot, from.Spent(), now)
-						}
+			for i, from := range ledgers {
+				if (since+time.Duration(i)*digestEvery/n).Truncate(10*time.Millisecond)%digestEvery != 0 {
+					continue
+				}
+				for j, to := range ledgers {
+					if i != j {
+						to.Learn(fmt.Sprint(i), from.Boot, from.Spent(), now)
 					}
 				}
 			}
@@ -135,6 +136,37 @@
 	}
 }
 
+// Guards against gateways that are each cut off from all others and spend an
+// account's quota as if each were alone, when its requests grow after the cut.
+func TestCutGatewaysKeepToTheirPart(t *testing.T) {
+	const (
+		rate, burst, cost = 10_000.0, 20_000.0, 20.0
+		n                 = 20
+	)
+	now := time.Unix(1000, 0)
+	var ledgers []*Ledger
+	for range n {
+		l := &Ledger{}
+		l.SetGateways(n)
+		l.SetLimit("a", rate, burst, now)
+		ledgers = append(ledgers, l)
+	}
+	now = now.Add(10 * time.Second)
+	for _, l := range ledgers {
+		l.SetReach(1.0 / n)
+	}
+	sum := 0.0
+	for i := range 4000 {
+		for range 3 {
+			if ok, _ := ledgers[i%n].Admit("a", cost, now.Add(time.Duration(i)*time.Millisecond)); ok {
+				sum += cost
+			}
+		}
+	}
+	require.LessOrEqual(t, sum, rate*4+burst+n*cost)
+	require.GreaterOrEqual(t, sum, 0.8*(rate*4+burst), "their parts are served")
+}
+
 // exchange sends each ledger's sums to the others, but for the first one if it is cut off.
 func exchange(ledgers []*Ledger, now time.Time, cut bool) {
 	for i, from := range ledgers {
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -28,6 +28,9 @@
 		services  map[string]*service
 		out       map[string]bool
 		gateways  int
+		// self and others are the hashes of the names of the gateways.
+		self   uint64
+		others []uint64
 	}
 
 	// service is what is known of all endpoints of a service.
@@ -126,11 +129,16 @@
 	f.catalog = c
 }
 
-// SetGateways says how many gateways share the endpoints.
-func (f *Fleet) SetGateways(n int) {
+// SetGateways says which gateways share the endpoints: this one and others.
+func (f *Fleet) SetGateways(self string, others []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gateways = max(1, n)
+	f.self = xxhash.Sum64String(self)
+	f.others = f.others[:0]
+	for _, o := range others {
+		f.others = append(f.others, xxhash.Sum64String(o))
+	}
+	f.gateways = len(others) + 1
 }
 
 // SetSplit divides a service's requests between versions.
@@ -149,7 +157,7 @@
 	for _, e := range f.endpoints {
 		if f.out[e.DataCentre] && !out[e.DataCentre] {
 			if s := f.describe(e.Service); s != nil {
-				e.setCold(now, s.ColdStart, f.coldRate(s), f.Rand)
+				f.setCold(e, now, s.ColdStart)
 			}
 		}
 	}
@@ -186,8 +194,8 @@
 			s.versions[ep.Version] = time.Time{}
 		}
 	}
-	if d := f.describe(ep.Service); d != nil && ep.ColdFor > 0 && now.Add(ep.ColdFor).After(old.coldUntil.Add(coldSlack)) {
-		old.setCold(now, ep.ColdFor, f.coldRate(d), f.Rand)
+	if ep.ColdFor > 0 && now.Add(ep.ColdFor).After(old.coldUntil.Add(coldSlack)) {
+		f.setCold(old, now, ep.ColdFor)
 	}
 }
 
--- a/internal/routing/clfleet/fleet_test.go
+++ b/internal/routing/clfleet/fleet_test.go
@@ -25,7 +25,7 @@
 	}}
 	c.Index()
 	f.SetCatalog(c)
-	f.SetGateways(gateways)
+	setGateways(f, 0, gateways)
 	for _, e := range endpoints {
 		f.Put(e, testStart)
 	}
@@ -33,6 +33,17 @@
 	return f
 }
 
+// setGateways makes f one of n gateways.
+func setGateways(f *Fleet, index, n int) {
+	var others []string
+	for i := range n {
+		if i != index {
+			others = append(others, fmt.Sprint("gateway-", i))
+		}
+	}
+	f.SetGateways(fmt.Sprint("gateway-", index), others)
+}
+
 func engine(id, dc, version string) clcatalog.Endpoint {
 	return clcatalog.Endpoint{
 		ID: id, Service: "llm", DataCentre: dc, Version: version, Slots: 64, Born: 1,
@@ -86,6 +97,7 @@
 		var fleets []*Fleet
 		for g := range gateways {
 			f := newFleet(gateways)
+			setGateways(f, g, gateways)
 			f.Rand = rand.New(rand.NewPCG(uint64(g), 7))
 			cold := engine("e", "a", "v1")
 			cold.ColdFor = 3 * time.Second
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -51,6 +51,9 @@
 		Running int
 		// Candidates is the number of endpoints that passed the filters.
 		Candidates int
+		// Home says which of the endpoints that share the request's prompt this
+		// is: 1 or 2, or 0 for none of them.
+		Home int
 		// Starting says that the endpoint has started so recently that its
 		// speed says nothing about its version.
 		Starting bool
@@ -95,11 +98,18 @@
 	otherDataCentreEngine = 150 * time.Millisecond
 	otherDataCentrePlain  = 15 * time.Millisecond
 	// sharedWorth is how many times the time to read the shared prompt parts
-	// counts in favour of the endpoint that has probably cached them: once for
-	// the request and once for those that wait behind it.
-	sharedWorth = 2
+	// counts in favour of the endpoint that has probably cached them: a prompt
+	// that is read again takes that time from all that wait there, and memory
+	// from other prompts.
+	sharedWorth = 4
 	// mostSharedWorth keeps requests from waiting long for a cached prefix.
-	mostSharedWorth = 250 * time.Millisecond
+	mostSharedWorth = 450 * time.Millisecond
+	// secondHome is the part of that for the endpoint that takes requests with
+	// the prefix while the first one is busy.
+	secondHome = 0.5
+	// homeTargetUse is the part of a request's target within which its first
+	// event must be expected for the preference to count.
+	homeTargetUse = 0.6
 	// alike are scores that differ by less than what estimates are good for;
 	// among these the choice is random, so that gateways with the same facts
 	// do not all choose the same endpoint.
@@ -121,6 +131,9 @@
 	// firstEventBase is the part of a first event's latency that does not
 	// depend on the prompt.
 	firstEventBase = 40 * time.Millisecond
+	// refusedLoad is what one of a caller's usual two refused attempts counts of
+	// the request's load.
+	refusedLoad = 0.5
 	// cacheLifetime is how long a prompt part is believed to stay cached
 	// without being used; engines drop the least recently used ones.
 	cacheLifetime = 30 * time.Second
@@ -156,9 +169,10 @@
 	}
 	if limit := f.limit(d, r, best); best.Expected > limit {
 		refusal.Reason = ReasonNoTimeLeft
-		// What is refused is load too, for which endpoints are to be ordered.
+		// What is refused is load too, for which endpoints are to be ordered;
+		// its caller usually comes back once.
 		s.demand.Requests++
-		s.demand.Seconds += best.Unread / s.readRate
+		s.demand.Seconds += refusedLoad * best.Unread / s.readRate
 		refusal.RetryAfter = best.Expected - limit + time.Duration(f.Rand.Int64N(int64(retrySpread)))
 		return nil, refusal
 	}
@@ -182,7 +196,7 @@
 	var best *Choice
 	bestScore := time.Duration(math.MaxInt64)
 	candidates := 0
-	home, bonus := f.home(s, r, now)
+	homes, bonus := f.homes(s, r, now)
 	for _, e := range s.endpoints {
 		if reason := f.exclude(s, d, e, r, useNew, now); reason != "" {
 			refusal.Counts[reason]++
@@ -192,8 +206,14 @@
 		candidates++
 		c := f.estimate(s, d, e, r, now)
 		score := f.score(s, d, c, now)
-		if e == home {
-			score -= bonus
+		c.Home = slices.Index(homes[:], e) + 1
+		if r.Target <= 0 || c.Expected < time.Duration(homeTargetUse*float64(r.Target)) {
+			switch c.Home {
+			case 1:
+				score -= bonus
+			case 2:
+				score -= time.Duration(secondHome * float64(bonus))
+			}
 		}
 		score += time.Duration(f.Rand.Int64N(int64(alike)))
 		if score < bestScore {
@@ -219,7 +239,7 @@
 		return ReasonBlocked
 	case slices.Contains(r.Tried, e.ID):
 		return ReasonTried
-	case !e.coldAllows(now, f.coldRate(d)):
+	case !f.coldAllows(d, e, now):
 		return ReasonCold
 	case d.MaxConns > 0 && e.conns >= max(1, int(float64(d.MaxConns)*connShare/float64(max(1, f.gateways)))):
 		return ReasonFull
@@ -286,31 +306,33 @@
 	return score
 }
 
-// home returns the endpoint that ranks highest for the request's shared prefix,
-// so that the gateways agree without exchange, and how much it is preferred. A
-// prefix that takes longer to read than the way to another data centre is worth
-// has one home in all of them, and any other one in each.
-func (f *Fleet) home(s *service, r Request, now time.Time) (*endpoint, time.Duration) {
+// homes returns the two endpoints that rank highest for the request's shared
+// prefix, so that the gateways agree without exchange, and how much the first is
+// preferred. A prefix that is worth more than the way to another data centre has
+// its homes in any of them, and another one in each.
+func (f *Fleet) homes(s *service, r Request, now time.Time) (homes [2]*endpoint, bonus time.Duration) {
 	if len(r.Parts) < 2 {
-		return nil, 0
+		return homes, 0
 	}
 	shared := 0
 	for _, p := range r.Parts[:len(r.Parts)-1] {
 		shared += p.Tokens
 	}
-	bonus := min(mostSharedWorth, time.Duration(sharedWorth*float64(shared)/s.readRate*float64(time.Second)))
+	bonus = min(mostSharedWorth, time.Duration(sharedWorth*float64(shared)/s.readRate*float64(time.Second)))
 	key := r.Parts[len(r.Parts)-2].ID
-	var best *endpoint
-	var rank uint64
+	var ranks [2]uint64
 	for _, e := range s.endpoints {
 		if e.Leaving || f.out[e.DataCentre] || now.Before(e.coldUntil) || bonus < otherDataCentreEngine && e.DataCentre != f.DataCentre {
 			continue
 		}
-		if h := mix(e.hash ^ key*0x9e3779b97f4a7c15); best == nil || h > rank {
-			best, rank = e, h
+		switch h := mix(e.hash ^ key*0x9e3779b97f4a7c15); {
+		case homes[0] == nil || h > ranks[0]:
+			homes[0], homes[1], ranks[0], ranks[1] = e, homes[0], h, ranks[0]
+		case homes[1] == nil || h > ranks[1]:
+			homes[1], ranks[1] = e, h
 		}
 	}
-	return best, bonus
+	return homes, bonus
 }
 
 // mix is the finalizer of splitmix64.
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -161,7 +161,7 @@
 	g.Record.Tried(c.service, choice.Version, c.route.Name)
 	g.Logger.Info("sent", zap.String("request", c.says.ID), zap.String("endpoint", choice.Endpoint), zap.String("version", choice.Version),
 		zap.String("data_centre", choice.DataCentre), zap.Int("candidates", choice.Candidates), zap.Int("running", choice.Running),
-		zap.Float64("unread_tokens", choice.Unread), zap.Duration("expected", choice.Expected), zap.Int("send", c.sends+1),
+		zap.Float64("unread_tokens", choice.Unread), zap.Int("home", choice.Home), zap.Duration("expected", choice.Expected), zap.Int("send", c.sends+1),
 		zap.Duration("left", time.Until(c.end)), zap.Bool("resumes", a.resumes))
 	v := g.send(ctx, a, p)
 	g.Fleet.Finish(choice, v.outcome, time.Now())
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -112,7 +112,7 @@
 	}
 	cat.Index()
 	fleet.SetCatalog(cat)
-	fleet.SetGateways(1)
+	fleet.SetGateways("gateway-1", nil)
 	for i, s := range endpoints {
 		fleet.Put(clcatalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: wd.endpoint(i, s), DataCentre: "a", Slots: 8}, time.Now())
 	}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -49,18 +49,13 @@
 // the rest covers the lag itself.
 const overshootUse = 0.5
 
-// toleranceUse is the part of the tolerated slack that a quota's accounting
-// may use.
-const toleranceUse = 0.6
-
 // slackUse returns the part of the tolerated slack that an account may use at
-// once: what remains of it after what the account may spend between two
-// digests of all gateways.
-func slackUse(a clcatalog.Account, s Settings, gateways int) float64 {
+// once: at most a quarter of its own burst, as the lag grows with its requests.
+func slackUse(a clcatalog.Account, s Settings) float64 {
 	if a.Rate <= 0 {
 		return 0
 	}
-	return max(min(s.QuotaSlack, a.Burst)/4, toleranceUse*s.QuotaSlack-a.Rate*clgossip.Interval(gateways).Seconds())
+	return min(s.QuotaSlack, a.Burst) / 4
 }
 
 // readers returns the gateways that this one may follow; none means that it
@@ -95,7 +90,7 @@
 		c.Value.Index()
 		now := clclock.Now()
 		for _, a := range c.Value.Accounts {
-			n.quotas.SetLimit(a.Name, a.Rate*(1+overshootUse*n.Settings.QuotaOvershoot), a.Burst+slackUse(a, n.Settings, len(n.peers())), now)
+			n.quotas.SetLimit(a.Name, a.Rate*(1+overshootUse*n.Settings.QuotaOvershoot), a.Burst+slackUse(a, n.Settings), now)
 		}
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -164,7 +164,7 @@
 	n.clock = &clclock.TrueTime{}
 	n.ready = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: s.DataCentre, Rand: rand.New(rand.NewPCG(boot, rand.Uint64()))}
-	n.quotas = &clquota.Ledger{Boot: boot, Tolerance: toleranceUse * s.QuotaSlack}
+	n.quotas = &clquota.Ledger{Boot: boot}
 	n.crashes = &clretry.Crashes{}
 	n.retries = &clretry.Budget{Ratio: s.RetryRatio, Floor: s.RetryFloor, Window: s.RetryWindow}
 	n.moves = &clmove.Moves{TrialShare: s.TrialShare, TrialFloor: s.TrialFloor}
@@ -237,6 +237,40 @@
 	return out
 }
 
+const (
+	// cutAge is the age of the configuration from which a gateway that hears
+	// few others counts as cut off, and not the others as ended.
+	cutAge = 800 * time.Millisecond
+	// cutSilence is a time in which some of the others' digests always arrive.
+	cutSilence = 500 * time.Millisecond
+)
+
+// reach returns the part of the gateways that this one is connected with: 1
+// while the store is reached, which others that are cut off cannot.
+func (n *Node) reach(gateways int) float64 {
+	now := clclock.Now()
+	if now.Sub(n.config.Confirmed()) < cutAge {
+		return 1
+	}
+	if now.Sub(n.exchange.LastDigest()) > cutSilence {
+		return 1 / float64(gateways)
+	}
+	return min(1, float64(len(n.exchange.Alive())+1)/float64(gateways))
+}
+
+// otherNames returns the names of the other registered gateways.
+func (n *Node) otherNames() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]string, 0, len(n.known))
+	for name := range n.known {
+		if name != n.Settings.Name {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // runSteps decides again and again what depends on time.
 func (n *Node) runSteps(ctx context.Context) error {
 	return clwait.Every(ctx, steps, func(time.Time) { n.step(ctx) })
@@ -249,9 +283,10 @@
 		n.ready.Fail(conditionConfig, "not confirmed by the store")
 	}
 	gateways := max(1, len(n.peers()))
-	n.fleet.SetGateways(gateways)
+	n.fleet.SetGateways(n.Settings.Name, n.otherNames())
 	n.retries.SetGateways(gateways)
 	n.quotas.SetGateways(gateways)
+	n.quotas.SetReach(n.reach(gateways))
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
 		n.fleet.SetSplit(s.Intent.Service, s.Split)
