Use one clock for quotas, and count a request's load once

Cause: the gateway asked the quota ledger with the time of day's monotonic clock, while limits and digests go by the clock since boot, which is twelve years apart. TestQuota now waits for a refill, which failed with the former clock.

--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -24,8 +24,8 @@
 		peers   map[string]*peer
 		// gateways is the number that spend the quotas together.
 		gateways int
-		// started is when the first limit was set, and synced says that the
-		// others' spending since then is known.
+		// started is when this process did, and synced says that the others'
+		// spending since then is known.
 		started time.Time
 		synced  bool
 		// reach is the part of the gateways that this one is connected with; 0
@@ -99,7 +99,10 @@
 	recentSpan = 4 * time.Second
 	// youngFor is how long after its start a process knows too little of the
 	// others' rates to go by them.
-	youngFor = 10 * time.Second
+	youngFor = 5 * time.Second
+	// unheardUntil is when a silent peer is taken to have ended: twice the time
+	// between two digests of a large system.
+	unheardUntil = 2500 * time.Millisecond
 	// mostRatio bounds how much more than this process a peer is assumed to
 	// spend, and mostDemand how many times its rate an account is.
 	mostRatio  = 1.5
@@ -115,9 +118,6 @@
 	if l.buckets == nil {
 		l.buckets = make(map[string]*bucket)
 	}
-	if l.started.IsZero() {
-		l.started = now
-	}
 	b := l.buckets[account]
 	if b == nil {
 		b = &bucket{level: burst * firstLevel, at: now, peers: make(map[string]*spending)}
@@ -161,11 +161,15 @@
 	return true, 0
 }
 
-// SetGateways says how many gateways spend the quotas together.
-func (l *Ledger) SetGateways(n int) {
+// SetGateways says how many gateways spend the quotas together; the first call
+// tells when this process started.
+func (l *Ledger) SetGateways(n int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gateways = n
+	if l.started.IsZero() {
+		l.started = now
+	}
 }
 
 // SetReach says which part of the gateways this one is connected with, as far
@@ -316,7 +320,7 @@
 	sum, longest := 0.0, time.Duration(0)
 	for _, sp := range b.peers {
 		since := now.Sub(sp.at)
-		if since > silentUntil {
+		if since > unheardUntil {
 			continue
 		}
 		longest = max(longest, since)
--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -88,7 +88,7 @@
 		restart := func(now time.Time) {
 			for i := range ledgers {
 				ledgers[i] = &Ledger{Boot: uint64(now.UnixNano()) + uint64(i)*1e6}
-				ledgers[i].SetGateways(n)
+				ledgers[i].SetGateways(n, now)
 				ledgers[i].SetLimit("a", rate, burst, now)
 			}
 		}
@@ -147,7 +147,7 @@
 	var ledgers []*Ledger
 	for range n {
 		l := &Ledger{}
-		l.SetGateways(n)
+		l.SetGateways(n, now)
 		l.SetLimit("a", rate, burst, now)
 		ledgers = append(ledgers, l)
 	}
--- a/internal/routing/clfleet/fleet_test.go
+++ b/internal/routing/clfleet/fleet_test.go
@@ -355,3 +355,18 @@
 	require.LessOrEqual(t, total, 110)
 	require.Greater(t, total, 80)
 }
+
+// Guards against a load that grows with each endpoint that a request is sent
+// to in vain, for which endpoints would be ordered that nobody needs.
+func TestDemandCountsRequestsOnce(t *testing.T) {
+	f := newFleet(1, engine("e1", "a", "v1"), engine("e2", "a", "v1"))
+	r := llmRequest("r")
+	for range 2 {
+		c, refused := f.Pick(r, testStart)
+		require.Nil(t, refused)
+		f.Begin(c, r, testStart)
+		f.Finish(c, Unreachable, testStart)
+		r.Tried = append(r.Tried, c.Endpoint)
+	}
+	require.EqualValues(t, 1, f.Demand()["llm"].Requests)
+}
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -68,8 +68,11 @@
 	e.conns++
 	e.pending[c.rank] += c.Unread
 	s := f.service(c.service)
-	s.demand.Requests++
-	s.demand.Seconds += c.Unread / s.readRate
+	if len(r.Tried) == 0 {
+		// A request that goes to one endpoint after the other is one request's load.
+		s.demand.Requests++
+		s.demand.Seconds += c.Unread / s.readRate
+	}
 	if now.Before(e.coldUntil) {
 		e.coldTokens--
 	}
--- a/internal/serving/clgateway/gateway_test.go
+++ b/internal/serving/clgateway/gateway_test.go
@@ -142,6 +142,9 @@
 	require.InDelta(t, 11, statuses[200], 2, "half of the burst of 20 at the start, and 5 a second")
 	require.Positive(t, statuses[429])
 	require.Len(t, statuses, 2)
+	// The quota goes on by the clock of its limits, not by another one.
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, 200, send(), "half a second fills the bucket for two requests")
 }
 
 // Guards against a stream that is passed on as complete though its endpoint
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -115,7 +116,7 @@
 	tokens := float64(c.says.PromptTokens + c.says.OutputTokens)
 	if c.account != nil {
 		c.cost = c.account.Cost(tokens)
-		if ok, wait := g.Quotas.Admit(c.account.Name, c.cost, c.arrived); !ok {
+		if ok, wait := g.Quotas.Admit(c.account.Name, c.cost, clclock.Now()); !ok {
 			return &refusal{http.StatusTooManyRequests, "over_quota", wait}
 		}
 	}
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -117,7 +118,7 @@
 		fleet.Put(clcatalog.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: wd.endpoint(i, s), DataCentre: "a", Slots: 8}, time.Now())
 	}
 	quotas := &clquota.Ledger{}
-	quotas.SetLimit("acme", 5, 20, time.Now())
+	quotas.SetLimit("acme", 5, 20, clclock.Now())
 	retries := &clretry.Budget{Ratio: 1, Floor: 100, Window: time.Minute}
 	retries.SetGateways(1)
 	addr := cltest.Address(t)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -286,7 +286,7 @@
 	gateways := max(1, len(n.peers()))
 	n.fleet.SetGateways(n.Settings.Name, n.otherNames())
 	n.retries.SetGateways(gateways)
-	n.quotas.SetGateways(gateways)
+	n.quotas.SetGateways(gateways, clclock.Now())
 	n.quotas.SetReach(n.reach(gateways))
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
