--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 WIRE_PROTOS := clwire/peer.proto clwire/operator.proto
 PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
 
-.PHONY: help build tools generate generate-check format-check lint test fuzz model demo bench
+.PHONY: help build tools generate generate-check format-check lint test fuzz soak model demo bench
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -48,6 +48,9 @@
 	go test -run '^$$' -fuzz FuzzParseRequest -fuzztime 10s ./platform/cladapter
 	go test -run '^$$' -fuzz FuzzSplitter -fuzztime 10s ./internal/serving/clstream
 
+soak: build ## Runs ten fresh seeds of the soak, about 20 s each.
+	$(BIN)/chestnutload soak --seeds 10 --length 15s
+
 model: ## Checks the specifications and that their variants with one guard removed fail.
 	model/check.sh
 
