Keep a gateway to its part of quotas until it hears the others again after a cut

Ruled out: the time of the cut itself, in which keyed requests are refused. TestReach: 'just back' gave 1 and gives 0.1.

--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -87,6 +87,7 @@
 		intents map[string]clcatalog.Rollout
 		out     map[string]bool
 		load    loadMeter
+		reach   reachMeter
 	}
 )
 
@@ -238,25 +239,12 @@
 	return out
 }
 
-const (
-	// cutAge is the age of the configuration from which a gateway that hears
-	// few others counts as cut off, and not the others as ended.
-	cutAge = 800 * time.Millisecond
-	// cutSilence is a time in which some of the others' digests always arrive.
-	cutSilence = 500 * time.Millisecond
-)
-
-// reach returns the part of the gateways that this one is connected with: 1
-// while the store is reached, which others that are cut off cannot.
-func (n *Node) reach(gateways int) float64 {
-	now := clclock.Now()
-	if now.Sub(n.config.Confirmed()) < cutAge {
-		return 1
-	}
-	if now.Sub(n.exchange.LastDigest()) > cutSilence {
-		return 1 / float64(gateways)
+// contact returns what this gateway sees of the store and of the others.
+func (n *Node) contact(gateways int, now time.Time) contact {
+	return contact{
+		gateways: gateways, alive: len(n.exchange.Alive()),
+		storeAge: now.Sub(n.config.Confirmed()), digestAge: now.Sub(n.exchange.LastDigest()),
 	}
-	return min(1, float64(len(n.exchange.Alive())+1)/float64(gateways))
 }
 
 // otherNames returns the names of the other registered gateways.
@@ -287,8 +275,9 @@
 	n.fleet.SetGateways(n.Settings.Name, n.otherNames())
 	n.fleet.SetDigestInterval(clgossip.Interval(gateways))
 	n.retries.SetGateways(gateways)
-	n.quotas.SetGateways(gateways, clclock.Now())
-	n.quotas.SetReach(n.reach(gateways))
+	now := clclock.Now()
+	n.quotas.SetGateways(gateways, now)
+	n.quotas.SetReach(n.reach.part(n.contact(gateways, now), now))
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
 		n.fleet.SetSplit(s.Intent.Service, s.Split)
