--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -107,10 +107,18 @@
 
 		catalog  atomic.Pointer[clcatalog.Catalog]
 		draining atomic.Bool
+		stop     atomic.Pointer[stopTimes]
 		m        *metrics
 		idle     idleTimers
 	}
 
+	// stopTimes are those of a stopping gateway.
+	stopTimes struct {
+		// lastLong is until when requests are taken that may go on beyond end,
+		// which is when the last connections are cut.
+		lastLong, end time.Time
+	}
+
 	// idleTimers close connections that callers leave unused.
 	idleTimers struct {
 		mu     sync.Mutex
@@ -130,6 +138,10 @@
 	// graceMargin is what remains of the grace period when the last
 	// connections are cut, for the process to end by itself.
 	graceMargin = 400 * time.Millisecond
+	// longRequestShare is the part of DrainAfter in which a stopping gateway
+	// takes requests that may outlast it: most end in time, and a caller that
+	// comes later than that can be sent to another gateway as well.
+	longRequestShare = 0.85
 )
 
 // SetCatalog puts a configuration in force, unless a later one is.
@@ -176,7 +188,9 @@
 // drain serves on while the ingress may still send connections, asking callers
 // to use others, and then ends what is idle and waits for the rest.
 func (g *Gateway) drain(srv *http.Server, served <-chan error) error {
-	end := time.Now().Add(g.Grace - graceMargin)
+	now := time.Now()
+	end := now.Add(g.Grace - graceMargin)
+	g.stop.Store(&stopTimes{lastLong: now.Add(time.Duration(longRequestShare * float64(g.DrainAfter))), end: end})
 	g.draining.Store(true)
 	g.Logger.Info("draining", zap.Duration("grace", g.Grace))
 	time.Sleep(g.DrainAfter)
@@ -191,6 +205,12 @@
 	return err
 }
 
+// outlasts reports whether a request could go on beyond the gateway's end and
+// came too late to be taken nevertheless.
+func (s *stopTimes) outlasts(arrived, end time.Time) bool {
+	return s != nil && arrived.After(s.lastLong) && end.After(s.end)
+}
+
 // connState closes connections that stay idle longer than the configuration
 // in force allows, which the server itself could not change while it runs.
 func (g *Gateway) connState(c net.Conn, s http.ConnState) {
--- a/internal/serving/clgateway/gateway_test.go
+++ b/internal/serving/clgateway/gateway_test.go
@@ -311,6 +311,31 @@
 	require.NoError(t, <-wd.stopped)
 }
 
+// Guards against a stream that a stopping gateway takes late and cuts at its
+// end, although another gateway could have served it whole.
+func TestStoppingGatewayRefusesWhatMayOutlastIt(t *testing.T) {
+	wd := newWorld(t, say(seal+"Content-Length: 2\r\n\r\nok", true))
+	send := func() int {
+		resp, err := http.DefaultClient.Do(wd.request("/book/1", "f", ""))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	now := time.Now()
+	for _, tc := range []struct {
+		name string
+		stop stopTimes
+		want int
+	}{
+		{"ends in time", stopTimes{lastLong: now.Add(-time.Second), end: now.Add(time.Minute)}, 200},
+		{"comes early", stopTimes{lastLong: now.Add(time.Minute), end: now.Add(time.Second)}, 200},
+		{"may outlast the gateway", stopTimes{lastLong: now.Add(-time.Second), end: now.Add(time.Second)}, 503},
+	} {
+		wd.g.stop.Store(&tc.stop)
+		require.Equal(t, tc.want, send(), tc.name)
+	}
+}
+
 // Guards against a later configuration being replaced by an earlier one.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	wd := newWorld(t)
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -64,6 +64,8 @@
 	unknownConfig = 500 * time.Millisecond
 	// crashRetryAfter is when to come back with a request that ends endpoints.
 	crashRetryAfter = time.Minute
+	// stoppingRetryAfter is when to come back to another gateway.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultTimeout holds for routes without one.
 	defaultTimeout = 30 * time.Second
 )
@@ -108,6 +110,9 @@
 	if refused := g.readBody(c, cat); refused != nil {
 		return refused
 	}
+	if g.stop.Load().outlasts(c.arrived, c.end) {
+		return &refusal{http.StatusServiceUnavailable, "stopping", stoppingRetryAfter}
+	}
 	c.service = c.route.ServiceFor(c.says.ID)
 	c.fingerprint = fingerprint(c)
 	if g.Crashes.Refused(c.fingerprint, c.arrived) {
