Count what others may have spent unheard while digests are old

Cause: with 60 to 73 gateways digests are up to 1.2 s old. What others may have spent since their last digests is now taken at all times in systems whose digests are older than 0.3 s, and none of the tolerance is granted there. Smaller systems go on as before. TestHotAccountWithOldDigests exceeds the limit without it.

--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -31,6 +31,8 @@
 		// reach is the part of the gateways that this one is connected with; 0
 		// means all.
 		reach float64
+		// interval is the time between two digests of a gateway.
+		interval time.Duration
 	}
 
 	bucket struct {
@@ -100,13 +102,16 @@
 	// youngFor is how long after its start a process knows too little of the
 	// others' rates to go by them.
 	youngFor = 5 * time.Second
+	// freshDigests is the time between two digests up to which the others'
+	// spending is known well enough from their rates.
+	freshDigests = 300 * time.Millisecond
 	// unheardUntil is when a silent peer is taken to have ended: twice the time
 	// between two digests of a large system.
 	unheardUntil = 2500 * time.Millisecond
 	// mostRatio bounds how much more than this process a peer is assumed to
 	// spend, and mostDemand how many times its rate an account is.
 	mostRatio  = 1.5
-	mostDemand = 3
+	mostDemand = 1.5
 	// longestWait bounds the time after which a caller is told to come back.
 	longestWait = 10 * time.Second
 )
@@ -145,7 +150,7 @@
 		}
 	}
 	level := b.level
-	if l.Boot != 0 && now.Sub(l.started) < youngFor {
+	if l.Boot != 0 && (l.interval > freshDigests || now.Sub(l.started) < youngFor) {
 		level -= b.unheard(now)
 	}
 	charge := cost
@@ -172,6 +177,13 @@
 	}
 }
 
+// SetInterval says how often each of the other gateways tells what it has spent.
+func (l *Ledger) SetInterval(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.interval = d
+}
+
 // SetReach says which part of the gateways this one is connected with, as far
 // as it can tell. The others cannot tell it what they spend, so that each
 // request is taken for as many as there are gateways like this one.
--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -136,6 +136,62 @@
 	}
 }
 
+// Guards against many gateways that spend the whole level in the long time
+// between two digests, when an account sends more than three times its quota.
+func TestHotAccountWithOldDigests(t *testing.T) {
+	const (
+		rate, burst, cost = 100_000.0, 200_000.0, 500.0
+		n, window         = 60, 8 * time.Second
+		digestEvery       = time.Second
+		limit             = (rate*8 + burst) * (1.1 + 0.016)
+	)
+	start := time.Unix(1000, 0)
+	ledgers := make([]*Ledger, n)
+	for i := range ledgers {
+		ledgers[i] = &Ledger{Boot: uint64(start.UnixNano())}
+		ledgers[i].SetGateways(n, start)
+		ledgers[i].SetInterval(digestEvery)
+		ledgers[i].SetLimit("a", rate, burst, start)
+	}
+	var admitted []time.Time
+	next, owed := 0, 0.0
+	for now := start; now.Before(start.Add(26 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		since := now.Sub(start)
+		for i, from := range ledgers {
+			if (since+time.Duration(i)*digestEvery/n).Truncate(5*time.Millisecond)%digestEvery != 0 {
+				continue
+			}
+			for j, to := range ledgers {
+				if i != j {
+					to.Learn(fmt.Sprint(i), from.Boot, from.Spent(), now)
+				}
+			}
+		}
+		demand := 0.5 * rate
+		if since > 12*time.Second {
+			demand = 3.3 * rate
+		}
+		for owed += demand / cost * 0.005; owed >= 1; owed-- {
+			next++
+			if ok, _ := ledgers[next*7%n].Admit("a", cost, now); ok {
+				admitted = append(admitted, now)
+			}
+		}
+	}
+	most := 0.0
+	for i, first := range admitted {
+		sum := 0.0
+		for _, at := range admitted[i:] {
+			if at.Sub(first) < window {
+				sum += cost
+			}
+		}
+		most = max(most, sum)
+	}
+	require.LessOrEqual(t, most, limit)
+	require.GreaterOrEqual(t, most, rate*8, "the quota is served")
+}
+
 // Guards against gateways that are each cut off from all others and spend an
 // account's quota as if each were alone, when its requests grow after the cut.
 func TestCutGatewaysKeepToTheirPart(t *testing.T) {
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -44,18 +44,23 @@
 	clmirror.Add(n.hub, n.members)
 }
 
-// overshootUse is the part of the tolerated overshoot that is granted, so that
-// requests within the quota are not refused because the gateways' counts lag;
-// the rest covers the lag itself.
-const overshootUse = 0.5
+const (
+	// overshootUse is the part of the tolerated overshoot that is granted, so
+	// that requests within the quota are not refused because the gateways'
+	// counts lag; the rest covers the lag itself.
+	overshootUse = 0.5
+	// lagGateways is the number of gateways from which the lag takes all of
+	// the tolerance: their digests come less than five times a second.
+	lagGateways = 13
+)
 
-// slackUse returns the part of the tolerated slack that an account may use at
-// once: at most a quarter of its own burst, as the lag grows with its requests.
-func slackUse(a clcatalog.Account, s Settings) float64 {
-	if a.Rate <= 0 {
-		return 0
+// quotaOf returns the rate and the burst that an account is granted: a part of
+// the tolerated overshoot, and of the slack at most a quarter of its own burst.
+func quotaOf(a clcatalog.Account, s Settings, gateways int) (rate, burst float64) {
+	if a.Rate <= 0 || gateways >= lagGateways {
+		return a.Rate, a.Burst
 	}
-	return min(s.QuotaSlack, a.Burst) / 4
+	return a.Rate * (1 + overshootUse*s.QuotaOvershoot), a.Burst + min(s.QuotaSlack, a.Burst)/4
 }
 
 // readers returns the gateways that this one may follow; none means that it
@@ -90,7 +95,8 @@
 		c.Value.Index()
 		now := clclock.Now()
 		for _, a := range c.Value.Accounts {
-			n.quotas.SetLimit(a.Name, a.Rate*(1+overshootUse*n.Settings.QuotaOvershoot), a.Burst+slackUse(a, n.Settings), now)
+			rate, burst := quotaOf(a, n.Settings, len(n.peers()))
+			n.quotas.SetLimit(a.Name, rate, burst, now)
 		}
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -277,6 +277,7 @@
 	n.retries.SetGateways(gateways)
 	now := clclock.Now()
 	n.quotas.SetGateways(gateways, now)
+	n.quotas.SetInterval(clgossip.Interval(gateways))
 	n.quotas.SetReach(n.reach.part(n.contact(gateways, now), now))
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
