--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -137,7 +137,8 @@
 }
 
 // Guards against many gateways that spend the whole level in the long time
-// between two digests, when an account sends more than three times its quota.
+// between two digests, when an account sends many times its quota and its
+// callers come back at once.
 func TestHotAccountWithOldDigests(t *testing.T) {
 	const (
 		rate, burst, cost = 100_000.0, 200_000.0, 500.0
@@ -169,7 +170,7 @@
 		}
 		demand := 0.5 * rate
 		if since > 12*time.Second {
-			demand = 3.3 * rate
+			demand = 7 * rate
 		}
 		for owed += demand / cost * 0.005; owed >= 1; owed-- {
 			next++
