Derive the gateways' number and the draining state, and divide shares in one place

Cause: a second reading. The fleet kept the number of gateways beside the list that it is the length of, and the gateway a flag beside the stop times that say the same. A step asked for the members twice under a lock and worked out the digests' interval twice. The wait of a mirror for the leading one stood in its backoff and again at the head of its loop, which alone is enough. Behaviour is meant to be unchanged: no test's assertion was touched, and TestDrain calls the method that the flag has become.

--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -132,8 +132,6 @@
 	// roleCheck is how often a copy that another gateway feeds asks whether it
 	// is to read the store.
 	roleCheck = 100 * time.Millisecond
-	// maxWaitForLead is how long a mirror waits for the leading one at most.
-	maxWaitForLead = 3 * time.Second
 	// loggedChanges bounds the changes that followers can catch up with; those
 	// that lack more get the whole copy.
 	loggedChanges = 1024
@@ -174,7 +172,8 @@
 func (m *Mirror[T]) run(ctx context.Context) {
 	backoff, lost := firstBackoff, false
 	for ctx.Err() == nil {
-		// While the store does not answer, only the leading mirror asks.
+		// While the store does not answer, only the leading mirror asks, as
+		// refused calls are priced too.
 		if !m.hub.reads() && m.isListed() || !m.Leads && !m.hub.confirmedLately() {
 			pause(ctx, roleCheck)
 			continue
@@ -210,19 +209,13 @@
 	}
 }
 
-// backOff waits after a failed call. While the store is lost, only the leading
-// mirror asks again and again, as refused calls are priced too.
+// backOff waits after a failed call.
 func (m *Mirror[T]) backOff(ctx context.Context, d time.Duration) {
 	if m.Leads {
 		// The others' watches may hang on connections that have gone silent.
 		m.hub.Renew()
-		pause(ctx, d)
-		return
-	}
-	end := clclock.Now().Add(maxWaitForLead)
-	for pause(ctx, d); ctx.Err() == nil && !m.hub.confirmedLately() && clclock.Now().Before(end); {
-		pause(ctx, roleCheck)
 	}
+	pause(ctx, d)
 }
 
 func (m *Mirror[T]) isListed() bool {
--- a/internal/routing/clfleet/cold.go
+++ b/internal/routing/clfleet/cold.go
@@ -22,8 +22,8 @@
 // coldRate returns this gateway's share of the requests that the endpoint
 // tolerates in a second while it is cold.
 func (f *Fleet) coldRate(s *clcatalog.Service, e *endpoint) float64 {
-	if len(f.others) < coldGateways {
-		return s.ColdPerSecond * coldUse / float64(max(len(f.others)+1, min(f.gateways, coldGateways)))
+	if f.gateways() <= coldGateways {
+		return s.ColdPerSecond * coldUse / float64(f.gateways())
 	}
 	own, ahead := mix(e.hash^f.self), 0
 	for _, o := range f.others {
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -27,7 +27,6 @@
 		byHash    map[uint64]*endpoint
 		services  map[string]*service
 		out       map[string]bool
-		gateways  int
 		// self and others are the hashes of the names of the gateways.
 		self   uint64
 		others []uint64
@@ -142,9 +141,11 @@
 	for _, o := range others {
 		f.others = append(f.others, xxhash.Sum64String(o))
 	}
-	f.gateways = len(others) + 1
 }
 
+// gateways returns how many share the endpoints.
+func (f *Fleet) gateways() int { return len(f.others) + 1 }
+
 // SetDigestInterval says how often each of the other gateways tells of its work.
 func (f *Fleet) SetDigestInterval(d time.Duration) {
 	f.mu.Lock()
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -290,7 +290,7 @@
 		return ReasonTried
 	case !f.coldAllows(d, e, now):
 		return ReasonCold
-	case d.MaxConns > 0 && e.conns >= max(1, int(float64(d.MaxConns)*connShare/float64(max(1, f.gateways)))):
+	case d.MaxConns > 0 && e.conns >= max(1, int(float64(d.MaxConns)*connShare/float64(f.gateways()))):
 		return ReasonFull
 	}
 	return ""
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -105,11 +105,11 @@
 		Logger  *zap.Logger
 		Metrics *clobserve.Metrics
 
-		catalog  atomic.Pointer[clcatalog.Catalog]
-		draining atomic.Bool
-		stop     atomic.Pointer[stopTimes]
-		m        *metrics
-		idle     idleTimers
+		catalog atomic.Pointer[clcatalog.Catalog]
+		// stop is set while the gateway drains.
+		stop atomic.Pointer[stopTimes]
+		m    *metrics
+		idle idleTimers
 	}
 
 	// stopTimes are those of a stopping gateway.
@@ -191,7 +191,6 @@
 	now := time.Now()
 	end := now.Add(g.Grace - graceMargin)
 	g.stop.Store(&stopTimes{lastLong: now.Add(time.Duration(longRequestShare * float64(g.DrainAfter))), end: end})
-	g.draining.Store(true)
 	g.Logger.Info("draining", zap.Duration("grace", g.Grace))
 	time.Sleep(g.DrainAfter)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -205,6 +204,9 @@
 	return err
 }
 
+// draining reports whether the gateway is stopping.
+func (g *Gateway) draining() bool { return g.stop.Load() != nil }
+
 // outlasts reports whether a request could go on beyond the gateway's end and
 // came too late to be taken nevertheless.
 func (s *stopTimes) outlasts(arrived, end time.Time) bool {
--- a/internal/serving/clgateway/gateway_test.go
+++ b/internal/serving/clgateway/gateway_test.go
@@ -300,7 +300,7 @@
 	}()
 	require.Eventually(t, func() bool { return len(wd.requests()) == 1 }, time.Second, time.Millisecond)
 	wd.stop()
-	require.Eventually(t, wd.g.draining.Load, time.Second, time.Millisecond)
+	require.Eventually(t, wd.g.draining, time.Second, time.Millisecond)
 	resp, err := http.DefaultClient.Do(wd.request("/book/1", "f", ""))
 	require.NoError(t, err, "new requests are served while the ingress still sends some")
 	require.NoError(t, resp.Body.Close())
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -73,7 +73,7 @@
 // serve answers one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, says: g.Headers.ParseRequest(r.Header), arrived: time.Now()}
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if refused := g.check(c); refused != nil {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -28,6 +28,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/chestnutlead/chestnutlead/internal/serving/clgateway"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
@@ -247,19 +248,6 @@
 	}
 }
 
-// otherNames returns the names of the other registered gateways.
-func (n *Node) otherNames() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := make([]string, 0, len(n.known))
-	for name := range n.known {
-		if name != n.Settings.Name {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
 // runSteps decides again and again what depends on time.
 func (n *Node) runSteps(ctx context.Context) error {
 	return clwait.Every(ctx, steps, func(time.Time) { n.step(ctx) })
@@ -271,14 +259,7 @@
 	} else {
 		n.ready.Fail(conditionConfig, "not confirmed by the store")
 	}
-	gateways := max(1, len(n.peers()))
-	n.fleet.SetGateways(n.Settings.Name, n.otherNames())
-	n.fleet.SetDigestInterval(clgossip.Interval(gateways))
-	n.retries.SetGateways(gateways)
-	now := clclock.Now()
-	n.quotas.SetGateways(gateways, now)
-	n.quotas.SetInterval(clgossip.Interval(gateways))
-	n.quotas.SetReach(n.reach.part(n.contact(gateways, now), now))
+	n.shareAmong(n.peers(), clclock.Now())
 	_, leads := n.duties.Held()
 	for _, s := range n.moves.Decide(clclock.Now()) {
 		n.fleet.SetSplit(s.Intent.Service, s.Split)
@@ -291,6 +272,19 @@
 	}
 }
 
+// shareAmong divides among the registered gateways what all have together.
+func (n *Node) shareAmong(members []clcatalog.Member, now time.Time) {
+	gateways, interval := max(1, len(members)), clgossip.Interval(len(members))
+	n.fleet.SetGateways(n.Settings.Name, lo.FilterMap(members, func(m clcatalog.Member, _ int) (string, bool) {
+		return m.Name, m.Name != n.Settings.Name
+	}))
+	n.fleet.SetDigestInterval(interval)
+	n.retries.SetGateways(gateways)
+	n.quotas.SetGateways(gateways, now)
+	n.quotas.SetInterval(interval)
+	n.quotas.SetReach(n.reach.part(n.contact(gateways, now), now))
+}
+
 // reportMove writes a move's outcome, once it differs from what operators read.
 func (n *Node) reportMove(ctx context.Context, s clmove.Step) {
 	current := s.Intent.Outcome
