Record troubles, serve and sum windows in one way each

Cause: a second reading of the soak and of the quota tests. Gateways, endpoints and the store each kept the end of their last fault with methods of their own; the soak listened on a free port in two places, with goroutines that were no methods; two quota tests summed windows with the same loop. Behaviour is meant to be unchanged; assertions and bounds are.

--- a/internal/limits/clquota/ledger_test.go
+++ b/internal/limits/clquota/ledger_test.go
@@ -121,16 +121,7 @@
 				}
 			}
 		}
-		most := 0.0
-		for i, first := range admitted {
-			sum := 0.0
-			for _, at := range admitted[i:] {
-				if at.Sub(first) < window {
-					sum += cost
-				}
-			}
-			most = max(most, sum)
-		}
+		most := mostWithin(admitted, window, cost)
 		require.LessOrEqual(t, most, limit, "restart at %s", restartAt)
 		require.GreaterOrEqual(t, float64(len(admitted))*cost, 0.8*rate*19, "the quota is served")
 	}
@@ -179,16 +170,7 @@
 			}
 		}
 	}
-	most := 0.0
-	for i, first := range admitted {
-		sum := 0.0
-		for _, at := range admitted[i:] {
-			if at.Sub(first) < window {
-				sum += cost
-			}
-		}
-		most = max(most, sum)
-	}
+	most := mostWithin(admitted, window, cost)
 	require.LessOrEqual(t, most, limit)
 	require.GreaterOrEqual(t, most, rate*8, "the quota is served")
 }
@@ -224,6 +206,22 @@
 	require.GreaterOrEqual(t, sum, 0.8*(rate*4+burst), "their parts are served")
 }
 
+// mostWithin returns the largest sum of what was admitted within any window,
+// each request being of the same cost.
+func mostWithin(admitted []time.Time, window time.Duration, cost float64) float64 {
+	most := 0.0
+	for i, first := range admitted {
+		sum := 0.0
+		for _, at := range admitted[i:] {
+			if at.Sub(first) < window {
+				sum += cost
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
 // exchange sends each ledger's sums to the others, but for the first one if it is cut off.
 func exchange(ledgers []*Ledger, now time.Time, cut bool) {
 	for i, from := range ledgers {
--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -34,7 +34,7 @@
 // shortly before or during the attempt.
 func (s *Soak) inTouch(a attempt) bool {
 	from := a.sent.Add(-contact)
-	return a.gateway.calmSince(from) && !a.gateway.stoppedSince(from) && s.world.storeCalmSince(from)
+	return a.gateway.calmSince(from) && !a.gateway.stoppedSince(from) && s.world.storeTroubles.calmSince(from)
 }
 
 func (s *Soak) judgeKey(a attempt, runs []clstandplatform.Run) {
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -71,15 +71,15 @@
 	}},
 	{"the store is down", func(s *Soak, w *world) {
 		d := s.between(shortest, 2*longest)
-		w.troubleStore(time.Now().Add(d + storeReturn))
+		w.storeTroubles.trouble(time.Now().Add(d + storeReturn))
 		w.store.SetDown(true)
 		time.Sleep(d)
-		w.troubleStore(time.Now().Add(storeReturn))
+		w.storeTroubles.trouble(time.Now().Add(storeReturn))
 		w.store.SetDown(false)
 	}},
 	{"answers of the store are lost, some writes late", func(s *Soak, w *world) {
 		d := s.between(shortest, longest)
-		w.troubleStore(time.Now().Add(d + storeReturn))
+		w.storeTroubles.trouble(time.Now().Add(d + storeReturn))
 		w.store.SetLoss(clstandplatform.Loss{Share: 0.4, Late: s.between(0, time.Second)})
 		time.Sleep(d)
 		w.store.SetLoss(clstandplatform.Loss{})
@@ -162,9 +162,7 @@
 	if err := w.start(g); err != nil {
 		s.violate("%s cannot be started: %v", g.name, err)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.troubled = time.Now()
+	g.over()
 }
 
 func (s *Soak) pickEndpoint(w *world) *endpoint {
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -27,15 +27,29 @@
 		storeAddr netip.AddrPort
 		cloudAddr netip.AddrPort
 		gateways  []*gateway
-		servers   []*http.Server
+		servers   []*server
 
 		mu        sync.Mutex
 		endpoints []*endpoint
 		// byID has those that have ended as well.
 		byID    map[string]*endpoint
 		started int
-		// storeTroubled is when a fault of the store for all ended or will end.
-		storeTroubled time.Time
+
+		// storeTroubles are those of the store for all.
+		storeTroubles troubles
+	}
+
+	// server is an HTTP server of the world's own.
+	server struct {
+		http.Server
+		listener net.Listener
+	}
+
+	// troubles remembers when the last fault of something ended or will end.
+	// The zero value is ready.
+	troubles struct {
+		faultMu sync.Mutex
+		until   time.Time
 	}
 
 	// gateway is one gateway, whose process may be restarted.
@@ -46,11 +60,11 @@
 		settings string
 		link     *link
 
+		troubles
+
 		mu      sync.Mutex
 		process *clharness.Process
-		// troubled is when its last fault ended or will end, and stopping when
-		// it was last asked to stop.
-		troubled time.Time
+		// stopping is when it was last asked to stop.
 		stopping time.Time
 		// busy says that a fault of its process goes on, and ends counts the
 		// times that the process has ended by itself.
@@ -63,13 +77,14 @@
 		id         string
 		dataCentre string
 		link       *link
-		server     *http.Server
+		server     *server
 		born       time.Time
 		// fault holds the clstandplatform.Fault of a part of its requests.
 		fault atomic.Int64
 
-		mu       sync.Mutex
-		troubled time.Time
+		troubles
+
+		mu sync.Mutex
 		// left is when the store acknowledged that it leaves.
 		left time.Time
 	}
@@ -126,20 +141,33 @@
 	return w, nil
 }
 
-// serve serves a stand-in on a free port.
+// serve serves a stand-in of the platform until the world is closed.
 func (w *world) serve(h http.Handler) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	srv, err := newServer(h)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	srv := &http.Server{Handler: h}
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.servers = append(w.servers, srv)
-	w.mu.Unlock()
-	go func() { _ = srv.Serve(l) }() // ends when the world is closed
-	return netip.MustParseAddrPort(l.Addr().String()), nil
+	return srv.addr(), nil
+}
+
+// newServer serves a handler on a free port until it is closed.
+func newServer(h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{Server: http.Server{Handler: h}, listener: l}
+	go s.run()
+	return s, nil
 }
 
+func (s *server) run() { _ = s.Serve(s.listener) } // ends when it is closed
+
+func (s *server) addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
 // addGateway starts a gateway on an address of its own.
 func (w *world) addGateway(i int) error {
 	// The process number keeps runs that go on at the same time apart.
@@ -182,20 +210,27 @@
 	return g.process
 }
 
-// trouble records that a fault of the gateway ends at a time.
-func (g *gateway) trouble(until time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if until.After(g.troubled) {
-		g.troubled = until
+// trouble records that a fault ends at a time, unless a later end is known.
+func (t *troubles) trouble(until time.Time) {
+	t.faultMu.Lock()
+	defer t.faultMu.Unlock()
+	if until.After(t.until) {
+		t.until = until
 	}
 }
 
-// calmSince reports whether the gateway had no fault from a time on.
-func (g *gateway) calmSince(t time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.troubled.Before(t)
+// over records that what was broken works again.
+func (t *troubles) over() {
+	t.faultMu.Lock()
+	defer t.faultMu.Unlock()
+	t.until = time.Now()
+}
+
+// calmSince reports whether there was no fault from a time on.
+func (t *troubles) calmSince(since time.Time) bool {
+	t.faultMu.Lock()
+	defer t.faultMu.Unlock()
+	return t.until.Before(since)
 }
 
 // begin claims the gateway's process for a fault, unless another one has it.
@@ -263,13 +298,11 @@
 		ID: e.id, StreamPrefix: clstandplatform.StreamPrefix, Events: eventCount, Work: 10 * time.Millisecond, Gap: 30 * time.Millisecond,
 		Ran: w.soak.ran, Fault: func(clstandplatform.Run) clstandplatform.Fault { return e.draw(w.soak) },
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if e.server, err = newServer(handler); err != nil {
 		return err
 	}
-	e.server = &http.Server{Handler: handler}
-	go func() { _ = e.server.Serve(l) }() // ends when the endpoint does
-	if e.link, err = newLink(netip.MustParseAddrPort(l.Addr().String())); err != nil {
+	if e.link, err = newLink(e.server.addr()); err != nil {
 		return err
 	}
 	w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, false)
@@ -288,20 +321,6 @@
 	return clstandplatform.NoFault
 }
 
-func (e *endpoint) trouble(until time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if until.After(e.troubled) {
-		e.troubled = until
-	}
-}
-
-func (e *endpoint) calmSince(t time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.troubled.Before(t)
-}
-
 // leftAt returns when the store acknowledged that the endpoint leaves, or zero.
 func (e *endpoint) leftAt() time.Time {
 	e.mu.Lock()
@@ -356,21 +375,6 @@
 	return append([]*endpoint(nil), w.endpoints...)
 }
 
-// troubleStore records that a fault of the store for all ends at a time.
-func (w *world) troubleStore(until time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if until.After(w.storeTroubled) {
-		w.storeTroubled = until
-	}
-}
-
-func (w *world) storeCalmSince(t time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.storeTroubled.Before(t)
-}
-
 // heal ends all faults.
 func (w *world) heal() error {
 	w.store.SetDown(false)
