Bound the age of what a gateway acts on, whoever stops

All 22 followers turn to the next reader in the same moment and ask it for complete copies, among them a configuration of 1,408 routes (about 100 KB) over a link of 10 Mbit/s. All requests run into their limit of 0.6 s ("decode the response of the reader: context deadline exceeded"), all followers avoid that reader, and do the same to the next one. A follower that found no reader read the store only by chance (6 of 73), so that nothing bounded the age of its copy: 3.0 and 3.3 s were seen at one gateway, the bound being 3 s.

Change: - A follower's position names the store revision of its copy, so that a new reader sends it only the changes since, also after it has read the store itself.

Ruled out: an endpoint watch that hangs (no store call failed there), lack of processor time alone (0.03 cores at most were used).

Tests: TestFollowerOfReadersThatStopInTurn failed first (5.6 s of 2 s), TestNewReaderSendsOnlyChanges failed first, TestFollowPolicyKeepsCopiesUsable (virtual time, rapid).

--- /dev/null
+++ b/internal/coordination/clmirror/follow_test.go
@@ -0,0 +1,200 @@
+// This file tests that a follower's copy stays recent while its readers stop.
+
+package clmirror
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// silentReader returns the address of a reader that accepts connections and never
+// answers, as one that has no processor time left.
+func silentReader(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", cltest.Address(t).String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// Guards against a follower whose copy grows old while the store serves it: the
+// readers of its data centre stop answering, one after the other, and the next in
+// rank has no processor time for its followers. With many gateways each follower
+// used to read the store only by chance.
+func TestFollowerOfReadersThatStopInTurn(t *testing.T) {
+	store := &memoryStore{objects: map[string]int{"a": 1}}
+	source := &storeClient{memoryStore: store}
+	var followerCopy objectCopy
+	m := &Mirror[int]{Name: "k", Source: source, WatchWait: time.Millisecond, WatchPause: 50 * time.Millisecond, Apply: followerCopy.apply, ProbesStore: true}
+	follower := newReplicator(t, 1, m)
+	readers := []netip.AddrPort{silentReader(t), silentReader(t), silentReader(t), silentReader(t), silentReader(t), silentReader(t)}
+	started := time.Now()
+	follower.Readers = func() []netip.AddrPort { return readers[min(len(readers)-1, int(time.Since(started)/time.Second)):] }
+	follower.GatewayCount = func() int { return 1000 }
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- follower.Run(ctx) }()
+	require.Eventually(t, func() bool { return followerCopy.equal(map[string]int{"a": 1}) }, 5*time.Second, time.Millisecond)
+	oldest := time.Duration(0)
+	for time.Since(started) < 6*time.Second {
+		oldest = max(oldest, clclock.Now().Sub(m.LastConfirmed()))
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Less(t, oldest, defaultChangeDeadline)
+	require.Less(t, source.calls.Load(), int64(30), "the follower reads the store only as often as it has to")
+	stop()
+	require.NoError(t, <-runErr)
+}
+
+// Guards against complete copies that a new reader sends to all followers of its data
+// centre at once: on a slow link they take longer than a request may, so that the
+// followers leave the reader, request complete copies of the next one and stay without
+// changes for seconds. A follower that changes its reader, or that has read the store
+// itself in between, needs only the changes since its own position, removals included.
+func TestNewReaderSendsOnlyChanges(t *testing.T) {
+	store := &memoryStore{objects: map[string]int{}}
+	for i := range 100 {
+		store.recordChange(strconv.Itoa(i), i, false)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	runErrs := make(chan error, 3)
+	var following atomic.Pointer[netip.AddrPort]
+	start := func(bootID uint64, copied *countingCopy, readers func() []netip.AddrPort) *Replicator {
+		m := &Mirror[int]{Name: "k", Source: &storeClient{memoryStore: store}, WatchWait: 20 * time.Millisecond, Apply: copied.apply, ProbesStore: true}
+		r := newReplicator(t, bootID, m)
+		if readers != nil {
+			r.Readers = readers
+		}
+		go func() { runErrs <- r.Run(ctx) }()
+		return r
+	}
+	var firstCopy, secondCopy, followerCopy countingCopy
+	first := start(1, &firstCopy, nil)
+	require.Eventually(t, func() bool { return len(firstCopy.snapshot()) == 100 }, 5*time.Second, time.Millisecond)
+	var secondReads atomic.Bool
+	second := start(2, &secondCopy, func() []netip.AddrPort {
+		if secondReads.Load() {
+			return nil
+		}
+		return []netip.AddrPort{first.ListenAddress}
+	})
+	following.Store(&first.ListenAddress)
+	start(3, &followerCopy, func() []netip.AddrPort { return []netip.AddrPort{*following.Load()} })
+	settled := func(c *countingCopy) func() bool { return func() bool { return c.equal(store.snapshot()) } }
+	require.Eventually(t, settled(&secondCopy), 5*time.Second, time.Millisecond)
+	require.Eventually(t, settled(&followerCopy), 5*time.Second, time.Millisecond)
+	store.recordChange("7", 700, false)
+	require.Eventually(t, settled(&followerCopy), 5*time.Second, time.Millisecond)
+	require.Eventually(t, settled(&secondCopy), 5*time.Second, time.Millisecond)
+	complete := followerCopy.completeCopies.Load()
+
+	secondReads.Store(true)
+	following.Store(&second.ListenAddress)
+	// The request to the first reader that is in progress ends.
+	time.Sleep(feedHoldDuration + feedTimeoutMargin)
+	store.recordChange("8", 0, true)
+	store.recordChange("9", 900, false)
+	require.Eventually(t, settled(&followerCopy), 5*time.Second, time.Millisecond)
+	require.Equal(t, complete, followerCopy.completeCopies.Load())
+	stop()
+	for range 3 {
+		require.NoError(t, <-runErrs)
+	}
+}
+
+// countingCopy is an objectCopy that counts the complete copies it has received.
+type countingCopy struct {
+	objectCopy
+	completeCopies atomic.Int64
+}
+
+func (c *countingCopy) apply(changes []Change[int], complete bool) {
+	if complete {
+		c.completeCopies.Add(1)
+	}
+	c.objectCopy.apply(changes, complete)
+}
+
+func (c *objectCopy) snapshot() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.objects)
+}
+
+func (s *memoryStore) snapshot() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects)
+}
+
+// Guards against a copy that is used beyond the deadline for changes, or a follower
+// that leaves its copy unusable for long, whatever its readers and its processor do,
+// while the store serves it. Virtual time: readers answer, stall or are stale in turn,
+// and all steps of the follower take longer while it lacks processor time.
+func TestFollowPolicyKeepsCopiesUsable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 10 * time.Millisecond
+		p := followPolicy{changeDeadline: time.Duration(rapid.IntRange(2, 5).Draw(t, "deadline")) * time.Second}
+		delay := time.Duration(rapid.IntRange(10, 150).Draw(t, "call_ms")) * time.Millisecond
+		readerCount := rapid.IntRange(1, 30).Draw(t, "readers")
+		stall := make([]bool, 60)
+		for i := range stall {
+			stall[i] = rapid.Bool().Draw(t, "stalls")
+		}
+		now := time.Unix(1000, 0)
+		begin, current := now, now
+		readers := make([]netip.AddrPort, readerCount)
+		for i := range readers {
+			readers[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
+		}
+		var request, call time.Time // ends of what is in progress
+		var reader netip.AddrPort
+		fails := false
+		callSent, nextCall := time.Time{}, now
+		unusable := time.Duration(0)
+		for ; now.Sub(begin) < 20*time.Second; now = now.Add(step) {
+			if request.IsZero() {
+				reader, _ = p.selectReader(readers, now)
+				fails = stall[(int(reader.Addr().As4()[3])+int(now.Sub(begin)/time.Second))%len(stall)]
+				request = now.Add(feedHoldDuration + delay)
+				if fails {
+					request = now.Add(feedHoldDuration + feedTimeoutMargin)
+				}
+			} else if !now.Before(request) {
+				if fails {
+					p.avoid(reader, now)
+				} else {
+					current = lo.Latest(current, request.Add(-feedHoldDuration-delay-delay))
+				}
+				request = time.Time{}
+			}
+			switch {
+			case !call.IsZero() && !now.Before(call):
+				p.endStoreCall(true, now)
+				current, call, nextCall = lo.Latest(current, callSent), time.Time{}, now.Add(400*time.Millisecond)
+			case call.IsZero() && !now.Before(nextCall) && p.readsStore(readerCount, 1000, current, now):
+				callSent, call = now, now.Add(roleCheckInterval+delay)
+				p.beginStoreCall(now)
+			}
+			left, limited := p.usableFor(current, now)
+			require.True(t, limited, "the store serves this gateway")
+			if left <= 0 {
+				unusable += step
+			}
+			require.LessOrEqual(t, now.Add(left).Sub(current), p.changeDeadline)
+		}
+		require.Zero(t, unusable)
+	})
+}
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/gob"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -38,16 +37,19 @@
 		Readers func() []netip.AddrPort
 		// GatewayCount returns the number of gateways that share the store.
 		GatewayCount func() int
-		// LastConfirmed and Confirm are the methods of the mirror with ProbesStore.
-		// The age of its copy stands for the age of all copies of this gateway.
-		LastConfirmed func() time.Time
-		Confirm       func(time.Time)
+		// ChangeDeadline is the time within which each gateway must act on a change in
+		// the store; 0 means defaultChangeDeadline.
+		ChangeDeadline time.Duration
 		// OnStoreLostChange, if set, is called when the outcome of a store call
 		// changes StoreLost. It is not called when storeLostDuration elapses.
 		OnStoreLostChange func()
 		Logger            *zap.Logger
 
 		mirrors []anyMirror
+		// probe is the mirror with ProbesStore.
+		probe anyMirror
+		// startedAt is when Run was called.
+		startedAt time.Time
 		// client sends requests to readers.
 		client http.Client
 
@@ -55,17 +57,11 @@
 		// changeSignal is closed on the next change of a mirror. It is nil if no
 		// request has waited since the last change.
 		changeSignal chan struct{}
-		// readStoreUntil is the time until which this gateway reads the store
-		// because it could not follow any reader (see avoidReader).
-		readStoreUntil time.Time
-		// storeLostUntil is the time until which the store counts as lost.
-		storeLostUntil time.Time
+		policy       followPolicy
 		// following is the reader that positions refer to. It is zero after a
-		// failed request, so that the next request asks for complete copies.
+		// failed request, so that the next request states this gateway's own
+		// positions.
 		following netip.AddrPort
-		// avoidUntil holds, by reader, the time until which other readers are
-		// preferred to it because a request to it failed.
-		avoidUntil map[netip.AddrPort]time.Time
 		// positions holds the positions that this gateway has reached in the
 		// changes of the reader's mirrors, by mirror name.
 		positions map[string]Position
@@ -84,8 +80,8 @@
 		// Changes holds the encoded deltas of the mirrors that have changes, by
 		// mirror name.
 		Changes map[string][]byte
-		// Age is the time between the last confirmation of the reader's copy and
-		// this response.
+		// Age is the time between this response and the time at which the reader's
+		// copies were last known to be current.
 		Age time.Duration
 	}
 )
@@ -98,34 +94,6 @@
 	// feedHoldDuration. It also limits connecting to the reader, and receiving the
 	// header of a follower's request.
 	feedTimeoutMargin = 300 * time.Millisecond
-	// staleAge is the time since the last confirmation from which a copy counts as
-	// stale: followers reject a reader whose copy is stale, and a gateway whose own
-	// copy is stale calls the store only for the mirror with ProbesStore. It is
-	// longer than the delay that a slow store and a waiting watch cause, and short
-	// enough that a follower that then reads the store itself learns of a change,
-	// such as the removal of an API key, within the time in which gateways must
-	// apply it.
-	staleAge = 1100 * time.Millisecond
-	// storeLostDuration is how long the store counts as lost after a failed call
-	// if no other call follows.
-	storeLostDuration = 10 * time.Second
-	// avoidDuration is how long other readers are preferred to a reader after a
-	// request to it failed.
-	avoidDuration = 2 * time.Second
-	// maxTriedReaders is the number of readers that a gateway tries to follow
-	// before it considers reading the store.
-	maxTriedReaders = 3
-	// readStoreDuration is how long a gateway reads the store once avoidReader has
-	// decided so because the gateway could not follow any reader.
-	readStoreDuration = 3 * time.Second
-	// storeProbers determines how many gateways read the store when they cannot
-	// follow any reader. Each time that happens to a gateway with several readers,
-	// it begins to read the store with the probability storeProbers/GatewayCount,
-	// so that about storeProbers do if it happens once to all gateways. Some must,
-	// because the store may refuse only the calls of the readers. The rest must
-	// not, because if the store is down for all gateways, each of the failing calls
-	// is still charged and counts towards its rate limits.
-	storeProbers = 6
 	// maxFeedBytes limits the size of an encoded feedRequest and of a feedAnswer.
 	maxFeedBytes = 16 << 20
 )
@@ -134,6 +102,9 @@
 func Add[T any](r *Replicator, m *Mirror[T]) {
 	m.attach(r)
 	r.mirrors = append(r.mirrors, m)
+	if m.ProbesStore {
+		r.probe = m
+	}
 }
 
 // Run keeps the mirrors up to date and serves followers until ctx ends. If it
@@ -144,6 +115,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for change requests of other gateways; set the peer address of the gateway to a free TCP port")
 	}
+	r.mu.Lock()
+	r.startedAt = clclock.Now()
+	r.policy.changeDeadline = r.ChangeDeadline
+	if r.policy.changeDeadline <= 0 {
+		r.policy.changeDeadline = defaultChangeDeadline
+	}
+	r.mu.Unlock()
 	r.client.Transport = &http.Transport{
 		DialContext: (&net.Dialer{Timeout: feedTimeoutMargin}).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
 	}
@@ -167,28 +145,59 @@
 	return err
 }
 
-// recentlyConfirmed reports whether the copy of the mirror with ProbesStore was
-// confirmed less than staleAge ago.
-func (r *Replicator) recentlyConfirmed() bool { return clclock.Now().Sub(r.LastConfirmed()) < staleAge }
+// recentlyConfirmed reports whether the copy of the mirror with ProbesStore is not
+// stale.
+func (r *Replicator) recentlyConfirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return clclock.Now().Sub(r.probe.LastConfirmed()) < r.policy.staleAge()
+}
+
+// lastCurrent returns the latest time as of which the copies of all mirrors are known
+// to hold all changes of the store, or zero while a mirror has no such copy.
+func (r *Replicator) lastCurrent() time.Time {
+	probed := r.probe.LastConfirmed()
+	current := probed
+	for _, m := range r.mirrors {
+		if at := m.currentAsOf(probed); at.Before(current) {
+			current = at
+		}
+	}
+	return current
+}
+
+// UsableFor returns for how long the copies may still be used; the result is not
+// positive if they may lack changes that must be in force by now. limited is false if
+// there is no such limit, because the store is lost.
+func (r *Replicator) UsableFor() (d time.Duration, limited bool) {
+	current := r.lastCurrent()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.usableFor(lo.Latest(current, r.startedAt), clclock.Now())
+}
 
 // StoreLost reports whether the store is lost to this gateway: the last store call
 // of the mirror with ProbesStore failed, less than storeLostDuration ago.
 func (r *Replicator) StoreLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return clclock.Now().Before(r.storeLostUntil)
+	return r.policy.storeLost(clclock.Now())
 }
 
-// recordStoreCall updates StoreLost after a store call of the mirror with
-// ProbesStore. served says whether the store served the call.
-func (r *Replicator) recordStoreCall(served bool) {
+// recordStoreCall records the begin of a store call of the mirror with ProbesStore.
+// The function that it returns records the end, and whether the store served the call.
+func (r *Replicator) recordStoreCall() func(served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.beginStoreCall(clclock.Now())
+	return r.endStoreCall
+}
+
+func (r *Replicator) endStoreCall(served bool) {
 	r.mu.Lock()
 	now := clclock.Now()
-	wasLost := now.Before(r.storeLostUntil)
-	r.storeLostUntil = time.Time{}
-	if !served {
-		r.storeLostUntil = now.Add(storeLostDuration)
-	}
+	wasLost := r.policy.storeLost(now)
+	r.policy.endStoreCall(served, now)
 	r.mu.Unlock()
 	if wasLost == served && r.OnStoreLostChange != nil {
 		r.OnStoreLostChange()
@@ -203,16 +212,12 @@
 	}
 }
 
-// readsStore reports whether this gateway reads the store: it has no reader to
-// follow, or avoidReader decided so less than readStoreDuration ago. A gateway with
-// several readers may fail to follow them and still not read the store.
+// readsStore reports whether this gateway reads the store (see followPolicy.readsStore).
 func (r *Replicator) readsStore() bool {
-	if len(r.Readers()) == 0 {
-		return true
-	}
+	readers, gateways, current := len(r.Readers()), r.GatewayCount(), r.lastCurrent()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return clclock.Now().Before(r.readStoreUntil)
+	return r.policy.readsStore(readers, gateways, lo.Latest(current, r.startedAt), clclock.Now())
 }
 
 // notifyFollowers signals a change to the requests of followers that the server
@@ -237,7 +242,7 @@
 }
 
 // followReaders requests changes from the selected reader again and again until
-// ctx ends. It pauses while this gateway reads the store.
+// ctx ends. It pauses while there is no reader to follow.
 func (r *Replicator) followReaders(ctx context.Context) {
 	for ctx.Err() == nil {
 		reader, ok := r.selectReader()
@@ -252,51 +257,23 @@
 	}
 }
 
-// selectReader returns the reader to follow, or false while this gateway reads
-// the store. If the first maxTriedReaders readers are all to be avoided, it
-// returns the preferred one.
+// selectReader returns the reader to follow, or false if there is none.
 func (r *Replicator) selectReader() (netip.AddrPort, bool) {
 	readers := r.Readers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := clclock.Now()
-	if len(readers) == 0 || now.Before(r.readStoreUntil) {
-		return netip.AddrPort{}, false
-	}
-	if addr, ok := r.firstAvailable(readers, now); ok {
-		return addr, true
-	}
-	return readers[0], true
-}
-
-// firstAvailable returns the first of the maxTriedReaders preferred readers that
-// is not to be avoided, or false if there is none. The caller holds mu.
-func (r *Replicator) firstAvailable(readers []netip.AddrPort, now time.Time) (netip.AddrPort, bool) {
-	return lo.Find(readers[:min(len(readers), maxTriedReaders)], func(addr netip.AddrPort) bool { return !now.Before(r.avoidUntil[addr]) })
+	return r.policy.selectReader(readers, clclock.Now())
 }
 
 // avoidReader makes this gateway prefer other readers after a request to reader
-// failed with err. If no reader is left to try, a gateway that may follow only this
-// reader begins to read the store; it is usually the gateway that ranks directly
-// after the reader of its data centre. A gateway with more readers begins to read
-// the store with a probability that depends on storeProbers, because the store may
-// be down for all gateways.
+// failed with err.
 func (r *Replicator) avoidReader(reader netip.AddrPort, err error) {
-	readers := r.Readers()
+	age := clclock.Now().Sub(r.lastCurrent())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := clclock.Now()
-	if r.avoidUntil == nil {
-		r.avoidUntil = make(map[netip.AddrPort]time.Time)
-	}
-	r.avoidUntil[reader] = now.Add(avoidDuration)
+	r.policy.avoid(reader, clclock.Now())
 	r.following = netip.AddrPort{}
-	_, anyAvailable := r.firstAvailable(readers, now)
-	readStore := !anyAvailable && (len(readers) <= 1 || rand.IntN(max(1, r.GatewayCount())) < storeProbers)
-	if readStore {
-		r.readStoreUntil = now.Add(readStoreDuration)
-	}
-	r.Logger.Info("reader lost", zap.Stringer("reader", reader), zap.Bool("reads_the_store", readStore), zap.Error(err))
+	r.Logger.Info("reader lost", zap.Stringer("reader", reader), zap.Duration("copy_age", age), zap.String("error", err.Error()))
 }
 
 // fetchChanges requests changes from reader once, applies them, and confirms this
@@ -312,8 +289,13 @@
 	}
 	request := feedRequest{Wait: feedHoldDuration, Positions: make(map[string]Position)}
 	for _, m := range r.mirrors {
-		request.Positions[m.name()] = r.positions[m.name()]
+		position, ok := r.positions[m.name()]
+		if !ok {
+			position = m.position()
+		}
+		request.Positions[m.name()] = position
 	}
+	staleAge := r.policy.staleAge()
 	r.mu.Unlock()
 	sentAt := clclock.Now()
 	answer, err := r.requestChanges(ctx, reader, request)
@@ -343,7 +325,9 @@
 		r.positions[m.name()] = position
 		r.mu.Unlock()
 	}
-	r.Confirm(sentAt.Add(-answer.Age))
+	for _, m := range r.mirrors {
+		m.Confirm(sentAt.Add(-answer.Age))
+	}
 	return nil
 }
 
@@ -411,7 +395,7 @@
 // collectChanges returns the deltas that a follower at the positions of request
 // lacks, and the age of this gateway's copy.
 func (r *Replicator) collectChanges(request feedRequest) (feedAnswer, error) {
-	answer := feedAnswer{Changes: make(map[string][]byte), Age: clclock.Now().Sub(r.LastConfirmed())}
+	answer := feedAnswer{Changes: make(map[string][]byte), Age: clclock.Now().Sub(r.lastCurrent())}
 	for _, m := range r.mirrors {
 		encodedDelta, err := m.changesSince(request.Positions[m.name()])
 		if err != nil {
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -4,16 +4,20 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/gob"
+	"io"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clwait"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
 
@@ -54,6 +58,14 @@
 		Why string
 	}
 
+	// loggedChange is a change and the cursor that the copy reached with it. The
+	// change's own revision does not tell whether a follower has seen it: that of a
+	// removal may be the revision of the change before.
+	loggedChange[T any] struct {
+		Change[T]
+		reached uint64
+	}
+
 	// Mirror keeps a copy of the store's objects of one kind. Exported fields
 	// must be set before the Replicator that it belongs to runs.
 	Mirror[T any] struct {
@@ -90,8 +102,20 @@
 		// or from a reader, and the changes since; a watch can then continue from
 		// cursor.
 		listed bool
-		// historyGone is set once the store has dropped changes that a watch needed.
+		// historyGone is set when the store has dropped changes that a watch needed,
+		// until the next list.
 		historyGone bool
+		// currentAt is the latest time as of which the copy is known to have held all
+		// changes, without the watch in progress.
+		currentAt time.Time
+		// watchSentAt is when the watch in progress was sent; it is zero while there is
+		// none. answerTime is how long the store took to answer the last list, or the
+		// last watch without a wait.
+		watchSentAt time.Time
+		answerTime  time.Duration
+		// catchUp makes the next watch return at once: it tells that the copy holds all
+		// changes, which a watch that waits does not.
+		catchUp bool
 		// cursor is the store revision that the copy has reached, and
 		// newestRevision is the revision of the last change in the copy.
 		cursor, newestRevision uint64
@@ -101,7 +125,13 @@
 		// list. A follower that lacks only logged changes receives just the changes
 		// that it lacks, not the complete copy.
 		sequence  uint64
-		changeLog []Change[T]
+		changeLog []loggedChange[T]
+		// logStart is the store revision after which changeLog holds all changes up to
+		// cursor.
+		logStart uint64
+		// encoded holds the encoded deltas of the current sequence, by the number of
+		// changes that the follower lacks; the complete copy has the key completeDelta.
+		encoded map[int][]byte
 	}
 
 	// Position is a position in the changes of a mirror: the one that a follower
@@ -143,8 +173,19 @@
 		// that the copy has thereby reached. It returns errReaderBehind, and applies
 		// nothing, if the reader's copy is older than this one.
 		applyDelta(data []byte) (Position, error)
-		// position returns the position of this mirror's own copy; its Reader is 0.
+		// position returns the position of this mirror's own copy; its Reader is 0. It
+		// is zero while the mirror has no complete copy.
 		position() Position
+		// LastConfirmed and Confirm are those of Mirror.
+		LastConfirmed() time.Time
+		Confirm(at time.Time)
+		// lastAnswerTime returns how long the store took to answer the last call that
+		// did not wait for changes.
+		lastAnswerTime() time.Duration
+		// currentAsOf returns the latest time as of which the copy is known to hold all
+		// changes, or zero if that is not known. probed is when the mirror with
+		// ProbesStore sent its last call that the store answered.
+		currentAsOf(probed time.Time) time.Time
 		// RestartStoreCall cancels the store call in progress.
 		RestartStoreCall()
 	}
@@ -181,6 +222,10 @@
 	// after a request to a reader failed, or after the reader's copy was older than
 	// the follower's.
 	roleCheckInterval = 100 * time.Millisecond
+	// catchUpWait is the wait of a watch that is to return at once.
+	catchUpWait = time.Millisecond
+	// completeDelta is the key of the complete copy in Mirror.encoded.
+	completeDelta = -1
 	// maxLoggedChanges is the length to which changeLog is cut. A follower that
 	// lacks more changes receives the complete copy.
 	maxLoggedChanges = 1024
@@ -201,9 +246,31 @@
 func (m *Mirror[T]) Confirm(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.listed && at.After(m.lastConfirmed) {
-		m.lastConfirmed = at
+	if !m.listed {
+		return
 	}
+	m.lastConfirmed = lo.Latest(at, m.lastConfirmed)
+	m.currentAt = lo.Latest(at, m.currentAt)
+}
+
+// currentAsOf implements anyMirror. A watch in progress delivers changes at once; if
+// the store has answered a call that was sent after the watch, it has also answered
+// the watch with the changes until then, if there were any.
+func (m *Mirror[T]) currentAsOf(probed time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentAsOfLocked(probed)
+}
+
+// currentAsOfLocked is currentAsOf for callers that hold mu.
+func (m *Mirror[T]) currentAsOfLocked(probed time.Time) time.Time {
+	if m.ProbesStore {
+		return m.lastConfirmed
+	}
+	if !m.watchSentAt.IsZero() && !probed.Before(m.watchSentAt) {
+		return lo.Latest(probed, m.currentAt)
+	}
+	return m.currentAt
 }
 
 // RestartStoreCall cancels the list or watch in progress, whose connection may
@@ -233,13 +300,20 @@
 		// confirmed at all, only that mirror calls the store, because calls that
 		// the store refuses are charged too.
 		if !m.replicator.readsStore() && m.isListed() || !m.ProbesStore && !m.replicator.recentlyConfirmed() {
+			m.mu.Lock()
+			m.catchUp = true
+			m.mu.Unlock()
 			pause(ctx, roleCheckInterval)
 			continue
 		}
+		var endCall func(served bool)
+		if m.ProbesStore {
+			endCall = m.replicator.recordStoreCall()
+		}
 		sentAt := clclock.Now()
 		batch, complete, err := m.readStore(ctx)
 		if m.ProbesStore && ctx.Err() == nil {
-			m.replicator.recordStoreCall(err == nil || errors.Is(err, ErrHistoryGone))
+			endCall(err == nil || errors.Is(err, ErrHistoryGone))
 		}
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -294,22 +368,66 @@
 	// ErrHistoryGone, a watch from the cursor of a list that is seconds old could
 	// return the same error again.
 	fresh := m.ProbesStore || m.historyGone
+	wait := m.WatchWait
+	if m.catchUp {
+		wait = min(wait, catchUpWait)
+	}
 	timeout := callTimeoutMargin
 	if listed {
-		timeout += m.WatchWait
+		timeout += wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	m.cancelCall = cancel
+	sentAt := clclock.Now()
+	if listed {
+		m.watchSentAt = sentAt
+	}
 	m.mu.Unlock()
 	defer cancel()
 	if !listed {
 		batch, err = m.Source.List(ctx, fresh)
+		m.recordAnswer(sentAt, fresh, true, err)
+		if err == nil {
+			m.mu.Lock()
+			m.historyGone = false
+			m.mu.Unlock()
+		}
 		return batch, true, err
 	}
-	batch, err = m.Source.Watch(ctx, cursor, m.WatchWait)
+	batch, err = m.Source.Watch(ctx, cursor, wait)
+	m.recordAnswer(sentAt, true, wait <= catchUpWait, err)
 	return batch, false, err
 }
 
+// recordAnswer updates currentAt and catchUp after the store call that was sent at
+// sentAt. current says that the answer holds all changes until then, and prompt that
+// the store did not wait for changes before it answered.
+func (m *Mirror[T]) recordAnswer(sentAt time.Time, current, prompt bool, err error) {
+	probed, transit := m.replicator.probe.LastConfirmed(), m.replicator.probe.lastAnswerTime()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := clclock.Now()
+	// What the watch in progress has told so far stays true when it ends.
+	m.currentAt = m.currentAsOfLocked(probed)
+	m.watchSentAt = time.Time{}
+	if err != nil {
+		m.catchUp = true
+		return
+	}
+	// A list that may be seconds old needs a watch that returns at once.
+	m.catchUp = !current
+	switch {
+	case prompt:
+		m.answerTime = now.Sub(sentAt)
+		if current {
+			m.currentAt = lo.Latest(sentAt, m.currentAt)
+		}
+	default:
+		// The store sent the answer when there was a change, or when the wait ended.
+		m.currentAt = lo.Latest(sentAt, m.currentAt, now.Add(-transit))
+	}
+}
+
 // applyChanges applies changes, which reach the store revision cursor, to the copy,
 // passes them to Apply and notifies the followers. If complete is set, changes
 // replaces the whole copy. confirmed is the time at which the copy with these
@@ -328,17 +446,23 @@
 		m.newestRevision = max(m.newestRevision, c.Revision)
 	}
 	m.sequence += uint64(len(changes))
-	m.changeLog = append(m.changeLog, changes...)
+	m.listed, m.cursor = true, max(cursor, m.cursor)
+	for _, c := range changes {
+		m.changeLog = append(m.changeLog, loggedChange[T]{c, m.cursor})
+	}
 	if excess := len(m.changeLog) - maxLoggedChanges; excess > 0 {
+		m.logStart = m.changeLog[excess-1].reached
 		m.changeLog = m.changeLog[excess:]
 	}
 	if complete {
 		// A list does not contain the objects that were removed, so that followers
 		// cannot learn of their removal from changeLog and need the complete copy.
-		m.changeLog = nil
+		m.changeLog, m.logStart = nil, m.cursor
 		m.sequence++
 	}
-	m.listed, m.cursor = true, max(cursor, m.cursor)
+	if len(changes) > 0 || complete {
+		m.encoded = nil
+	}
 	if confirmed.After(m.lastConfirmed) {
 		m.lastConfirmed = confirmed
 	}
@@ -349,41 +473,110 @@
 	}
 }
 
+func (m *Mirror[T]) lastAnswerTime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answerTime
+}
+
 func (m *Mirror[T]) position() Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.listed {
+		return Position{}
+	}
 	return Position{Sequence: m.sequence, Cursor: m.cursor, Newest: m.newestRevision}
 }
 
 func (m *Mirror[T]) changesSince(p Position) ([]byte, error) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if !m.listed {
+		m.mu.Unlock()
+		return nil, nil
+	}
+	missing := m.missingChanges(p)
+	if missing == 0 && p.Reader == m.replicator.BootID {
+		m.mu.Unlock()
 		return nil, nil
 	}
-	d := delta[T]{Position: Position{Reader: m.replicator.BootID, Sequence: m.sequence, Cursor: m.cursor, Newest: m.newestRevision}}
-	missing := m.sequence - p.Sequence
+	sequence := m.sequence
+	encoded, ok := m.encoded[missing]
+	d := delta[T]{Position: Position{Reader: m.replicator.BootID, Sequence: sequence, Cursor: m.cursor, Newest: m.newestRevision}}
 	switch {
-	case p.Reader != m.replicator.BootID || p.Sequence > m.sequence || missing > uint64(len(m.changeLog)):
+	case ok:
+	case missing == completeDelta:
 		d.Complete = true
 		for name, value := range maps.All(m.objects) {
 			d.Changes = append(d.Changes, Change[T]{Name: name, Value: value})
 		}
-	case missing == 0:
-		return nil, nil
 	default:
-		d.Changes = m.changeLog[uint64(len(m.changeLog))-missing:]
+		for _, c := range m.changeLog[len(m.changeLog)-missing:] {
+			d.Changes = append(d.Changes, c.Change)
+		}
+	}
+	m.mu.Unlock()
+	if ok {
+		return encoded, nil
 	}
-	var encoded bytes.Buffer
-	if err := gob.NewEncoder(&encoded).Encode(d); err != nil {
+	encoded, err := encodeDelta(d)
+	if err != nil {
 		return nil, errors.Wrap(err, "encode changes")
 	}
-	return encoded.Bytes(), nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sequence == sequence {
+		if m.encoded == nil {
+			m.encoded = make(map[int][]byte)
+		}
+		m.encoded[missing] = encoded
+	}
+	return encoded, nil
+}
+
+// missingChanges returns how many of the last entries of changeLog a follower at p
+// lacks, or completeDelta if it needs the complete copy. The position of a follower
+// that comes from another reader, or that has read the store itself, tells by its
+// store revision what it lacks. The caller holds mu.
+func (m *Mirror[T]) missingChanges(p Position) int {
+	if p.Reader == m.replicator.BootID {
+		if missing := m.sequence - p.Sequence; p.Sequence <= m.sequence && missing <= uint64(len(m.changeLog)) {
+			return int(missing)
+		}
+		return completeDelta
+	}
+	if p.Cursor == 0 || p.Cursor < m.logStart {
+		return completeDelta
+	}
+	first, _ := slices.BinarySearchFunc(m.changeLog, p.Cursor, func(c loggedChange[T], cursor uint64) int {
+		if c.reached > cursor {
+			return 1
+		}
+		return -1
+	})
+	return len(m.changeLog) - first
+}
+
+// encodeDelta encodes a delta as compressed gob: a complete copy goes to all followers
+// of a data centre at once, over the link of one machine.
+func encodeDelta[T any](d delta[T]) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := gob.NewEncoder(w).Encode(d); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
 }
 
 func (m *Mirror[T]) applyDelta(data []byte) (Position, error) {
 	var d delta[T]
-	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d); err != nil {
+	decompressed := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxFeedBytes)
+	if err := gob.NewDecoder(decompressed).Decode(&d); err != nil {
 		return Position{}, errors.Wrap(err, "decode changes")
 	}
 	// A reader that listed the objects after a removal has no record of the
--- a/internal/coordination/clmirror/mirror_test.go
+++ b/internal/coordination/clmirror/mirror_test.go
@@ -81,7 +81,7 @@
 	m.Logger = zap.NewNop()
 	r := &Replicator{
 		BootID: bootID, ListenAddress: addr, Readers: func() []netip.AddrPort { return nil }, GatewayCount: func() int { return 2 },
-		LastConfirmed: m.LastConfirmed, Confirm: m.Confirm, Logger: zap.NewNop(),
+		Logger: zap.NewNop(),
 	}
 	Add(r, m)
 	return r
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -133,6 +133,11 @@
 		// enough to trust an API key. If not, it also returns the delay after
 		// which the caller may retry.
 		ConfigFresh func() (bool, time.Duration)
+		// CopiesUsableFor returns for how long requests may still be sent by what the
+		// gateway knows of the configuration and the endpoints; the result is not
+		// positive if that may lack changes that must be in force by now. limited is
+		// false if there is no such limit. If CopiesUsableFor is nil, there is none.
+		CopiesUsableFor func() (left time.Duration, limited bool)
 		// ShutdownDelay is the time between the start of the shutdown and the
 		// closing of the listener and idle connections. During that time the
 		// ingress, which distributes connections among gateways, may still open
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -39,7 +39,7 @@
 	}
 	n.replicator = &clmirror.Replicator{
 		BootID: n.exchange.Self.Boot, ListenAddress: n.Settings.PeerAddress, Readers: n.readerAddresses,
-		GatewayCount: func() int { return len(n.registeredGateways()) }, LastConfirmed: n.configMirror.LastConfirmed, Confirm: n.configMirror.Confirm,
+		GatewayCount: func() int { return len(n.registeredGateways()) }, ChangeDeadline: n.Settings.ChangeDeadline,
 		OnStoreLostChange: n.exchange.SendToDataCentre, Logger: logger,
 	}
 	clmirror.Add(n.replicator, n.configMirror)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -218,7 +218,7 @@
 	}
 	n.gateway = &clgateway.Gateway{
 		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker,
-		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh,
+		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
 	}
 	n.buildMirrors(component("mirror"))
@@ -238,8 +238,13 @@
 
 // configFresh reports whether the store has confirmed the configuration recently
 // enough to accept API keys, and otherwise how long the caller should wait before
-// it retries. Without StrictRevocation any configuration is recent enough.
+// it retries. Without StrictRevocation any configuration is recent enough that is not
+// outdated: one that may lack a version which must be in force by now, although the
+// store is not lost.
 func (n *Node) configFresh() (bool, time.Duration) {
+	if left, limited := n.replicator.UsableFor(); limited && left <= 0 {
+		return false, configPollInterval
+	}
 	if !n.Settings.StrictRevocation {
 		return true, 0
 	}
--- a/internal/serving/clnode/settings.go
+++ b/internal/serving/clnode/settings.go
@@ -46,6 +46,9 @@
 	// store: when the configuration has not been confirmed for most of that time,
 	// the gateway refuses requests that need an API key.
 	StrictRevocation bool
+	// ChangeDeadline is the time within which each gateway must act on a change in the
+	// store, such as a new configuration or an endpoint that leaves.
+	ChangeDeadline time.Duration
 	// LeaseTTL is how long the lease of the duties lasts without renewal.
 	LeaseTTL time.Duration
 
@@ -77,6 +80,7 @@
 const (
 	defaultGracePeriod       = 8 * time.Second
 	defaultRevocationTime    = 5 * time.Second
+	defaultChangeDeadline    = 2 * time.Second
 	defaultLeaseTTL          = 3 * time.Second
 	defaultRetryRatio        = 0.1
 	defaultRetryWindowLength = 10 * time.Second
@@ -88,6 +92,7 @@
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Grace, defaultGracePeriod)
 	setDefault(&s.Revocation, defaultRevocationTime)
+	setDefault(&s.ChangeDeadline, defaultChangeDeadline)
 	setDefault(&s.LeaseTTL, defaultLeaseTTL)
 	setDefault(&s.RetryRatio, defaultRetryRatio)
 	setDefault(&s.RetryWindow, defaultRetryWindowLength)
