--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -85,6 +86,31 @@
 	return nil
 }
 
+// Discard reads and drops the rest of the body, so that its connection can be reused,
+// if that takes neither more than maxBytes nor longer than wait. Otherwise it closes the
+// body.
+func Discard(b BodyReader, maxBytes int64, wait time.Duration) error {
+	if own, ok := b.(*body); ok && !own.ended.Load() {
+		own.c.timeouts.BetweenReads, own.c.keepWaiting = wait, nil
+	}
+	buf := make([]byte, min(maxBytes, discardBufferBytes))
+	before := time.Now().Add(wait)
+	for maxBytes > 0 && time.Now().Before(before) {
+		n, err := b.Read(buf[:min(int64(len(buf)), maxBytes)])
+		maxBytes -= int64(n)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return b.Close()
+}
+
+// discardBufferBytes is the size of the buffer of Discard.
+const discardBufferBytes = 4 << 10
+
 // readTrailer reads what follows the last chunk, and returns io.EOF if that succeeds.
 func (b *body) readTrailer() error {
 	var hdr fasthttp.ResponseHeader
--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -30,9 +30,12 @@
 		stop      func() bool // ends the watch on ctx
 		cancelled atomic.Bool
 		timeouts  Timeouts
-		answered  bool  // a byte of the answer has arrived
-		readErr   error // last error of the socket
-		idleSince time.Time
+		// headBefore is the time by which the answer's header must be complete; zero
+		// once it is.
+		headBefore  time.Time
+		keepWaiting func() bool // Call.KeepWaiting
+		readErr     error       // last error of the socket
+		idleSince   time.Time
 	}
 
 	// readLimited reads from the socket within the attempt's inactivity limits.
@@ -58,7 +61,8 @@
 
 // begin gives the connection to an attempt.
 func (c *conn) begin(ctx context.Context, t Timeouts) {
-	c.ctx, c.timeouts, c.answered, c.readErr = ctx, t, false, nil
+	c.ctx, c.timeouts, c.keepWaiting, c.readErr = ctx, t, nil, nil
+	c.headBefore = time.Now().Add(t.FirstByte)
 	c.stop = context.AfterFunc(ctx, c.cancel)
 }
 
@@ -94,21 +98,28 @@
 	}
 }
 
-// Read reads within the first-byte limit, then within the limit between reads.
+// Read reads within the limit of the header, then within the limit between reads.
 func (r readLimited) Read(p []byte) (int, error) {
 	c := r.c
-	limit := c.timeouts.FirstByte
-	if c.answered {
-		limit = c.timeouts.BetweenReads
+	for {
+		deadline := c.headBefore
+		if deadline.IsZero() {
+			deadline = time.Now().Add(c.timeouts.BetweenReads)
+		}
+		_ = c.SetReadDeadline(deadline)
+		c.keepCancelled()
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.cancelled.Load() && c.keepWaiting != nil && c.keepWaiting() {
+			if !c.headBefore.IsZero() {
+				c.headBefore = time.Now().Add(c.timeouts.FirstByte)
+			}
+			continue
+		}
+		if err != nil {
+			c.readErr = err
+		}
+		return n, err
 	}
-	_ = c.SetReadDeadline(time.Now().Add(limit))
-	c.keepCancelled()
-	n, err := c.Conn.Read(p)
-	c.answered = c.answered || n > 0
-	if err != nil {
-		c.readErr = err
-	}
-	return n, err
 }
 
 // classify returns the typed error of an attempt of which sent says whether
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -31,6 +31,10 @@
 		BootID string
 		// SendBefore, unless zero, is the time from which no byte may be sent.
 		SendBefore time.Time
+		// KeepWaiting, unless nil, is asked each time the endpoint has been silent for
+		// the limit of FirstByte or BetweenReads; if it returns true, the attempt goes
+		// on for that long again.
+		KeepWaiting func() bool
 	}
 
 	// Header is one header field of a call or an answer.
@@ -40,9 +44,10 @@
 
 	// Timeouts are inactivity limits; zero means the client's default.
 	Timeouts struct {
-		Connect   time.Duration
+		Connect time.Duration
+		// FirstByte limits the time from the request to the end of the answer's header.
 		FirstByte time.Duration
-		// BetweenReads limits the silence inside an answer.
+		// BetweenReads limits the silence inside an answer's body.
 		BetweenReads time.Duration
 	}
 
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -75,6 +75,7 @@
 		return nil, &Error{Kind: KindNotSent, Err: errors.New("it took too long to connect")}
 	}
 	c.begin(ctx, t)
+	c.keepWaiting = call.KeepWaiting
 	n, err := c.send(call)
 	if err != nil {
 		err = c.classify(err, n > 0)
@@ -183,6 +184,7 @@
 			return nil, errors.Errorf("unexpected answer %d", s)
 		}
 	}
+	c.headBefore = time.Time{}
 	a := &Answer{Status: hdr.StatusCode()}
 	for k, v := range hdr.All() {
 		if name := string(k); !ownedHeader(name) {
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +32,11 @@
 		// begun.
 		resumeAfter int64
 		isResume    bool
+		// sendBefore is the time before which the request must be sent, or zero.
+		sendBefore time.Time
+		// retryCounted is set when the attempt is given up for another one that the
+		// retry budget has counted.
+		retryCounted bool
 	}
 
 	// attemptResult tells how an attempt ended, and whether the request has ended
@@ -46,6 +51,8 @@
 		// notRun reports that the request was certainly not run, because the
 		// endpoint said so or no byte of the request was sent.
 		notRun bool
+		// retryCounted reports that the retry budget has counted the next attempt.
+		retryCounted bool
 		// err is the reason why the attempt did not complete the response, or nil
 		// if done is set.
 		err error
@@ -59,6 +66,9 @@
 		// lastEventID is the ID of the last event sent, if hasLastEventID is set.
 		lastEventID    int64
 		hasLastEventID bool
+		// final is set once a part of the response has been sent that another attempt
+		// can't continue: a body that is not a stream, or an event without an ID.
+		final bool
 	}
 )
 
@@ -89,14 +99,23 @@
 	// body of an endpoint that did not run the request. A connection can be reused
 	// only if the whole body has been read.
 	maxDiscardedBytes = 4 << 10
+	// discardTimeout limits the time for reading that body, which usually arrives with
+	// the header. The caller waits meanwhile.
+	discardTimeout = 20 * time.Millisecond
 	// notRunRetryAfter is the Retry-After of the response to a request that no
 	// endpoint has run, unless the fleet states another one.
 	notRunRetryAfter = 300 * time.Millisecond
 
-	// reasonRetryBudget and reasonConfigUnconfirmed are reasons for not sending a
-	// request to an endpoint, in addition to those that clfleet defines.
+	// outdatedRetryAfter is the Retry-After of the response of a gateway whose copies
+	// are outdated. It is the time in which the gateway reads the store.
+	outdatedRetryAfter = 250 * time.Millisecond
+
+	// reasonRetryBudget, reasonConfigUnconfirmed and reasonCopiesOutdated are reasons
+	// for not sending a request to an endpoint, in addition to those that clfleet
+	// defines.
 	reasonRetryBudget       clfleet.Reason = "retry_budget"
 	reasonConfigUnconfirmed clfleet.Reason = "configuration_unconfirmed"
+	reasonCopiesOutdated    clfleet.Reason = "copies_outdated"
 )
 
 // forward sends the request to one endpoint after another until an attempt has sent
@@ -112,7 +131,7 @@
 			g.failRequest(c, &p, last, refusal)
 			return
 		}
-		if c.sends > 0 && !g.RetryBudget.AllowRetry(c.service, time.Now()) {
+		if c.sends > 0 && !last.retryCounted && !g.RetryBudget.AllowRetry(c.service, time.Now()) {
 			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reasonRetryBudget, RetryAfter: notRunRetryAfter})
 			return
 		}
@@ -121,7 +140,12 @@
 			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reasonConfigUnconfirmed, RetryAfter: errResp.retryAfter})
 			return
 		}
-		last = g.runAttempt(ctx, c, choice, req, &p)
+		sendBefore, usable := g.sendBefore()
+		if !usable {
+			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reasonCopiesOutdated, RetryAfter: outdatedRetryAfter})
+			return
+		}
+		last = g.runAttempt(ctx, c, choice, req, &p, sendBefore)
 		if last.done {
 			return
 		}
@@ -131,13 +155,26 @@
 			connectFailures++
 			continue
 		}
-		if !g.mayRetry(ctx, c, last) {
+		if p.final || !g.mayRetry(ctx, c, last) {
 			break
 		}
 	}
 	g.failRequest(c, &p, last, nil)
 }
 
+// sendBefore returns the time before which an attempt must be sent, or zero if there
+// is none, and whether the gateway's copies are recent enough to send it at all.
+func (g *Gateway) sendBefore() (at time.Time, usable bool) {
+	if g.CopiesUsableFor == nil {
+		return time.Time{}, true
+	}
+	left, limited := g.CopiesUsableFor()
+	if !limited {
+		return time.Time{}, true
+	}
+	return time.Now().Add(left), left > 0
+}
+
 // mayRetry reports whether the request may be sent to another endpoint after an
 // attempt with the given result that did not fail to connect.
 func (g *Gateway) mayRetry(ctx context.Context, c *call, result attemptResult) bool {
@@ -190,9 +227,9 @@
 
 // runAttempt sends the request to the chosen endpoint, relays the response to the
 // caller, and records how the attempt ended. req is the request for which the fleet
-// has made the choice.
-func (g *Gateway) runAttempt(ctx context.Context, c *call, choice *clfleet.Choice, req clfleet.Request, p *responseProgress) attemptResult {
-	a := &attempt{call: c, choice: choice, startedAt: time.Now(), isResume: p.hasLastEventID, resumeAfter: p.lastEventID}
+// has made the choice. If sendBefore is not zero, nothing is sent from then on.
+func (g *Gateway) runAttempt(ctx context.Context, c *call, choice *clfleet.Choice, req clfleet.Request, p *responseProgress, sendBefore time.Time) attemptResult {
+	a := &attempt{call: c, choice: choice, startedAt: time.Now(), isResume: p.hasLastEventID, resumeAfter: p.lastEventID, sendBefore: sendBefore}
 	g.Fleet.Begin(choice, req, a.startedAt)
 	g.Recorder.AttemptStarted(c.service, choice.Version, c.route.Name)
 	g.Logger.Info("sent", zap.String("request", c.reqInfo.ID), zap.String("endpoint", choice.Endpoint), zap.String("version", choice.Version),
@@ -230,7 +267,8 @@
 	}
 	resp, err := g.Client.Do(ctx, clendpoint.Call{
 		Endpoint: a.choice.Address, Method: a.r.Method, Path: a.r.RequestURI,
-		Header: g.Headers.ForwardHeaders(a.r.Header, info), Body: a.body, Timeouts: g.timeouts(a, timeLeft),
+		Header: g.Headers.ForwardHeaders(a.r.Header, info), Body: a.body, Timeouts: g.timeouts(a, timeLeft), SendBefore: a.sendBefore,
+		KeepWaiting: func() bool { return !g.giveUpFor(a) },
 	})
 	if err != nil {
 		return g.failAttempt(ctx, a, err)
@@ -241,12 +279,15 @@
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response is for request %s", a.respInfo.ID))
 	case a.respInfo.NotRun:
 		// The client reuses the connection only if the body is read to its end.
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes)); err != nil {
+		if err := clendpoint.Discard(resp.Body, maxDiscardedBytes, discardTimeout); err != nil {
 			g.Logger.Debug("reading the response of an endpoint that did not run the request failed", zap.String("request", a.reqInfo.ID), zap.Error(err))
 		}
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
 		result.notRun = true
 		return result
+	case p.started && (a.route.Kind != clcatalog.Streaming || resp.Status >= 300):
+		// The stream has already begun, so that this response can't be relayed.
+		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded to a resumed stream with status %d", resp.Status))
 	case resp.Status < 300 && !a.respInfo.Signed:
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response with status %d has no signature", resp.Status))
 	}
@@ -274,6 +315,26 @@
 	return t
 }
 
+// giveUpFor reports whether an attempt whose endpoint has been silent, or has made no
+// progress, for as long as an attempt may, is to be given up for another one. It is not
+// if the request can't be sent to another endpoint: the silent one may only be slow.
+// If it is, the retry budget has counted the next attempt.
+func (g *Gateway) giveUpFor(a *attempt) bool {
+	if a.retryCounted {
+		return true
+	}
+	if !a.mayReplaceFailure() {
+		return false
+	}
+	others := *a.call
+	others.tried = append(slices.Clone(a.tried), a.choice.Endpoint)
+	if choice, _, _ := g.pickEndpoint(&others); choice == nil {
+		return false
+	}
+	a.retryCounted = g.RetryBudget.AllowRetry(a.service, time.Now())
+	return a.retryCounted
+}
+
 // discardResponse ends an attempt whose response can't be used. It records a failure
 // unless the outcome is OutcomeShed: an endpoint that does not run a request has not
 // failed.
@@ -291,7 +352,7 @@
 // was sent, if the caller is gone, or if the deadline has passed.
 func (g *Gateway) failAttempt(ctx context.Context, a *attempt, err error) attemptResult {
 	var e *clendpoint.Error
-	result := attemptResult{outcome: clfleet.OutcomeConnectionBroken, err: err}
+	result := attemptResult{outcome: clfleet.OutcomeConnectionBroken, err: err, retryCounted: a.retryCounted}
 	switch {
 	case errors.As(err, &e) && e.Kind == clendpoint.KindNotSent:
 		result.outcome, result.notRun = clfleet.OutcomeUnreachable, true
--- a/internal/serving/clgateway/gateway_test.go
+++ b/internal/serving/clgateway/gateway_test.go
@@ -116,6 +116,43 @@
 	}
 }
 
+// Guards against requests that are sent by a list of endpoints that may lack one that
+// has left: none may be sent while the copies are outdated, nor if they become outdated
+// while the gateway connects. The refusal says when to come back.
+func TestOutdatedCopies(t *testing.T) {
+	respondOK := respond(signedOK+"Content-Length: 2\r\n\r\nok", true)
+	for _, tc := range []struct {
+		name   string
+		usable []time.Duration
+		status int
+	}{
+		{"recent", []time.Duration{time.Second}, 200},
+		{"outdated", []time.Duration{0}, 503},
+		{"outdated before the request is sent", []time.Duration{time.Nanosecond}, 503},
+		{"outdated, then recent", []time.Duration{time.Nanosecond, time.Second}, 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, respondOK, respondOK)
+			asked := 0
+			env.mu.Lock()
+			env.copiesUsableFor = func() time.Duration {
+				asked++
+				return tc.usable[min(asked, len(tc.usable))-1]
+			}
+			env.mu.Unlock()
+			resp, err := http.DefaultClient.Do(env.request("/open/1", "", ""))
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, tc.status, resp.StatusCode)
+			if tc.status != 200 {
+				require.Empty(t, env.requests())
+				require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
 // Guards against accounts that exceed their quota, and against requests that are
 // charged to the quota although no endpoint has run them.
 func TestQuota(t *testing.T) {
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -86,6 +86,8 @@
 	// gateway refuses a request. It is short because the retry goes to another
 	// gateway.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// defaultMaxBodyBytes limits request bodies if the configuration does not.
+	defaultMaxBodyBytes = 32 << 20
 	// defaultRouteTimeout is the timeout of requests to routes that set none.
 	defaultRouteTimeout = 30 * time.Second
 )
@@ -181,13 +183,13 @@
 // than the configured limit, or not complete before the request's deadline.
 func (g *Gateway) readBody(c *call, cat *clcatalog.Catalog) *errorResponse {
 	limit := int64(cat.Limits.BodyBytes)
-	if limit > 0 && c.r.ContentLength > limit {
-		return &errorResponse{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
-	body := io.Reader(c.r.Body)
-	if limit > 0 {
-		body = io.LimitReader(body, limit+1)
+	if c.r.ContentLength > limit {
+		return &errorResponse{http.StatusRequestEntityTooLarge, "body_too_large", 0}
 	}
+	body := io.LimitReader(c.r.Body, limit+1)
 	rc := http.NewResponseController(c.w)
 	if err := rc.SetReadDeadline(c.deadline); err != nil {
 		g.Logger.Debug("setting the read deadline failed", zap.Error(err))
@@ -199,7 +201,7 @@
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		g.Logger.Debug("clearing the read deadline failed", zap.Error(err))
 	}
-	if limit > 0 && int64(len(b)) > limit {
+	if int64(len(b)) > limit {
 		return &errorResponse{http.StatusRequestEntityTooLarge, "body_too_large", 0}
 	}
 	c.body = b
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -79,10 +79,12 @@
 	gateway  *Gateway
 	baseURL  string
 	recorder *testRecorder
-	// configFresh is what Gateway.ConfigFresh reports; mu guards it and
-	// receivedRequests.
+	// configFresh is what Gateway.ConfigFresh reports; mu guards it,
+	// copiesUsableFor and receivedRequests.
 	configFresh bool
-	mu          sync.Mutex
+	// copiesUsableFor returns what Gateway.CopiesUsableFor reports; nil is no limit.
+	copiesUsableFor func() time.Duration
+	mu              sync.Mutex
 	// receivedRequests holds a line for each request that an endpoint has received.
 	receivedRequests []string
 	// stop cancels the context of Gateway.Run, and stopped receives the error that
@@ -140,6 +142,14 @@
 		},
 		Logger: zap.NewNop(), Metrics: clobserve.NewMetrics(),
 	}
+	env.gateway.CopiesUsableFor = func() (time.Duration, bool) {
+		env.mu.Lock()
+		defer env.mu.Unlock()
+		if env.copiesUsableFor == nil {
+			return 0, false
+		}
+		return env.copiesUsableFor(), true
+	}
 	env.gateway.SetCatalog(cat)
 	env.baseURL = "http://" + addr.String()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -205,6 +215,20 @@
 	env.configFresh = fresh
 }
 
+// setTimeout changes the timeout of the route with the given name.
+func (env *testEnv) setTimeout(route string, d time.Duration) {
+	old := env.gateway.Catalog()
+	changed := &clcatalog.Catalog{Version: old.Version + 1, Limits: old.Limits, Services: old.Services, Accounts: old.Accounts}
+	for _, r := range old.Routes {
+		if r.Name == route {
+			r.Timeout = d
+		}
+		changed.Routes = append(changed.Routes, r)
+	}
+	changed.BuildIndexes()
+	env.gateway.SetCatalog(changed)
+}
+
 // request returns a POST request to the gateway. It carries the API key unless the key
 // is empty.
 func (env *testEnv) request(path, key, body string) *http.Request {
--- a/internal/serving/clstream/events.go
+++ b/internal/serving/clstream/events.go
@@ -26,8 +26,16 @@
 	// field or the value is not an integer.
 	ID    int64
 	HasID bool
+	// HasData is false for an event without a data field, such as a comment that keeps
+	// the connection open.
+	HasData bool
 }
 
+var (
+	dataField    = []byte("data")
+	lineWithData = []byte("\ndata")
+)
+
 // Write appends a copy of p, the next bytes of the stream, to the buffer.
 func (s *Splitter) Write(p []byte) { s.buf = append(s.buf, p...) }
 
@@ -44,6 +52,7 @@
 	e := Event{Raw: s.buf[:end]}
 	s.buf, s.searchFrom = s.buf[end:], 0
 	e.ID, e.HasID = eventID(e.Raw)
+	e.HasData = bytes.HasPrefix(e.Raw, dataField) || bytes.Contains(e.Raw, lineWithData)
 	return e, true
 }
 
