--- a/internal/coordination/clmirror/follow_test.go
+++ b/internal/coordination/clmirror/follow_test.go
@@ -114,6 +114,34 @@
 	}
 }
 
+// Guards against connections that fill a reader's memory: another process sends a
+// request without end, or byte by byte.
+func TestFeedClosesEndlessRequests(t *testing.T) {
+	m := &Mirror[int]{Name: "k", Source: &storeClient{memoryStore: &memoryStore{objects: map[string]int{}}}, WatchWait: 20 * time.Millisecond, Apply: func([]Change[int], bool) {}, ProbesStore: true}
+	r := newReplicator(t, 1, m)
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- r.Run(ctx) }()
+	require.Eventually(t, func() bool { return !m.LastConfirmed().IsZero() }, 5*time.Second, time.Millisecond)
+	for _, head := range []string{"POST /feed HTTP/1.1\r\nX-Long: ", "POST /feed HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"} {
+		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
+			c, err := net.Dial("tcp", r.ListenAddress.String())
+			require.NoError(t, err)
+			_, err = c.Write([]byte(head))
+			require.NoError(t, err)
+			begin := time.Now()
+			for err == nil {
+				_, err = c.Write([]byte("x"))
+				require.Less(t, time.Since(begin), 2*time.Second, "the connection must be closed")
+				time.Sleep(pause)
+			}
+			_ = c.Close()
+		}
+	}
+	stop()
+	require.NoError(t, <-runErr)
+}
+
 // countingCopy is an objectCopy that counts the complete copies it has received.
 type countingCopy struct {
 	objectCopy
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -91,9 +91,13 @@
 	// changes. A follower's copy is up to this much older than its reader's.
 	feedHoldDuration = 300 * time.Millisecond
 	// feedTimeoutMargin is the time that a request may take beyond
-	// feedHoldDuration. It also limits connecting to the reader, and receiving the
-	// header of a follower's request.
+	// feedHoldDuration. It also limits connecting to the reader, and receiving a
+	// follower's request.
 	feedTimeoutMargin = 300 * time.Millisecond
+	// feedWriteTimeout limits holding and answering a request; a follower has left
+	// long before. feedIdleTimeout is longer than the pauses of a follower.
+	feedWriteTimeout = 3 * time.Second
+	feedIdleTimeout  = 5 * time.Second
 	// maxFeedBytes limits the size of an encoded feedRequest and of a feedAnswer.
 	maxFeedBytes = 16 << 20
 )
@@ -125,7 +129,9 @@
 	r.client.Transport = &http.Transport{
 		DialContext: (&net.Dialer{Timeout: feedTimeoutMargin}).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
 	}
-	server := &http.Server{Handler: http.HandlerFunc(r.handleFeed), ReadHeaderTimeout: feedTimeoutMargin}
+	server := &http.Server{
+		Handler: http.HandlerFunc(r.handleFeed), ReadTimeout: feedTimeoutMargin, WriteTimeout: feedWriteTimeout, IdleTimeout: feedIdleTimeout,
+	}
 	var g errgroup.Group
 	for _, m := range r.mirrors {
 		g.Go(func() error { m.run(ctx); return nil })
