Send digests to other data centres through relays drawn anew each time

Change: a digest goes directly to the gateways of the own data centre, and for each other one with four gateways or more to one of its live gateways, which forwards it there. The relay is drawn anew for each digest, so that nothing has to be agreed on, and a dead relay costs its data centre some digests and no more; totals make up for a lost one. The last digest of a gateway that leaves takes two relays. Each gateway receives as many digests as before.

Weighed: sums for each data centre (they need less than 23 KB/s at 390 gateways, which this does not, but change what quotas, usage, rollouts and membership are counted from); bundles (a summing gateway would send 3 MB/s over links of 10 Mbit/s).

Tests: TestRouteUsesRelays (rapid), TestDigestsReachAllThroughRelays (six of 15 gateways end without a word).

--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -51,8 +52,10 @@
 
 // peerState holds what the last accepted digest of a peer said about that peer.
 type peerState struct {
-	// boot and sequence are the digest's Boot and Sequence.
+	// boot and sequence are the digest's Boot and Sequence, and dataCentre is its
+	// DataCentre.
 	boot, sequence uint64
+	dataCentre     string
 	// receivedAt is the time at which that digest arrived.
 	receivedAt time.Time
 	// leaving is set if the peer's process was about to end, and storeLost if the
@@ -72,6 +75,13 @@
 	maxDatagramsPerSecond = 60
 	// maxDatagramBytes is the largest payload of a UDP datagram.
 	maxDatagramBytes = 65507
+	// minRelayedGateways is the number of gateways of a data centre from which digests
+	// of other data centres reach it through a relay. Below, the bytes saved are not
+	// worth the second datagram that may be lost.
+	minRelayedGateways = 4
+	// leaveRelays is the number of relays of a data centre that get the digest of a
+	// gateway that is about to end, since no other digest may follow.
+	leaveRelays = 2
 	// PeerTimeout is how long a peer counts as alive after its last digest arrived.
 	PeerTimeout = 3 * time.Second
 )
@@ -105,7 +115,7 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.send(allPeers)
+	e.send(e.Gateways(), leaveRelays)
 }
 
 // AlivePeers returns the names of the peers whose last digest arrived less than
@@ -116,13 +126,17 @@
 	now := clclock.Now()
 	var names []string
 	for name, state := range e.peerStates {
-		if !state.leaving && now.Sub(state.receivedAt) < PeerTimeout {
+		if e.alive(state, now) {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+func (e *Exchange) alive(p peerState, now time.Time) bool {
+	return !p.leaving && now.Sub(p.receivedAt) < PeerTimeout
+}
+
 // StoreLost reports whether the last digest of the named peer said that the store
 // does not serve that peer. It returns false if no digest has arrived.
 func (e *Exchange) StoreLost(name string) bool {
@@ -136,7 +150,7 @@
 // store for the data centre, and the next periodic digest would tell the peers too
 // late.
 func (e *Exchange) SendToDataCentre() {
-	e.send(func(g clcatalog.Member) bool { return g.DataCentre == e.Self.DataCentre })
+	e.send(lo.Filter(e.Gateways(), func(g clcatalog.Member, _ int) bool { return g.DataCentre == e.Self.DataCentre }), 0)
 }
 
 // LastDigestTime returns the time at which the last accepted digest of any peer
@@ -159,7 +173,7 @@
 // DigestInterval at random by up to 10%.
 func (e *Exchange) sendLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		e.send(allPeers)
+		e.send(e.Gateways(), 1)
 		interval := DigestInterval(len(e.Gateways()))
 		if clwait.Pause(ctx, interval*9/10+rand.N(interval/5)) != nil {
 			return
@@ -167,12 +181,10 @@
 	}
 }
 
-// allPeers makes send select every peer.
-func allPeers(clcatalog.Member) bool { return true }
-
-// send makes a new digest and sends it to the peers for which selected returns
-// true. It sends nothing before Run.
-func (e *Exchange) send(selected func(clcatalog.Member) bool) {
+// send makes a new digest and sends it to the given gateways, other than this one:
+// directly, or through the given number of relays for each large data centre but the
+// own (see route). It sends nothing before Run.
+func (e *Exchange) send(gateways []clcatalog.Member, relays int) {
 	e.mu.Lock()
 	conn := e.conn
 	e.sequence++
@@ -180,20 +192,62 @@
 		Name: e.Self.Name, Boot: e.Self.Boot, Sequence: e.sequence, DataCentre: e.Self.DataCentre,
 		WallUs: time.Now().UnixMicro(), Leaving: e.leaving,
 	}
+	direct, relayed := e.route(gateways, relays, clclock.Now())
 	e.mu.Unlock()
 	if conn == nil {
 		return
 	}
 	e.FillDigest(d)
+	e.sendTo(conn, d, direct)
+	if len(relayed) > 0 {
+		d.Relay = true
+		e.sendTo(conn, d, relayed)
+	}
+}
+
+// route divides the receivers of a digest into those that get it directly, and the
+// relays, which forward it within their data centre. Bytes between data centres are
+// charged, and without relays they would grow with the square of the gateways. Each
+// digest takes relays drawn anew, so that one that has died, or is cut off, costs its
+// data centre some digests and no more. Data centres with fewer gateways than
+// minRelayedGateways, and all of them if relays is 0, get digests directly. The caller
+// holds mu.
+func (e *Exchange) route(gateways []clcatalog.Member, relays int, now time.Time) (direct, relayed []clcatalog.Member) {
+	byDataCentre := lo.GroupBy(gateways, func(g clcatalog.Member) string { return g.DataCentre })
+	for dataCentre, members := range byDataCentre {
+		if dataCentre == e.Self.DataCentre || len(members) < minRelayedGateways || relays == 0 {
+			direct = append(direct, lo.Filter(members, func(g clcatalog.Member, _ int) bool { return g.Name != e.Self.Name })...)
+			continue
+		}
+		alive := lo.Filter(members, func(g clcatalog.Member, _ int) bool { return e.alive(e.peerStates[g.Name], now) })
+		if len(alive) == 0 {
+			alive = members
+		}
+		// The top-level source of math/rand/v2 is safe for concurrent use.
+		for _, i := range rand.Perm(len(alive))[:min(relays, len(alive))] {
+			relayed = append(relayed, alive[i])
+		}
+	}
+	return direct, relayed
+}
+
+// forward sends a digest that was to be relayed to the other gateways of this data
+// centre.
+func (e *Exchange) forward(d *Digest) {
+	d.Relay = false
+	e.sendTo(e.conn, d, lo.Filter(e.Gateways(), func(g clcatalog.Member, _ int) bool {
+		return g.DataCentre == e.Self.DataCentre && g.Name != e.Self.Name && g.Name != d.GetName()
+	}))
+}
+
+// sendTo sends a digest to the given gateways.
+func (e *Exchange) sendTo(conn *net.UDPConn, d *Digest, gateways []clcatalog.Member) {
 	encoded, err := proto.Marshal(d)
 	if err != nil || len(encoded) > maxDatagramBytes {
 		e.Logger.Error("digest cannot be encoded or is too large for a datagram", zap.Int("bytes", len(encoded)), zap.Error(err))
 		return
 	}
-	for _, g := range e.Gateways() {
-		if g.Name == e.Self.Name || !selected(g) {
-			continue
-		}
+	for _, g := range gateways {
 		_, err = conn.WriteToUDPAddrPort(encoded, g.Address)
 		e.recordSendResult(g.Address, err)
 	}
@@ -233,6 +287,9 @@
 			continue
 		}
 		if e.accept(d) {
+			if d.GetRelay() {
+				e.forward(d)
+			}
 			e.Clock.Observe(d.GetName(), time.UnixMicro(d.GetWallUs()))
 			e.OnDigest(d)
 		}
@@ -260,6 +317,6 @@
 		e.Logger.Info("first digest of a gateway process", zap.String("gateway", d.GetName()), zap.Uint64("boot", d.GetBoot()))
 	}
 	e.lastDigestTime = clclock.Now()
-	e.peerStates[d.GetName()] = peerState{boot: d.GetBoot(), sequence: d.GetSequence(), receivedAt: e.lastDigestTime, leaving: d.GetLeaving(), storeLost: d.GetStoreLost()}
+	e.peerStates[d.GetName()] = peerState{boot: d.GetBoot(), sequence: d.GetSequence(), dataCentre: d.GetDataCentre(), receivedAt: e.lastDigestTime, leaving: d.GetLeaving(), storeLost: d.GetStoreLost()}
 	return true
 }
--- a/internal/coordination/clgossip/exchange_test.go
+++ b/internal/coordination/clgossip/exchange_test.go
@@ -13,9 +13,11 @@
 	"github.com/chestnutlead/chestnutlead/cltest"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 )
 
 // testGateway is a running Exchange.
@@ -33,10 +35,17 @@
 // Each digest holds one Spending, of the client account "a", whose Cost is the
 // length of the name of the gateway that sends the digest.
 func startGateways(t *testing.T, count int) []*testGateway {
+	t.Helper()
+	return startGatewaysIn(t, count, "a")
+}
+
+// startGatewaysIn starts gateways as startGateways does, in the given data centres in
+// turn.
+func startGatewaysIn(t *testing.T, count int, dataCentres ...string) []*testGateway {
 	t.Helper()
 	var members []clcatalog.Member
 	for i := range count {
-		members = append(members, clcatalog.Member{Name: fmt.Sprint("g", i), Boot: 1, Address: cltest.Address(t)})
+		members = append(members, clcatalog.Member{Name: fmt.Sprint("g", i), Boot: 1, Address: cltest.Address(t), DataCentre: dataCentres[i%len(dataCentres)]})
 	}
 	var gateways []*testGateway
 	for _, m := range members {
@@ -77,6 +86,97 @@
 	}
 }
 
+// Guards against bytes between data centres that grow with the square of the gateways,
+// against gateways that no digest reaches, and against a relay that is always the same
+// one, so that its loss would cut off its data centre.
+func TestRouteUsesRelays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &Exchange{Self: clcatalog.Member{Name: "a0", DataCentre: "a"}, Logger: zap.NewNop()}
+		now := clclock.Now()
+		e.peerStates = map[string]peerState{}
+		members := []clcatalog.Member{e.Self}
+		size := map[string]int{}
+		alive := map[string]int{}
+		for _, dc := range []string{"a", "b", "c"} {
+			size[dc] = rapid.IntRange(1, 9).Draw(t, "size")
+			for i := range size[dc] {
+				m := clcatalog.Member{Name: fmt.Sprint(dc, i), DataCentre: dc}
+				if m.Name == e.Self.Name {
+					continue
+				}
+				members = append(members, m)
+				if rapid.Bool().Draw(t, "alive") {
+					alive[dc]++
+					e.peerStates[m.Name] = peerState{receivedAt: now, dataCentre: dc}
+				}
+			}
+		}
+		relays := rapid.IntRange(0, 2).Draw(t, "relays")
+		drawn := map[string]bool{}
+		for range 200 {
+			direct, relayed := e.route(members, relays, now)
+			got := map[string]int{}
+			for _, m := range direct {
+				require.NotEqual(t, e.Self.Name, m.Name)
+				got[m.DataCentre]++
+			}
+			for _, m := range relayed {
+				require.NotEqual(t, e.Self.DataCentre, m.DataCentre)
+				require.True(t, alive[m.DataCentre] == 0 || e.alive(e.peerStates[m.Name], now), "a gateway that is not alive relays nothing")
+				drawn[m.Name] = true
+				got[m.DataCentre]++
+			}
+			require.Equal(t, size["a"]-1, got["a"])
+			for _, dc := range []string{"b", "c"} {
+				want := size[dc]
+				if relays > 0 && size[dc] >= minRelayedGateways {
+					if want = relays; alive[dc] > 0 {
+						want = min(relays, alive[dc])
+					}
+				}
+				require.Equal(t, want, got[dc])
+			}
+		}
+		for _, dc := range []string{"b", "c"} {
+			if relays > 0 && size[dc] >= minRelayedGateways && alive[dc] > 0 {
+				require.Len(t, lo.Filter(lo.Keys(drawn), func(name string, _ int) bool { return name[:1] == dc }), alive[dc], "each relays in turn")
+			}
+		}
+	})
+}
+
+// Guards against gateways that stop hearing each other through relays when some of them
+// end without a word: digests reach each gateway from all that are left, and go on to
+// do so, before and after the dead ones stop counting as alive.
+func TestDigestsReachAllThroughRelays(t *testing.T) {
+	gateways := startGatewaysIn(t, 15, "a", "b", "c")
+	for _, g := range gateways {
+		require.Eventually(t, func() bool { return len(g.AlivePeers()) == 14 }, 10*time.Second, 10*time.Millisecond)
+	}
+	for _, g := range gateways[:6] {
+		require.NoError(t, g.conn.Close())
+	}
+	for end := time.Now().Add(2 * PeerTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, g := range gateways[6:] {
+			for _, other := range gateways[6:] {
+				if g == other {
+					continue
+				}
+				require.Less(t, clclock.Now().Sub(g.LastDigestTimeFrom(other.Self.Name)), PeerTimeout, "%s from %s", g.Self.Name, other.Self.Name)
+			}
+		}
+	}
+	require.Eventually(t, func() bool { return len(gateways[14].AlivePeers()) == 8 }, time.Second, 10*time.Millisecond)
+	for _, g := range gateways {
+		g.stop()
+	}
+	for i, g := range gateways {
+		if err := <-g.runErr; i >= 6 {
+			require.NoError(t, err)
+		}
+	}
+}
+
 // Guards against a digest that replaces a newer one, because it arrived out of
 // order, twice, or after a digest of a later run of the same gateway, and against
 // digests that carry no name or the receiver's own.
