--- a/clharness/orders_test.go
+++ b/clharness/orders_test.go
@@ -28,10 +28,11 @@
 	return st.Orders
 }
 
-// pauseInOrder pauses the control holder while an engine holds its order back,
-// and returns the holder. An order whose sender gave it up before it was paused
-// is not late but gone; then the next one is held.
-func pauseInOrder(t *testing.T, f *clharness.Fleet, e *clharness.StandIn) *planRun {
+// pauseInOrder asks for a version, pauses the control holder while the engine holds
+// its order back, and returns the holder. An order whose sender gave it up before it
+// was paused is not late but gone; then the next one is held. The version is asked for
+// once the engine holds orders back: an order that it has followed is not sent again.
+func pauseInOrder(t *testing.T, f *clharness.Fleet, e *clharness.StandIn, version string) *planRun {
 	t.Helper()
 	r := &planRun{t: t, f: f}
 	held := func() bool {
@@ -39,9 +40,14 @@
 		require.NoError(t, err)
 		return st.Held > 0
 	}
+	asked := false
 	for end := time.Now().Add(healWithin); time.Now().Before(end); {
 		eventually(t, healWithin, "a holder of the control lease", r.findHolder)
 		setFaults(t, clstandin.Faults{Routes: []clstandin.RouteFault{{Prefix: "/orders", Hold: true, First: 1}}}, e)
+		if !asked {
+			require.NoError(t, f.SetVersion(e, version))
+			asked = true
+		}
 		eventually(t, healWithin, "an order under way", held)
 		r.holder.Control.Pause()
 		if held() {
@@ -68,8 +74,7 @@
 			p.ChecksFencing = c.checks
 			f := start(t, p)
 			e := f.Endpoints[0]
-			require.NoError(t, f.SetVersion(e, formerOrder))
-			r := pauseInOrder(t, f, e)
+			r := pauseInOrder(t, f, e, formerOrder)
 			require.Empty(t, orderLog(t, e))
 			require.NoError(t, f.SetVersion(e, nextOrder))
 			eventually(t, healWithin, "the successor's order", func() bool { return len(orderLog(t, e)) > 0 })
