Order spot endpoints for the loss of one data centre of n, and stop flapping

The factor of 1.5 for spare spot endpoints is right for three data centres only.

Change: the minimum of a data centre counts spot endpoints that have registered while an on-demand one is there or ordered; the spare ones are those that the loss of one data centre takes, n/(n-1), at most 1.5 as before.

--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -102,13 +102,13 @@
 	// onDemandTargetUtilization is the fraction of the endpoints that should be
 	// busy while on-demand endpoints replace spot endpoints for a while.
 	onDemandTargetUtilization = 0.7
-	// spotOverprovision is the number of spot endpoints relative to the need. With
-	// it and targetUtilization, one data centre of three can carry the load alone
-	// for the seconds that it takes to boot other endpoints.
-	spotOverprovision = 1.5
-	// spotOverprovisionUnknownLoad replaces spotOverprovision while the load is not
-	// known. It is lower because the need is then probably overestimated.
-	spotOverprovisionUnknownLoad = 1.3
+	// maxSpotOverprovision limits the number of spot endpoints relative to the need
+	// (see spotOverprovision). With it and targetUtilization, one data centre of three
+	// can carry the load alone for the seconds that it takes to boot other endpoints.
+	maxSpotOverprovision = 1.5
+	// maxSpotOverprovisionUnknownLoad replaces maxSpotOverprovision while the load is
+	// not known. It is lower because the need is then probably overestimated.
+	maxSpotOverprovisionUnknownLoad = 1.3
 	// minSpotPerDC is the least number of spot endpoints in a data centre, because
 	// a burst arrives faster than new endpoints boot.
 	minSpotPerDC = 2
@@ -165,20 +165,21 @@
 		return nil
 	}
 	p.detectReclaims(dcs, now)
-	peakLoad, currentLoad, overprovision := state.PeakLoad, state.CurrentLoad, spotOverprovision
+	peakLoad, currentLoad, overprovision := state.PeakLoad, state.CurrentLoad, spotOverprovision(len(dcs), maxSpotOverprovision)
 	if peakLoad < 0 {
-		if !p.registrationSettled(state.Endpoints, now) {
+		overprovision = spotOverprovision(len(dcs), maxSpotOverprovisionUnknownLoad)
+		if !p.registrationSettled(state.Endpoints, overprovision, now) {
 			return nil
 		}
 		peakLoad = p.estimatedNeed * targetUtilization
-		currentLoad, overprovision = peakLoad, spotOverprovisionUnknownLoad
+		currentLoad = peakLoad
 	}
 	need := max(1, int(math.Ceil(peakLoad/targetUtilization)))
 	spotPerDC := max(minSpotPerDC, int(math.Ceil(float64(need)*overprovision/float64(len(dcs)))))
 	var targets []ScalingTarget
 	keepSpareSpot := p.updateSpotPeak(spotPerDC, now)
 	expectedSpot, maxExpectedSpot := 0, 0
-	spotTargets := make([]int, len(dcs))
+	spotTargets, expectedTargets := make([]int, len(dcs)), make([]int, len(dcs))
 	for i, dc := range dcs {
 		spotTargets[i] = min(spotPerDC, max(1, state.Scaling.Max-reservedOnDemand))
 		if keepSpareSpot {
@@ -204,12 +205,18 @@
 		expected := p.expectedSpot(dc, targetBeforeRefusals, state, now)
 		expectedSpot += expected
 		maxExpectedSpot = max(maxExpectedSpot, expected)
+		expectedTargets[i] = min(spotTargets[i], expected)
+		if p.onDemandPlacement[dc.name] > 0 && !state.NeverRequested {
+			// The on-demand endpoint that makes up the minimum may still be booting. It
+			// stays until spot endpoints have registered, which may be refused.
+			expectedTargets[i] = dc.spot
+		}
 	}
 	if now.Sub(p.lastReclaimAt) < reclaimWaveDuration {
 		expectedSpot -= maxExpectedSpot
 	}
 	onDemand := p.delayOnDemandRelease(max(minOnDemand, int(math.Ceil(currentLoad/onDemandTargetUtilization))-expectedSpot), now)
-	for i, n := range p.allocateOnDemand(dcs, spotTargets, onDemand, state.Scaling) {
+	for i, n := range p.allocateOnDemand(dcs, expectedTargets, onDemand, state.Scaling) {
 		targets = append(targets,
 			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Spot: true, Count: min(spotTargets[i], state.Scaling.Max-n)},
 			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Count: n})
@@ -217,6 +224,16 @@
 	return targets
 }
 
+// spotOverprovision returns the number of spot endpoints relative to the need, at most
+// limit. One of the data centres may lose all of its spot endpoints, and the others then
+// have to carry the load; with a single data centre there is nothing to prepare for.
+func spotOverprovision(dataCentres int, limit float64) float64 {
+	if dataCentres <= 1 {
+		return 1
+	}
+	return min(limit, float64(dataCentres)/float64(dataCentres-1))
+}
+
 // updateSpotPeak updates peakSpotPerDC and peakSpotPerDCAt, and reports whether data
 // centres keep the spot endpoints that they have beyond spotPerDC. These are released
 // once spotPerDC has stayed below its recent peak for spotReleaseDelay, counted from
@@ -253,9 +270,9 @@
 // targets have been planned. When the whole system starts, endpoints register one
 // after the other, and targets based on some of them would release the rest. The
 // estimate leaves out the overprovision of spot endpoints.
-func (p *Planner) registrationSettled(endpoints []clcatalog.Endpoint, now time.Time) bool {
+func (p *Planner) registrationSettled(endpoints []clcatalog.Endpoint, overprovision float64, now time.Time) bool {
 	spot := lo.CountBy(endpoints, func(e clcatalog.Endpoint) bool { return e.Spot })
-	p.estimatedNeed = max(p.estimatedNeed, float64(len(endpoints)-spot), float64(spot)/spotOverprovisionUnknownLoad)
+	p.estimatedNeed = max(p.estimatedNeed, float64(len(endpoints)-spot), float64(spot)/overprovision)
 	if len(endpoints) > p.maxEndpoints || p.maxEndpointsAt.IsZero() {
 		p.maxEndpoints, p.maxEndpointsAt = len(endpoints), now
 	}
@@ -301,8 +318,9 @@
 // Running and booting on-demand endpoints stay where they are as far as needed, as
 // a new one has to boot first. Further ones go to the data centres in turn, cheapest
 // first, while there is capacity. A data centre whose minimum would not be reached
+// with expectedSpot, the spot endpoints that each data centre has or will soon have,
 // gets additional ones.
-func (p *Planner) allocateOnDemand(dcs []dcState, spotTargets []int, needed int, scaling clcatalog.Scaling) []int {
+func (p *Planner) allocateOnDemand(dcs []dcState, expectedSpot []int, needed int, scaling clcatalog.Scaling) []int {
 	counts := make([]int, len(dcs))
 	for i, dc := range dcs {
 		counts[i] = max(0, min(needed, max(dc.onDemand, p.onDemandPlacement[dc.name]), scaling.Max-dc.spot))
@@ -320,8 +338,8 @@
 	}
 	p.onDemandPlacement = make(map[string]int, len(dcs))
 	for i, dc := range dcs {
+		counts[i] = max(counts[i], scaling.Min-expectedSpot[i])
 		p.onDemandPlacement[dc.name] = counts[i]
-		counts[i] = max(counts[i], scaling.Min-spotTargets[i])
 	}
 	return counts
 }
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -341,3 +341,49 @@
 	require.LessOrEqual(t, onDemandTarget(true), 1)
 	require.GreaterOrEqual(t, onDemandTarget(false), 6, "running endpoints serve requests until spot endpoints have booted")
 }
+
+// Guards against on-demand endpoints that are ordered and released in turn, before they
+// have booted, while a data centre has lost its spot endpoints and new ones are refused:
+// each attempt to get spot endpoints used to count as if they were there.
+func TestTargetsStayWhileSpotIsRefused(t *testing.T) {
+	m := newCloudModel(2)
+	m.advance(30*time.Second, nil)
+	m.reclaim("b", 40*time.Second)
+	m.advance(3*time.Second, nil)
+	released := 0
+	m.advance(30*time.Second, func() {
+		for _, e := range m.endpoints {
+			if !e.spot && !e.leavesAt.IsZero() && e.leavesAt.Sub(m.now) > 1500*time.Millisecond {
+				released++
+			}
+		}
+	})
+	require.Zero(t, released)
+	require.NotZero(t, m.ready())
+}
+
+// Guards against spot endpoints that do not suffice once one data centre has lost its
+// own, and against paying for more than that where the load is divided among many data
+// centres.
+func TestSpotEndpointsCoverTheLossOfADataCentre(t *testing.T) {
+	for dcs := 2; dcs <= 8; dcs++ {
+		const load = 20.0
+		scaling := clcatalog.Scaling{Min: 1, Max: 100, Boot: 4 * time.Second, SpotPrice: 0.18, Prices: map[string]float64{}}
+		for i := range dcs {
+			scaling.Prices[string(rune('a'+i))] = 1
+		}
+		var p Planner
+		spot := 0
+		for _, target := range p.Plan(ServiceState{Scaling: scaling, PeakLoad: load, CurrentLoad: load}, time.Unix(1000, 0)) {
+			if target.Spot {
+				spot += target.Count
+			}
+		}
+		need := load / targetUtilization
+		require.LessOrEqual(t, spot, int(need*max(1.5, float64(dcs)/float64(dcs-1)))+dcs)
+		if dcs > 2 {
+			require.GreaterOrEqual(t, float64(spot)*float64(dcs-1)/float64(dcs), need, "%d data centres", dcs)
+			require.LessOrEqual(t, float64(spot), need*float64(dcs)/float64(dcs-1)+float64(dcs), "%d data centres", dcs)
+		}
+	}
+}
