Fewer calls to the store and fresher digests, by the deadline for changes

Digests came every 1.6 s at 95 gateways, so that choices and quotas worked on facts that old.

Change: the configuration is read each fifth of the deadline (0.4, 0.6, 0.8 s on the sites), the pause after changes is a tenth of it, and a starting gateway waits 1.2 s with its watches. What counts as stale towards a partition follows the same deadline. 150 digests are received a second in place of 60; bytes between data centres hardly grow, since relays carry them.

Ruled out: reads by followers (12 catch-up reads after the start).

--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -72,7 +72,7 @@
 	// maxDatagramsPerSecond limits the average rate at which a gateway receives
 	// periodic datagrams: the interval between digests grows with the number of
 	// gateways, so that the cost for each gateway stays the same.
-	maxDatagramsPerSecond = 60
+	maxDatagramsPerSecond = 150
 	// maxDatagramBytes is the largest payload of a UDP datagram.
 	maxDatagramBytes = 65507
 	// minRelayedGateways is the number of gateways of a data centre from which digests
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -226,6 +226,21 @@
 	return r.policy.readsStore(readers, gateways, lo.Latest(current, r.startedAt), clclock.Now())
 }
 
+// changePause returns the pause after a store call that returned changes.
+func (r *Replicator) changePause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(minWatchPause, time.Duration(pauseFraction*float64(r.policy.changeDeadline)))
+}
+
+// settleTimeLeft returns how long the gateway is still to wait with its watches after
+// its start.
+func (r *Replicator) settleTimeLeft() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return startSettleTime - clclock.Now().Sub(r.startedAt)
+}
+
 // notifyFollowers signals a change to the requests of followers that the server
 // holds.
 func (r *Replicator) notifyFollowers() {
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -213,9 +213,15 @@
 	firstBackoff = 60 * time.Millisecond
 	maxBackoff   = 600 * time.Millisecond
 	// minWatchPause is the minimum pause after a call that returned changes, so
-	// that a series of changes costs a few calls and not one each. It is also the
-	// minimum of a WatchPause above 0.
+	// that a series of changes costs a few calls and not one each; pauseFraction is
+	// the fraction of the change deadline that it takes if that is longer. The pause
+	// is also the minimum of a WatchPause above 0.
 	minWatchPause = 250 * time.Millisecond
+	pauseFraction = 0.1
+	// startSettleTime is how long a starting gateway waits with its watches after it
+	// has listed the objects: by then it knows the other gateways, and most gateways
+	// follow another one.
+	startSettleTime = 1200 * time.Millisecond
 	// roleCheckInterval is how often a mirror that must not call the store checks
 	// whether it may, and how often a Replicator whose gateway reads the store
 	// checks whether it is to follow a reader. It is also how long a follower pauses
@@ -335,7 +341,10 @@
 			m.applyChanges(batch.Changes, complete, batch.Cursor, sentAt)
 			backoff, failing = firstBackoff, false
 			if len(batch.Changes) > 0 || m.WatchPause > 0 {
-				pause(ctx, max(minWatchPause, m.WatchPause))
+				pause(ctx, max(m.replicator.changePause(), m.WatchPause))
+			}
+			if complete && !m.ProbesStore {
+				pause(ctx, m.replicator.settleTimeLeft())
 			}
 		}
 	}
@@ -404,6 +413,7 @@
 // the store did not wait for changes before it answered.
 func (m *Mirror[T]) recordAnswer(sentAt time.Time, current, prompt bool, err error) {
 	probed, transit := m.replicator.probe.LastConfirmed(), m.replicator.probe.lastAnswerTime()
+	follows := len(m.replicator.Readers()) > 0
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clclock.Now()
@@ -414,8 +424,9 @@
 		m.catchUp = true
 		return
 	}
-	// A list that may be seconds old needs a watch that returns at once.
-	m.catchUp = !current
+	// A follower needs a watch that returns at once after a list that may be seconds
+	// old. A reader goes on with a watch that waits.
+	m.catchUp = !current && follows
 	switch {
 	case prompt:
 		m.answerTime = now.Sub(sentAt)
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -35,7 +35,7 @@
 	}
 	// The configuration is polled: its watch returns almost at once.
 	n.configMirror = &clmirror.Mirror[*clcatalog.Catalog]{
-		Name: "configuration", Source: n.Store.Configuration(), WatchWait: time.Millisecond, WatchPause: configPollInterval, Apply: n.applyConfig, ProbesStore: true, Logger: logger,
+		Name: "configuration", Source: n.Store.Configuration(), WatchWait: time.Millisecond, WatchPause: n.configPollInterval(), Apply: n.applyConfig, ProbesStore: true, Logger: logger,
 	}
 	n.replicator = &clmirror.Replicator{
 		BootID: n.exchange.Self.Boot, ListenAddress: n.Settings.PeerAddress, Readers: n.readerAddresses,
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -114,13 +114,13 @@
 )
 
 const (
-	// configPollInterval is the time between two reads of the configuration. Each
-	// read confirms that the API keys are still valid.
-	configPollInterval = 400 * time.Millisecond
+	// configPollFraction is the fraction of Settings.ChangeDeadline between two reads
+	// of the configuration. Each read confirms that the API keys are still valid.
+	configPollFraction = 0.2
 	// maxWatchWait is how long the store may hold a watch that has no changes to
 	// return. A watch whose connection has stopped delivering data would miss
-	// changes for this time. The time may nevertheless be longer than
-	// configPollInterval, because a failed read of the configuration restarts the
+	// changes for this time. The time may nevertheless be longer than the interval
+	// between reads of the configuration, because a failed read of the configuration restarts the
 	// watches.
 	maxWatchWait = 15 * time.Second
 	// keyAcceptanceFraction is the fraction of Settings.Revocation for which an API
@@ -221,6 +221,7 @@
 		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
 	}
+	n.partitionDetector.changeDeadline = settings.ChangeDeadline
 	n.buildMirrors(component("mirror"))
 }
 
@@ -243,7 +244,7 @@
 // store is not lost.
 func (n *Node) configFresh() (bool, time.Duration) {
 	if left, limited := n.replicator.UsableFor(); limited && left <= 0 {
-		return false, configPollInterval
+		return false, n.configPollInterval()
 	}
 	if !n.Settings.StrictRevocation {
 		return true, 0
@@ -252,7 +253,12 @@
 	if clclock.Now().Sub(n.configMirror.LastConfirmed()) < limit {
 		return true, 0
 	}
-	return false, configPollInterval
+	return false, n.configPollInterval()
+}
+
+// configPollInterval returns the time between two reads of the configuration.
+func (n *Node) configPollInterval() time.Duration {
+	return time.Duration(configPollFraction * float64(n.Settings.ChangeDeadline))
 }
 
 // isDutyCandidate reports whether this gateway competes for the lease of the
--- a/internal/serving/clnode/reach.go
+++ b/internal/serving/clnode/reach.go
@@ -6,16 +6,18 @@
 
 type (
 	// partitionDetector estimates the fraction of the registered gateways with which
-	// this gateway exchanges digests. The zero value is ready to use. It is not
+	// this gateway exchanges digests. changeDeadline must be set before use. It is not
 	// safe for concurrent use.
 	partitionDetector struct {
+		// changeDeadline is Settings.ChangeDeadline.
+		changeDeadline time.Duration
 		// possiblyPartitioned is set when the configuration is older than
-		// partitionConfigAge, so that the other gateways may have continued without
+		// partitionConfigFraction allows, so that the other gateways may have continued without
 		// this one. The cause may also be that no gateway can reach the store. It is
 		// cleared when the recovery ends.
 		possiblyPartitioned bool
 		// storeReachableSince is when the configuration age was first found to be
-		// within partitionConfigAge again; it is valid while possiblyPartitioned is
+		// below that again; it is valid while possiblyPartitioned is
 		// set, and zero while the age is above the limit.
 		storeReachableSince time.Time
 	}
@@ -34,19 +36,20 @@
 )
 
 const (
-	// staleConfigAge is the configuration age above which missing digests are taken
-	// as a sign of a partition. At lower ages, silent gateways are assumed to have
-	// stopped.
-	staleConfigAge = 800 * time.Millisecond
+	// staleConfigFraction is the configuration age above which missing digests are
+	// taken as a sign of a partition, as a fraction of the change deadline. At lower
+	// ages, silent gateways are assumed to have stopped. The age of a gateway that is
+	// connected stays below it.
+	staleConfigFraction = 0.4
 	// staleDigestAge is the digest age above which no other gateway counts as
 	// reachable. As long as any other gateway is reachable, a digest always arrives
 	// within this time.
 	staleDigestAge = 500 * time.Millisecond
-	// partitionConfigAge is the configuration age above which this gateway may have
-	// been partitioned; the store may also be unreachable for all gateways. The age
-	// stays below this value when another gateway takes over the reading of the
-	// store.
-	partitionConfigAge = 2 * time.Second
+	// partitionConfigFraction is the configuration age above which this gateway may
+	// have been partitioned, as a fraction of the change deadline; the store may also
+	// be unreachable for all gateways. The age stays below this value when another
+	// gateway takes over the reading of the store.
+	partitionConfigFraction = 1.0
 	// recoveryPeriod is the time, counted from storeReachableSince, in which the
 	// digests of the other gateways must arrive again after a possible partition.
 	// Gateways that are silent for longer are assumed to have stopped.
@@ -61,7 +64,7 @@
 //
 // While the configuration is recent the result is 1, because silent gateways are
 // then assumed to have stopped. While the configuration is older than
-// staleConfigAge, and during the recovery after a possible partition, the result is
+// staleConfigFraction allows, and during the recovery after a possible partition, the result is
 // the fraction measured from the digests: after a partition the digests of the
 // other gateways have yet to arrive.
 func (d *partitionDetector) reachableShare(c connectivity, now time.Time) float64 {
@@ -69,13 +72,14 @@
 	if c.digestAge > staleDigestAge {
 		measuredShare = 1 / float64(c.gatewayCount)
 	}
+	older := func(fraction float64) bool { return c.configAge.Seconds() > fraction*d.changeDeadline.Seconds() }
 	switch {
-	case c.configAge > partitionConfigAge:
+	case older(partitionConfigFraction):
 		d.possiblyPartitioned, d.storeReachableSince = true, time.Time{}
 	case d.possiblyPartitioned && d.storeReachableSince.IsZero():
 		d.storeReachableSince = now
 	}
-	if c.configAge > staleConfigAge {
+	if older(staleConfigFraction) {
 		return measuredShare
 	}
 	if d.possiblyPartitioned && measuredShare < recoveredShare && now.Sub(d.storeReachableSince) < recoveryPeriod {
--- a/internal/serving/clnode/reach_test.go
+++ b/internal/serving/clnode/reach_test.go
@@ -31,7 +31,7 @@
 		{"store reachable and most digests received", []connectivity{{10, 0, 9000 * ms, 9000 * ms}, {10, 8, 50 * ms, 20 * ms}, {10, 3, 50 * ms, 20 * ms}}, 1},
 		{"store reachable again for all gateways", []connectivity{{10, 9, 9000 * ms, 20 * ms}, {10, 9, 50 * ms, 20 * ms}}, 1},
 	} {
-		var detector partitionDetector
+		detector := partitionDetector{changeDeadline: 2 * time.Second}
 		now := time.Unix(1000, 0)
 		got := 0.0
 		for _, c := range tc.steps {
@@ -40,7 +40,7 @@
 		}
 		require.InDelta(t, tc.want, got, 1e-9, tc.name)
 	}
-	var detector partitionDetector
+	detector := partitionDetector{changeDeadline: 2 * time.Second}
 	now := time.Unix(1000, 0)
 	detector.reachableShare(connectivity{10, 0, 9000 * ms, 9000 * ms}, now)
 	detector.reachableShare(connectivity{10, 2, 50 * ms, 20 * ms}, now)
