--- /dev/null
+++ b/internal/coordination/clmirror/delta.go
@@ -0,0 +1,168 @@
+// This file defines the deltas that a reader sends to its followers.
+
+package clmirror
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+type (
+	// Position is a position in the changes of a mirror: the one that a follower
+	// has reached in a reader's mirror, or a mirror's own. It is zero if a follower
+	// has received nothing yet.
+	Position struct {
+		// Reader is the BootID of the reader. Sequence starts again with each boot
+		// of the reader.
+		Reader uint64
+		// Sequence is the number of changes of the mirror up to this position.
+		Sequence uint64
+		// Cursor is the store revision that the mirror's copy has reached, and
+		// Newest is the revision of the last change in that copy.
+		Cursor, Newest uint64
+	}
+
+	// delta holds the changes of one mirror that a reader sends to a follower. If
+	// Complete is set, Changes holds all existing objects.
+	delta[T any] struct {
+		Changes  []Change[T]
+		Complete bool
+		// Position is the reader's position, which the follower reaches by
+		// applying Changes.
+		Position Position
+	}
+)
+
+const (
+	// completeDelta is the key of the complete copy in Mirror.encoded.
+	completeDelta = -1
+	// maxLoggedChanges is the length to which changeLog is cut. A follower that
+	// lacks more changes receives the complete copy.
+	maxLoggedChanges = 1024
+)
+
+// errReaderBehind is returned by applyDelta if the reader's copy is older than the
+// follower's.
+var errReaderBehind = errors.New("the reader's copy is older than the follower's; request its changes again later")
+
+func (m *Mirror[T]) position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed {
+		return Position{}
+	}
+	return Position{Sequence: m.sequence, Cursor: m.cursor, Newest: m.newestRevision}
+}
+
+func (m *Mirror[T]) changesSince(p Position) ([]byte, error) {
+	m.mu.Lock()
+	if !m.listed {
+		m.mu.Unlock()
+		return nil, nil
+	}
+	missing := m.missingChanges(p)
+	if missing == 0 && p.Reader == m.replicator.BootID {
+		m.mu.Unlock()
+		return nil, nil
+	}
+	sequence := m.sequence
+	encoded, ok := m.encoded[missing]
+	d := delta[T]{Position: Position{Reader: m.replicator.BootID, Sequence: sequence, Cursor: m.cursor, Newest: m.newestRevision}}
+	switch {
+	case ok:
+	case missing == completeDelta:
+		d.Complete = true
+		for name, value := range maps.All(m.objects) {
+			d.Changes = append(d.Changes, Change[T]{Name: name, Value: value})
+		}
+	default:
+		for _, c := range m.changeLog[len(m.changeLog)-missing:] {
+			d.Changes = append(d.Changes, c.Change)
+		}
+	}
+	m.mu.Unlock()
+	if ok {
+		return encoded, nil
+	}
+	encoded, err := encodeDelta(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode changes")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sequence == sequence {
+		if m.encoded == nil {
+			m.encoded = make(map[int][]byte)
+		}
+		m.encoded[missing] = encoded
+	}
+	return encoded, nil
+}
+
+// missingChanges returns how many of the last entries of changeLog a follower at p
+// lacks, or completeDelta if it needs the complete copy. The position of a follower
+// that comes from another reader, or that has read the store itself, tells by its
+// store revision what it lacks. The caller holds mu.
+func (m *Mirror[T]) missingChanges(p Position) int {
+	if p.Reader == m.replicator.BootID {
+		if missing := m.sequence - p.Sequence; p.Sequence <= m.sequence && missing <= uint64(len(m.changeLog)) {
+			return int(missing)
+		}
+		return completeDelta
+	}
+	if p.Cursor == 0 || p.Cursor < m.logStart {
+		return completeDelta
+	}
+	first, _ := slices.BinarySearchFunc(m.changeLog, p.Cursor, func(c loggedChange[T], cursor uint64) int {
+		if c.reached > cursor {
+			return 1
+		}
+		return -1
+	})
+	return len(m.changeLog) - first
+}
+
+// encodeDelta encodes a delta as compressed gob: a complete copy goes to all followers
+// of a data centre at once, over the link of one machine.
+func encodeDelta[T any](d delta[T]) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := gob.NewEncoder(w).Encode(d); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func (m *Mirror[T]) applyDelta(data []byte) (Position, error) {
+	var d delta[T]
+	decompressed := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxFeedBytes)
+	if err := gob.NewDecoder(decompressed).Decode(&d); err != nil {
+		return Position{}, errors.Wrap(err, "decode changes")
+	}
+	// A reader that listed the objects after a removal has no record of the
+	// removal, so that its Newest may be lower than this mirror's although its copy
+	// is not older; its Cursor is then the store revision of the list.
+	if max(d.Position.Newest, d.Position.Cursor) < m.position().Newest {
+		return Position{}, errReaderBehind
+	}
+	m.applyChanges(d.Changes, d.Complete, d.Position.Cursor, time.Time{})
+	m.mu.Lock()
+	// The changes of a complete delta carry no revisions, and do not include a
+	// removal that was the reader's last change.
+	m.newestRevision = max(m.newestRevision, d.Position.Newest)
+	m.mu.Unlock()
+	return d.Position, nil
+}
