--- a/cltest/address.go
+++ b/cltest/address.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 )
 
@@ -19,11 +20,19 @@
 	tries     = 100
 )
 
-// Address returns an address on loopback that is free for TCP and UDP.
+// drawn holds the ports that Address has tried.
+var drawn sync.Map
+
+// Address returns an address on loopback that is free for TCP and UDP. It returns each
+// address once in a process, since the caller does not use it at once.
 func Address(t testing.TB) netip.AddrPort {
 	t.Helper()
 	for range tries {
-		addr := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, taken := drawn.LoadOrStore(port, true); taken {
+			continue
+		}
+		addr := fmt.Sprint("127.0.0.1:", port)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -112,6 +112,8 @@
 		// sentAt is when the target was sent. After a call without an answer it is
 		// earlier, so that the target is sent again after unansweredResendDelay.
 		sentAt time.Time
+		// refused is set if the cloud API refused the target.
+		refused bool
 	}
 )
 
@@ -137,7 +139,8 @@
 	// number of endpoints still differs from it. This can happen because an earlier
 	// call that got no answer may take effect after newer calls.
 	resendDelay = 6 * time.Second
-	// unansweredResendDelay replaces resendDelay after a call that got no answer.
+	// unansweredResendDelay replaces resendDelay after a call that got no answer or
+	// was refused.
 	unansweredResendDelay = 1500 * time.Millisecond
 )
 
@@ -389,7 +392,7 @@
 // resendDelay, or after unansweredResendDelay if the last call got no answer, provided
 // that the target differs from the number of existing endpoints. If the last target was
 // refused, the number of endpoints that existed at the refusal is used as the last
-// target. Endpoints that are leaving do not count as existing.
+// target, and nothing is sent for unansweredResendDelay. Endpoints that are leaving do not count as existing.
 func (c *Coordinator) sendTarget(ctx context.Context, holder Holder, state ServiceState, planner *Planner, target ScalingTarget, now time.Time) {
 	key := targetKey{target.Service, target.DataCentre, target.Spot}
 	last, sent := c.sentTargets[key]
@@ -402,6 +405,9 @@
 	if sent && last.count == target.Count && (existing == target.Count || now.Sub(last.sentAt) < resendDelay) || !sent && existing == target.Count {
 		return
 	}
+	if last.refused && now.Sub(last.sentAt) < unansweredResendDelay {
+		return
+	}
 	if _, ok := c.CurrentLease(); !ok {
 		return
 	}
@@ -415,10 +421,10 @@
 		if target.Spot {
 			planner.RecordSpotRefusal(target.DataCentre, now)
 		}
-		c.sentTargets[key] = sentTarget{existing, now}
+		c.sentTargets[key] = sentTarget{count: existing, sentAt: now, refused: true}
 	case err == nil:
-		c.sentTargets[key] = sentTarget{target.Count, now}
+		c.sentTargets[key] = sentTarget{count: target.Count, sentAt: now}
 	default:
-		c.sentTargets[key] = sentTarget{target.Count, now.Add(unansweredResendDelay - resendDelay)}
+		c.sentTargets[key] = sentTarget{count: target.Count, sentAt: now.Add(unansweredResendDelay - resendDelay)}
 	}
 }
--- a/internal/coordination/clduty/duties_test.go
+++ b/internal/coordination/clduty/duties_test.go
@@ -39,6 +39,8 @@
 	sharedFencing int
 	// targets holds the scaling targets in the order of the calls.
 	targets []ScalingTarget
+	// refuseTargets makes SetScalingTarget refuse all targets.
+	refuseTargets bool
 }
 
 func (c *recordingCloud) ReportUsage(_ context.Context, holder Holder, window int64, counts map[string]uint64) error {
@@ -70,6 +72,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.targets = append(c.targets, target)
+	if c.refuseTargets {
+		return ErrRefused
+	}
 	return nil
 }
 
@@ -218,3 +223,30 @@
 		require.Equal(t, tc.want, c.gatherDelay())
 	}
 }
+
+// Guards against a target that is sent at every poll while no such endpoints are to be
+// had: each call is charged and counts towards the rate of the cloud API.
+func TestRefusedTargetsAreNotSentAtEveryPoll(t *testing.T) {
+	cloud := &recordingCloud{refuseTargets: true}
+	c := newCoordinator("a", &clstore.Memory{}, cloud, &UsageCounter{WindowLength: time.Second})
+	c.ReportsUsage, c.ScalesEndpoints = false, true
+	scaling := clcatalog.Scaling{Min: 1, Max: 6, Boot: time.Second, SpotPrice: 0.2, Prices: map[string]float64{"a": 1}}
+	c.ServiceStates = func() []ServiceState {
+		return []ServiceState{{Service: "s", Scaling: scaling, PeakLoad: 3, CurrentLoad: 3}}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	require.Eventually(t, func() bool { return len(cloud.sentTargets()) > 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(3 * time.Second)
+	stop()
+	require.NoError(t, <-ended)
+	onDemand := 0
+	for _, target := range cloud.sentTargets() {
+		if !target.Spot {
+			onDemand++
+		}
+	}
+	require.LessOrEqual(t, onDemand, 1+int(3*time.Second/unansweredResendDelay))
+	require.Greater(t, onDemand, 1, "a refused target is sent again")
+}
--- a/internal/coordination/clgossip/exchange.go
+++ b/internal/coordination/clgossip/exchange.go
@@ -73,6 +73,8 @@
 	// periodic datagrams: the interval between digests grows with the number of
 	// gateways, so that the cost for each gateway stays the same.
 	maxDatagramsPerSecond = 150
+	// receiveErrorPause is the pause after a failed receive.
+	receiveErrorPause = time.Millisecond
 	// maxDatagramBytes is the largest payload of a UDP datagram.
 	maxDatagramBytes = 65507
 	// minRelayedGateways is the number of gateways of a data centre from which digests
@@ -99,7 +101,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for digests; set the peer address of the gateway to a free UDP port")
 	}
+	e.mu.Lock()
 	e.conn = conn
+	e.mu.Unlock()
 	done := make(chan struct{})
 	go e.receiveLoop(done)
 	e.sendLoop(ctx)
@@ -278,7 +282,9 @@
 		if err != nil {
 			// Some systems return an error here because an earlier datagram of this
 			// socket did not reach a peer. Receiving continues, because the socket
-			// stays usable until it is closed and any datagram may be lost.
+			// stays usable until it is closed and any datagram may be lost. The pause
+			// keeps an error that lasts from taking the whole processor.
+			time.Sleep(receiveErrorPause)
 			continue
 		}
 		d := new(Digest)
--- a/internal/coordination/clgossip/exchange_test.go
+++ b/internal/coordination/clgossip/exchange_test.go
@@ -151,7 +151,14 @@
 func TestDigestsReachAllThroughRelays(t *testing.T) {
 	gateways := startGatewaysIn(t, 15, "a", "b", "c")
 	for _, g := range gateways {
-		require.Eventually(t, func() bool { return len(g.AlivePeers()) == 14 }, 10*time.Second, 10*time.Millisecond)
+		require.Eventually(t, func() bool {
+			select {
+			case err := <-g.runErr:
+				require.NoError(t, err, "gateway %s ended", g.Self.Name)
+			default:
+			}
+			return len(g.AlivePeers()) == 14
+		}, 10*time.Second, 10*time.Millisecond)
 	}
 	for _, g := range gateways[:6] {
 		require.NoError(t, g.conn.Close())
--- a/internal/limits/clretry/retry.go
+++ b/internal/limits/clretry/retry.go
@@ -117,14 +117,18 @@
 }
 
 // Record counts an endpoint crash caused by a request with the fingerprint, and
-// returns the number of such crashes that this gateway has recorded.
+// returns the number of such crashes that this gateway has recorded, without those
+// that no longer count.
 func (c *CrashTracker) Record(fingerprint uint64, now time.Time) uint32 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.localCrashes == nil || len(c.localCrashes) > maxCrashEntries {
 		c.localCrashes = make(map[uint64]crashRecord)
 	}
-	n := c.localCrashes[fingerprint].count + 1
+	n := uint32(1)
+	if own := c.localCrashes[fingerprint]; now.Sub(own.lastAt) < crashRetention {
+		n += own.count
+	}
 	c.localCrashes[fingerprint] = crashRecord{count: n, lastAt: now}
 	return n
 }
--- a/internal/limits/clretry/retry_test.go
+++ b/internal/limits/clretry/retry_test.go
@@ -54,3 +54,16 @@
 	a.SetPeerCounts("b", nil)
 	require.False(t, a.ShouldRefuse(7, now))
 }
+
+// Guards against a request that is refused because of two crashes that lie further
+// apart than crashes count.
+func TestCrashesFarApart(t *testing.T) {
+	var c CrashTracker
+	now := time.Unix(1000, 0)
+	require.EqualValues(t, 1, c.Record(7, now))
+	now = now.Add(crashRetention + time.Minute)
+	require.EqualValues(t, 1, c.Record(7, now))
+	require.False(t, c.ShouldRefuse(7, now))
+	require.EqualValues(t, 2, c.Record(7, now.Add(time.Second)))
+	require.True(t, c.ShouldRefuse(7, now.Add(time.Second)))
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -56,8 +56,8 @@
 	// tolerance covers the overshoot that the late counts themselves cause.
 	grantedOvershootFraction = 0.5
 	// overshootCutoff is the number of gateways from which no overshoot is granted.
-	// Each gateway then sends fewer than five digests per second, and the late
-	// counts use up the whole tolerance.
+	// What each of them admits between two digests adds up, and uses up the whole
+	// tolerance.
 	overshootCutoff = 13
 )
 
@@ -107,11 +107,7 @@
 		}
 		// A configuration that was received from another gateway has no indexes.
 		c.Value.BuildIndexes()
-		now := clclock.Now()
-		for _, a := range c.Value.Accounts {
-			rate, burst := grantedQuota(a, n.Settings, len(n.registeredGateways()))
-			n.quotaLimiter.SetLimit(a.Name, rate, burst, now)
-		}
+		n.applyQuotas(c.Value, len(n.registeredGateways()))
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
 		n.Logger.Info("configuration in force", zap.Uint64("config_version", c.Value.Version), zap.Int("routes", len(c.Value.Routes)),
@@ -119,6 +115,27 @@
 	}
 }
 
+// updateQuotaGrants applies the quotas again when the number of gateways has passed
+// overshootCutoff. The configuration usually arrives before the list of gateways.
+func (n *Node) updateQuotaGrants(gatewayCount int) {
+	catalog, manyGateways := n.gateway.Catalog(), gatewayCount >= overshootCutoff
+	if catalog == nil || manyGateways == n.manyGateways {
+		return
+	}
+	n.manyGateways = manyGateways
+	n.applyQuotas(catalog, gatewayCount)
+}
+
+// applyQuotas sets the quotas of the accounts of a configuration, as they are granted
+// with the given number of gateways.
+func (n *Node) applyQuotas(c *clcatalog.Catalog, gatewayCount int) {
+	now := clclock.Now()
+	for _, a := range c.Accounts {
+		rate, burst := grantedQuota(a, n.Settings, gatewayCount)
+		n.quotaLimiter.SetLimit(a.Name, rate, burst, now)
+	}
+}
+
 // applyEndpoints applies changes of the registered endpoints to the fleet. If
 // complete is set, changes contains all registered endpoints, and endpoints that it
 // does not contain are removed from the fleet.
@@ -155,10 +172,12 @@
 // reports that its rollout was removed.
 func (n *Node) applyRollouts(changes []clmirror.Change[clcatalog.Rollout], complete bool) {
 	n.mu.Lock()
+	removed := []string{}
 	if complete {
+		// A complete copy says nothing of the rollouts that it no longer contains.
+		removed = lo.Keys(n.requestedRollouts)
 		clear(n.requestedRollouts)
 	}
-	removed := []string{}
 	for _, c := range changes {
 		if c.Removed {
 			delete(n.requestedRollouts, c.Name)
@@ -170,6 +189,7 @@
 			zap.Duration("within", c.Value.Within), zap.String("outcome", string(c.Value.Outcome)))
 	}
 	requested := n.listRequestedRollouts()
+	removed = lo.Reject(removed, func(service string, _ int) bool { _, ok := n.requestedRollouts[service]; return ok })
 	n.mu.Unlock()
 	n.rolloutController.SetIntents(requested, clclock.Now())
 	for _, service := range removed {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -108,8 +109,11 @@
 		evacuatedDataCentres map[string]bool
 
 		loadEstimator loadEstimator
-		// partitionDetector is used only by the control loop.
+		// partitionDetector and manyGateways are used only by the control loop.
+		// manyGateways is set while overshootCutoff gateways or more are registered, as
+		// of the last time that the quotas were applied for that.
 		partitionDetector partitionDetector
+		manyGateways      bool
 	}
 )
 
@@ -334,6 +338,7 @@
 // budget and the quotas.
 func (n *Node) updateShares(gateways []clcatalog.Member, now time.Time) {
 	gatewayCount, digestInterval := max(1, len(gateways)), clgossip.DigestInterval(len(gateways))
+	n.updateQuotaGrants(gatewayCount)
 	n.fleet.SetGateways(n.Settings.Name, lo.FilterMap(gateways, func(m clcatalog.Member, _ int) (string, bool) {
 		return m.Name, m.Name != n.Settings.Name
 	}))
@@ -421,13 +426,12 @@
 }
 
 // serviceStates returns the state of each service whose endpoints are ordered. It
-// returns nil until the configuration is known, and if there is no such service.
-// Endpoints that have not yet been read from the store are missing from the states.
+// returns nil until the configuration and the endpoints have been read, and if there is
+// no such service.
 func (n *Node) serviceStates() []clduty.ServiceState {
 	catalog := n.gateway.Catalog()
-	// Reasons returns strings of the form "condition: reason", so none of them
-	// equals conditionEndpoints: missing endpoints do not make the result nil.
-	if catalog == nil || slices.Contains(n.readiness.Reasons(), conditionEndpoints) {
+	endpointsMissing := slices.ContainsFunc(n.readiness.Reasons(), func(reason string) bool { return strings.HasPrefix(reason, conditionEndpoints) })
+	if catalog == nil || endpointsMissing {
 		return nil
 	}
 	var states []clduty.ServiceState
--- a/internal/serving/clnode/registry.go
+++ b/internal/serving/clnode/registry.go
@@ -49,15 +49,40 @@
 	}
 }
 
-// runRegistration registers this gateway in the store. It retries until it
-// succeeds or ctx ends.
+// runRegistration keeps this gateway registered in the store until ctx ends. The entry
+// of a gateway that was cut off for long may have been removed although its process
+// goes on.
 func (n *Node) runRegistration(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.register(ctx)
+		for ctx.Err() == nil && !n.unregistered() {
+			if clwait.Pause(ctx, registrationCheckInterval) != nil {
+				return
+			}
+		}
+	}
+}
+
+// unregistered reports whether the copy of the store, if it is recent, lacks this
+// gateway.
+func (n *Node) unregistered() bool {
+	if left, limited := n.replicator.UsableFor(); !limited || left <= 0 {
+		return false
+	}
+	_, ok := n.registeredGateway(n.Settings.Name)
+	return !ok
+}
+
+// register registers this gateway in the store. It retries until it succeeds or ctx
+// ends.
+func (n *Node) register(ctx context.Context) {
 	for backoff := minRegisterBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxRegisterBackoff) {
 		callCtx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
 		err := n.Store.Register(callCtx, n.exchange.Self)
 		cancel()
 		if err == nil {
 			n.Logger.Info("registered", zap.Stringer("peer_address", n.Settings.PeerAddress))
+			_ = clwait.Pause(ctx, registrationCheckInterval) // the copy follows
 			return
 		}
 		n.Logger.Warn("registration failed", zap.Error(err))
@@ -72,4 +97,7 @@
 	// attempts to register. The actual pause differs from it randomly by up to half.
 	minRegisterBackoff = 100 * time.Millisecond
 	maxRegisterBackoff = time.Second
+	// registrationCheckInterval is the time between two checks of the own entry, and
+	// longer than it takes until a new entry has reached the copy.
+	registrationCheckInterval = 5 * time.Second
 )
