--- a/internal/coordination/clmirror/follow_test.go
+++ b/internal/coordination/clmirror/follow_test.go
@@ -3,11 +3,18 @@
 package clmirror
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"encoding/gob"
 	"maps"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -142,6 +149,54 @@
 	require.NoError(t, <-runErr)
 }
 
+// Guards against a reader that fills its followers' memory, with bytes without end or
+// with few bytes that decompress to many: they read the store instead.
+func TestFollowerOfAReaderWithoutEnd(t *testing.T) {
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	require.NoError(t, err)
+	zeros := make([]byte, 1<<20)
+	for range 256 {
+		_, err := w.Write(zeros)
+		require.NoError(t, err)
+	}
+	require.NoError(t, w.Close())
+	for _, answer := range []func(w http.ResponseWriter){
+		func(w http.ResponseWriter) {
+			for {
+				if _, err := w.Write(zeros); err != nil {
+					return
+				}
+			}
+		},
+		func(w http.ResponseWriter) {
+			_ = gob.NewEncoder(w).Encode(feedAnswer{Changes: map[string][]byte{"k": bomb.Bytes()}})
+		},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w) }))
+		store := &memoryStore{objects: map[string]int{"a": 1}}
+		var followerCopy objectCopy
+		m := &Mirror[int]{Name: "k", Source: &storeClient{memoryStore: store}, WatchWait: time.Millisecond, WatchPause: 50 * time.Millisecond, Apply: followerCopy.apply, ProbesStore: true}
+		follower := newReplicator(t, 1, m)
+		reader := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+		follower.Readers = func() []netip.AddrPort { return []netip.AddrPort{reader} }
+		ctx, stop := context.WithCancel(t.Context())
+		runErr := make(chan error, 1)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		go func() { runErr <- follower.Run(ctx) }()
+		require.Eventually(t, func() bool { return followerCopy.equal(map[string]int{"a": 1}) }, 5*time.Second, time.Millisecond)
+		store.recordChange("a", 2, false)
+		require.Eventually(t, func() bool { return followerCopy.equal(map[string]int{"a": 2}) }, 5*time.Second, time.Millisecond)
+		runtime.ReadMemStats(&after)
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(20*maxFeedBytes))
+		stop()
+		require.NoError(t, <-runErr)
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
+
 // countingCopy is an objectCopy that counts the complete copies it has received.
 type countingCopy struct {
 	objectCopy
--- a/internal/serving/clgateway/trouble_test.go
+++ b/internal/serving/clgateway/trouble_test.go
@@ -259,3 +259,27 @@
 		require.Less(t, time.Since(begin), tc.within, tc.name)
 	}
 }
+
+// Guards against a response that is held for ever, with its endpoint's connection, for
+// a caller that reads nothing.
+func TestCallerThatReadsNothing(t *testing.T) {
+	t.Parallel()
+	const size = 64 << 20
+	closed := make(chan struct{})
+	env := newTestEnv(t, func(c net.Conn, r *http.Request) bool {
+		respond(signedOK+"Content-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size), true)(c, r)
+		close(closed)
+		return false
+	})
+	env.setTimeout("get", time.Minute)
+	c, err := net.Dial("tcp", env.gateway.Address.String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Key: f\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(callerWriteTimeout + 3*time.Second):
+		require.Fail(t, "the endpoint's connection is still open")
+	}
+}
