--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -190,7 +190,7 @@
 	return r.policy.storeLost(clclock.Now())
 }
 
-// recordStoreCall records the begin of a store call of the mirror with ProbesStore.
+// recordStoreCall records the start of a store call of the mirror with ProbesStore.
 // The function that it returns records the end, and whether the store served the call.
 func (r *Replicator) recordStoreCall() func(served bool) {
 	r.mu.Lock()
--- a/internal/operator/clexplain/explain_test.go
+++ b/internal/operator/clexplain/explain_test.go
@@ -3,6 +3,9 @@
 package clexplain
 
 import (
+	"os"
+	"path/filepath"
+	"regexp"
 	"bytes"
 	"strings"
 	"testing"
@@ -54,3 +57,19 @@
 	_, err := ReadHistory("x", strings.NewReader(strings.Repeat("x", maxLineBytes+1)))
 	require.ErrorContains(t, err, "one JSON object per line")
 }
+
+// Guards against reasons that gateways log and that the explanation does not know.
+func TestEveryReasonIsExplained(t *testing.T) {
+	pattern := regexp.MustCompile(`(?:errorResponse\{[^,]+, |clfleet\.Reason = |Reason = )"([a-z_]+)"`)
+	for _, dir := range []string{"../../serving/clgateway", "../../routing/clfleet"} {
+		files, err := filepath.Glob(dir + "/*.go")
+		require.NoError(t, err)
+		for _, file := range files {
+			b, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, m := range pattern.FindAllStringSubmatch(string(b), -1) {
+				require.Contains(t, refusalCauses, m[1], file)
+			}
+		}
+	}
+}
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -193,8 +193,8 @@
 }
 
 // relayEvents writes the complete events in s to the caller and returns the number
-// of events written, and whether one of them had data. It skips events whose ID is not above that of the last event
-// sent, which a resumed stream may repeat.
+// of events written, and whether one of them had data. It skips events whose ID is not
+// above that of the last event sent, which a resumed stream may repeat.
 func (g *Gateway) relayEvents(a *attempt, p *responseProgress, s *clstream.Splitter, rc *http.ResponseController) (written int, progressed bool, err error) {
 	for {
 		e, ok := s.Next()
