--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -50,8 +50,6 @@
 	"configuration_unconfirmed": "the gateway had not recently reached the store, so the key may have been revoked; see its log lines 'store lost' and 'reader lost'",
 	"copies_outdated":           "what the gateway knew of the configuration and the endpoints was too old to act on, although the store was not lost; see copy_age in its log lines 'reader lost'",
 	"stopping":                  "the gateway was about to stop before the request could have ended; another gateway serves the retry",
-	"body_incomplete":           "the caller did not send the whole body in time",
-	"body_too_large":            "the body exceeded the limit of the configuration",
 	"no_configuration":          "the gateway had just started and had not read the configuration; see its log line 'configuration in force'",
 	"unknown_key":               "no account in the active configuration had the key; compare config_version",
 	"no_route":                  "no route in the active configuration matched; compare config_version",
--- a/internal/operator/clexplain/explain_test.go
+++ b/internal/operator/clexplain/explain_test.go
@@ -3,10 +3,10 @@
 package clexplain
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"regexp"
-	"bytes"
 	"strings"
 	"testing"
 
