Do not refuse all requests because the store fails one kind of objects

Cause: the age of the copies counts all kinds, so that a kind whose calls the store fails for good, while it serves the others, would have made every gateway refuse everything with copies_outdated.

Change: while the calls of one kind alone fail, its copy does not count. Calls that the gateway itself cancels are no failures.

Test that failed first: TestFailingKindDoesNotMakeCopiesUnusable.

--- a/internal/coordination/clmirror/follow_test.go
+++ b/internal/coordination/clmirror/follow_test.go
@@ -23,6 +23,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 )
 
@@ -197,6 +198,27 @@
 	}
 }
 
+// Guards against a gateway that refuses all requests because the store fails the calls
+// for one kind of objects, while it serves the others.
+func TestFailingKindDoesNotMakeCopiesUnusable(t *testing.T) {
+	probe := &Mirror[int]{Name: "k", Source: &storeClient{memoryStore: &memoryStore{objects: map[string]int{}}}, WatchWait: time.Millisecond, WatchPause: 50 * time.Millisecond, Apply: func([]Change[int], bool) {}, ProbesStore: true}
+	r := newReplicator(t, 1, probe)
+	failing := &storeClient{memoryStore: &memoryStore{objects: map[string]int{}}}
+	failing.down.Store(true)
+	Add(r, &Mirror[int]{Name: "failing", Source: failing, WatchWait: time.Second, Apply: func([]Change[int], bool) {}, Logger: zap.NewNop()})
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- r.Run(ctx) }()
+	time.Sleep(defaultChangeDeadline + 500*time.Millisecond)
+	left, limited := r.UsableFor()
+	require.True(t, limited)
+	require.Positive(t, left)
+	failing.down.Store(false)
+	require.Eventually(t, func() bool { left, _ := r.UsableFor(); return left > 0 && failing.calls.Load() > 3 }, 5*time.Second, time.Millisecond)
+	stop()
+	require.NoError(t, <-runErr)
+}
+
 // countingCopy is an objectCopy that counts the complete copies it has received.
 type countingCopy struct {
 	objectCopy
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -107,6 +107,8 @@
 		// last watch without a wait.
 		watchSentAt time.Time
 		answerTime  time.Duration
+		// failing is set while the store fails the calls of this mirror.
+		failing bool
 		// catchUp makes the next watch return at once: it tells that the copy holds all
 		// changes, which a watch that waits does not.
 		catchUp bool
@@ -222,7 +224,8 @@
 
 // currentAsOf implements anyMirror. A watch in progress delivers changes at once; if
 // the store has answered a call that was sent after the watch, it has also answered
-// the watch with the changes until then, if there were any.
+// the watch with the changes until then, if there were any. While the store fails the
+// calls of this mirror alone, its copy is the best that there is, and does not count.
 func (m *Mirror[T]) currentAsOf(probed time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -234,7 +237,7 @@
 	if m.ProbesStore {
 		return m.lastConfirmed
 	}
-	if !m.watchSentAt.IsZero() && !probed.Before(m.watchSentAt) {
+	if m.failing || !m.watchSentAt.IsZero() && !probed.Before(m.watchSentAt) {
 		return lo.Latest(probed, m.currentAt)
 	}
 	return m.currentAt
@@ -381,6 +384,8 @@
 	// What the watch in progress has told so far stays true when it ends.
 	m.currentAt = m.currentAsOfLocked(probed)
 	m.watchSentAt = time.Time{}
+	// A call that RestartStoreCall has cancelled says nothing about the store.
+	m.failing = err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, context.Canceled)
 	if err != nil {
 		m.catchUp = true
 		return
