Cost of digests and choices apart from the number of endpoints; slow lists

Found while at it: a starting gateway's list, which may be seconds old and now takes longer, replaced a reader's copy that had arrived before it, so that removed endpoints came back for good. It is left out now.

Tests that failed first: TestSlowTransfers, TestOldListDoesNotReplaceAReadersCopy.

--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -107,8 +107,9 @@
 		// last watch without a wait.
 		watchSentAt time.Time
 		answerTime  time.Duration
-		// failing is set while the store fails the calls of this mirror.
-		failing bool
+		// failing is set while the store fails the calls of this mirror, and timedOut
+		// if the last one took too long.
+		failing, timedOut bool
 		// catchUp makes the next watch return at once: it tells that the copy holds all
 		// changes, which a watch that waits does not.
 		catchUp bool
@@ -158,7 +159,7 @@
 		// changes, or zero if that is not known. probed is when the mirror with
 		// ProbesStore sent its last call that the store answered.
 		currentAsOf(probed time.Time) time.Time
-		// RestartStoreCall cancels the store call in progress.
+		// RestartStoreCall is that of Mirror.
 		RestartStoreCall()
 	}
 )
@@ -168,10 +169,15 @@
 var ErrHistoryGone = errors.New("the store no longer has the changes after the cursor; list all objects again")
 
 const (
-	// callTimeoutMargin is the time that a list may take, and that a watch may
-	// take beyond WatchWait. The store answers within milliseconds, and within a
-	// few hundred milliseconds when it is slow.
+	// callTimeoutMargin is the time that a watch may take beyond its wait. The store
+	// answers within milliseconds, and within a few hundred milliseconds when it is
+	// slow. After a call that took longer the time is doubled, since a large object may
+	// be on its way over a slow link; it is not doubled further, so that a mirror soon
+	// notices that a silent store answers again.
 	callTimeoutMargin = 700 * time.Millisecond
+	// listTimeout is the time that a list may take. A list of 3000 endpoints is about
+	// 2 MB, which take 1.6 s over a link of 10 Mbit/s.
+	listTimeout = 4 * time.Second
 	// firstBackoff and maxBackoff are the bounds of the backoff, which doubles with
 	// each failed store call. The pause after a failed call is the backoff varied
 	// at random by up to half, so that it may lie outside these bounds. The bounds
@@ -243,13 +249,13 @@
 	return m.currentAt
 }
 
-// RestartStoreCall cancels the list or watch in progress, whose connection may
-// have stopped delivering data. The mirror then backs off as after a failed call,
-// and calls again if it is still to read the store.
+// RestartStoreCall cancels the watch in progress, whose connection may have stopped
+// delivering data. The mirror then backs off as after a failed call, and calls again if
+// it is still to read the store. A list goes on, within its own time.
 func (m *Mirror[T]) RestartStoreCall() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.cancelCall != nil {
+	if m.cancelCall != nil && !m.watchSentAt.IsZero() {
 		m.cancelCall()
 	}
 }
@@ -302,7 +308,9 @@
 			if failing {
 				m.Logger.Info("store reachable again", zap.String("kind", m.Name), zap.Uint64("cursor", batch.Cursor))
 			}
-			m.applyChanges(batch.Changes, complete, batch.Cursor, sentAt)
+			if !complete || !m.isAhead(batch.Cursor) {
+				m.applyChanges(batch.Changes, complete, batch.Cursor, sentAt)
+			}
 			backoff, failing = firstBackoff, false
 			if len(batch.Changes) > 0 || m.WatchPause > 0 {
 				pause(ctx, max(m.replicator.changePause(), m.WatchPause))
@@ -325,6 +333,15 @@
 	pause(ctx, d)
 }
 
+// isAhead reports whether the copy has reached a later revision than a list, because a
+// reader's copy arrived while the list was on its way. The list, which may be seconds
+// old, would bring objects back that have been removed since.
+func (m *Mirror[T]) isAhead(listCursor uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed && m.cursor > listCursor
+}
+
 func (m *Mirror[T]) isListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -346,8 +363,14 @@
 		wait = min(wait, catchUpWait)
 	}
 	timeout := callTimeoutMargin
-	if listed {
+	if m.timedOut {
+		timeout *= 2
+	}
+	switch {
+	case listed:
 		timeout += wait
+	case !m.ProbesStore:
+		timeout = listTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	m.cancelCall = cancel
@@ -385,6 +408,7 @@
 	m.currentAt = m.currentAsOfLocked(probed)
 	m.watchSentAt = time.Time{}
 	// A call that RestartStoreCall has cancelled says nothing about the store.
+	m.timedOut = errors.Is(err, context.DeadlineExceeded)
 	m.failing = err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, context.Canceled)
 	if err != nil {
 		m.catchUp = true
--- a/internal/coordination/clmirror/mirror_test.go
+++ b/internal/coordination/clmirror/mirror_test.go
@@ -386,3 +386,66 @@
 		require.NoError(t, <-runErrs)
 	}
 }
+
+// Guards against objects that are never read because their transfer takes longer than a
+// call may: a list of thousands of endpoints, or a large configuration, over a slow
+// link.
+func TestSlowTransfers(t *testing.T) {
+	transfer := func(d time.Duration, cursor uint64, changes ...Change[int]) func(context.Context) (Batch[int], error) {
+		return func(ctx context.Context) (Batch[int], error) {
+			select {
+			case <-ctx.Done():
+				return Batch[int]{}, ctx.Err()
+			case <-time.After(d):
+				return Batch[int]{Changes: changes, Cursor: cursor}, nil
+			}
+		}
+	}
+	const configTransfer, listTransfer = 1100 * time.Millisecond, 2500 * time.Millisecond
+	configuration := &scriptedSource{script: []func(context.Context) (Batch[int], error){returnBatch(1)}}
+	for range 10 {
+		configuration.script = append(configuration.script, transfer(configTransfer, 2, Change[int]{Name: "large", Value: 1}))
+	}
+	endpoints := &scriptedSource{}
+	for range 10 {
+		endpoints.script = append(endpoints.script, transfer(listTransfer, 1, Change[int]{Name: "many", Value: 1}))
+	}
+	var configCopy, endpointsCopy objectCopy
+	probe := &Mirror[int]{Name: "configuration", Source: configuration, WatchWait: time.Millisecond, WatchPause: 50 * time.Millisecond, Apply: configCopy.apply, ProbesStore: true}
+	r := newReplicator(t, 1, probe)
+	r.ChangeDeadline = 4 * time.Second
+	Add(r, &Mirror[int]{Name: "endpoints", Source: endpoints, WatchWait: time.Second, Apply: endpointsCopy.apply, Logger: zap.NewNop()})
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- r.Run(ctx) }()
+	require.Eventually(t, func() bool { return configCopy.equal(map[string]int{"large": 1}) }, 6*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return endpointsCopy.equal(map[string]int{"many": 1}) }, 6*time.Second, time.Millisecond)
+	stop()
+	require.NoError(t, <-runErr)
+}
+
+// Guards against removed objects that come back: a starting gateway's list, which may
+// be seconds old, arrives after the copy of a reader.
+func TestOldListDoesNotReplaceAReadersCopy(t *testing.T) {
+	release := make(chan struct{})
+	source := &scriptedSource{script: []func(context.Context) (Batch[int], error){func(context.Context) (Batch[int], error) {
+		<-release
+		return Batch[int]{Changes: []Change[int]{{Name: "gone", Value: 1, Revision: 3}, {Name: "here", Value: 1, Revision: 4}}, Cursor: 5}, nil
+	}}}
+	var copied objectCopy
+	m := &Mirror[int]{Name: "k", Source: source, WatchWait: time.Second, Apply: copied.apply, ProbesStore: true}
+	r := newReplicator(t, 1, m)
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- r.Run(ctx) }()
+	require.Eventually(t, func() bool { source.mu.Lock(); defer source.mu.Unlock(); return len(source.calls) == 1 }, 5*time.Second, time.Millisecond)
+	encoded, err := encodeDelta(delta[int]{Complete: true, Changes: []Change[int]{{Name: "here", Value: 1}}, Position: Position{Reader: 2, Sequence: 9, Cursor: 8, Newest: 7}})
+	require.NoError(t, err)
+	_, err = m.applyDelta(encoded)
+	require.NoError(t, err)
+	close(release)
+	require.Eventually(t, func() bool { source.mu.Lock(); defer source.mu.Unlock(); return len(source.calls) == 2 }, 5*time.Second, time.Millisecond)
+	require.True(t, copied.equal(map[string]int{"here": 1}))
+	stop()
+	require.NoError(t, <-runErr)
+}
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -40,6 +40,11 @@
 		// digestInterval is the interval between two digests of the same gateway,
 		// and thus the largest age of the load that it has reported.
 		digestInterval time.Duration
+		// peerReports holds what each other gateway has last reported, by its name.
+		peerReports map[string][]peerReport
+		// scratch holds slices that Pick uses again, since it goes through all
+		// endpoints of a service for each request.
+		scratch struct{ eligible, local, remote []*endpoint }
 	}
 
 	// service is the state of a service and all its endpoints.
@@ -93,8 +98,8 @@
 		// conns is the number of connections that this gateway's running attempts
 		// use at the endpoint, one for each attempt.
 		conns int
-		// peerLoads holds the load of the other gateways by gateway name.
-		peerLoads map[string]Load
+		// peerLoad is the sum of the load that the other gateways have reported.
+		peerLoad Load
 		// failureRate is the recent fraction of the attempts at this endpoint
 		// that failed.
 		failureRate decayingMean
@@ -149,6 +154,12 @@
 		Active bool
 	}
 
+	// peerReport is the load on one endpoint that another gateway has reported.
+	peerReport struct {
+		endpoint *endpoint
+		load     Load
+	}
+
 	// EndpointLoad is one gateway's load on an endpoint.
 	EndpointLoad struct {
 		// EndpointHash is the hash of the endpoint's ID.
@@ -244,7 +255,7 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{hash: xxhash.Sum64String(ep.ID), latencyFactor: 1, peerLoads: map[string]Load{}, promptCache: map[uint64]time.Time{}}
+		e = &endpoint{hash: xxhash.Sum64String(ep.ID), latencyFactor: 1, promptCache: map[uint64]time.Time{}}
 		if f.endpoints == nil {
 			f.endpoints, f.byHash = make(map[string]*endpoint), make(map[uint64]*endpoint)
 		}
@@ -299,18 +310,35 @@
 
 // SetPeerLoad replaces the load that the named other gateway has reported.
 // Endpoints that are missing from loads count as having no load from it, and loads
-// on unknown endpoints are ignored.
+// on unknown endpoints are ignored. The cost does not depend on the number of endpoints,
+// since digests arrive many times a second.
 func (f *Fleet) SetPeerLoad(gateway string, loads []EndpointLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range f.endpoints {
-		delete(e.peerLoads, gateway)
+	reported := f.peerReports[gateway]
+	for _, r := range reported {
+		r.endpoint.peerLoad.add(r.load, -1)
 	}
+	reported = reported[:0]
 	for _, l := range loads {
 		if e := f.byHash[l.EndpointHash]; e != nil {
-			e.peerLoads[gateway] = l.Load
+			e.peerLoad.add(l.Load, 1)
+			reported = append(reported, peerReport{e, l.Load})
 		}
 	}
+	if f.peerReports == nil {
+		f.peerReports = make(map[string][]peerReport)
+	}
+	f.peerReports[gateway] = reported
+}
+
+// add adds the given multiple of another load. The counts are whole numbers, so that a
+// load which is added and then subtracted leaves nothing.
+func (l *Load) add(other Load, times int) {
+	l.Running += times * other.Running
+	for priority, tokens := range other.Pending {
+		l.Pending[priority] += float64(times) * tokens
+	}
 }
 
 // LocalLoad returns the load from this gateway's running requests, for the
@@ -404,11 +432,9 @@
 	if f.digestInterval > typicalPrefillTime {
 		pendingFraction = typicalPrefillTime.Seconds() / f.digestInterval.Seconds()
 	}
-	for _, p := range e.peerLoads {
-		load.Running += p.Running
-		for priority, tokens := range p.Pending {
-			load.Pending[priority] += pendingFraction * tokens
-		}
+	load.Running += e.peerLoad.Running
+	for priority, tokens := range e.peerLoad.Pending {
+		load.Pending[priority] += pendingFraction * tokens
 	}
 	return load
 }
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -259,15 +259,17 @@
 // are considered.
 func (f *Fleet) bestChoice(s *service, cfg *clcatalog.Service, r Request, onSplitVersion bool, now time.Time) (*Choice, *Refusal) {
 	refusal := &Refusal{Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter, Excluded: map[Reason]int{}}
-	eligible := make([]*endpoint, 0, len(s.endpoints))
+	eligible := f.scratch.eligible[:0]
+	filter := f.newFilter(s, cfg, r, onSplitVersion, now)
 	for _, e := range s.endpoints {
-		if reason := f.excludedBy(s, cfg, e, r, onSplitVersion, now); reason != "" {
+		if reason := filter.excludedBy(e); reason != "" {
 			refusal.Excluded[reason]++
 			refusal.Reason = reason
 			continue
 		}
 		eligible = append(eligible, e)
 	}
+	f.scratch.eligible = eligible
 	affinityPair, affinityBonus := f.affinityEndpoints(s, r, now)
 	sampled := f.sampleEndpoints(cfg, eligible, affinityPair)
 	best := f.lowestScore(s, cfg, r, sampled, affinityPair, affinityBonus, now)
@@ -292,7 +294,7 @@
 	if f.digestInterval <= maxFreshDigestInterval || cfg.Engine == nil || len(eligible) <= sampleSize {
 		return eligible
 	}
-	var pool, remoteEndpoints []*endpoint
+	pool, remoteEndpoints := f.scratch.local[:0], f.scratch.remote[:0]
 	var sampled []*endpoint
 	for _, e := range eligible {
 		switch {
@@ -304,6 +306,7 @@
 			remoteEndpoints = append(remoteEndpoints, e)
 		}
 	}
+	f.scratch.local, f.scratch.remote = pool, remoteEndpoints
 	if len(pool) == 0 {
 		pool = remoteEndpoints
 	}
@@ -344,28 +347,57 @@
 	return best
 }
 
-// excludedBy returns the first filter that excludes the endpoint for the request,
-// or "" if no filter does.
-func (f *Fleet) excludedBy(s *service, cfg *clcatalog.Service, e *endpoint, r Request, onSplitVersion bool, now time.Time) Reason {
+// filter decides which endpoints a request may go to. It holds what is the same for
+// all endpoints.
+type filter struct {
+	fleet          *Fleet
+	service        *service
+	cfg            *clcatalog.Service
+	request        Request
+	onSplitVersion bool
+	now            time.Time
+	// maxConns is the number of connections that this gateway may use at an endpoint;
+	// 0 means no limit.
+	maxConns int
+}
+
+// newFilter returns the filter for a request.
+func (f *Fleet) newFilter(s *service, cfg *clcatalog.Service, r Request, onSplitVersion bool, now time.Time) filter {
+	out := filter{fleet: f, service: s, cfg: cfg, request: r, onSplitVersion: onSplitVersion, now: now}
+	if cfg.MaxConns > 0 {
+		out.maxConns = max(1, int(float64(cfg.MaxConns)*usableConnShare/float64(f.gatewayCount())))
+	}
+	return out
+}
+
+// excludedBy returns the first condition that excludes the endpoint for the request,
+// or "" if there is none.
+func (x *filter) excludedBy(e *endpoint) Reason {
+	f := x.fleet
 	switch {
-	case f.excludedDataCentres[e.DataCentre]:
+	case f.isExcluded(e.DataCentre):
 		return ReasonDataCentreOut
 	case e.Leaving:
 		return ReasonLeaving
-	case !s.allowsVersion(e.Version, onSplitVersion, now):
+	case !x.service.allowsVersion(e.Version, x.onSplitVersion, x.now):
 		return ReasonVersion
-	case now.Before(e.blockedUntil):
+	case x.now.Before(e.blockedUntil):
 		return ReasonBlocked
-	case slices.Contains(r.Tried, e.ID):
+	case slices.Contains(x.request.Tried, e.ID):
 		return ReasonTried
-	case !f.hasColdCapacity(cfg, e, now):
+	case !f.hasColdCapacity(x.cfg, e, x.now):
 		return ReasonCold
-	case cfg.MaxConns > 0 && e.conns >= max(1, int(float64(cfg.MaxConns)*usableConnShare/float64(f.gatewayCount()))):
+	case x.maxConns > 0 && e.conns >= x.maxConns:
 		return ReasonFull
 	}
 	return ""
 }
 
+// isExcluded reports whether a data centre gets no requests.
+func (f *Fleet) isExcluded(dataCentre string) bool {
+	return len(f.excludedDataCentres) > 0 && f.excludedDataCentres[dataCentre]
+}
+
 // assignsSplitVersion reports whether a request belongs to the share of the split
 // version; without an active split, no request does. A hash of the request ID
 // decides, so that all gateways agree.
@@ -453,7 +485,7 @@
 	key := r.Parts[len(r.Parts)-2].ID
 	var hashes [2]uint64
 	for _, e := range s.endpoints {
-		if e.Leaving || f.excludedDataCentres[e.DataCentre] || now.Before(e.coldUntil) || affinityBonus < remotePenaltyEngine && e.DataCentre != f.DataCentre {
+		if e.Leaving || f.isExcluded(e.DataCentre) || now.Before(e.coldUntil) || affinityBonus < remotePenaltyEngine && e.DataCentre != f.DataCentre {
 			continue
 		}
 		switch h := mix64(e.hash ^ key*0x9e3779b97f4a7c15); {
