--- a/clwait/wait.go
+++ b/clwait/wait.go
@@ -1,4 +1,5 @@
-// Package clwait waits: once, or again and again, until a context ends.
+// This file defines pauses and repeated calls that end with a context.
+
 package clwait
 
 import (
--- a/internal/serving/clstream/events.go
+++ b/internal/serving/clstream/events.go
@@ -1,6 +1,5 @@
-// Package clstream splits a stream of server-sent events into complete events, so
-// that an interrupted stream can be resumed at another endpoint without missing
-// or repeated events.
+// This file defines the splitter of server-sent events.
+
 package clstream
 
 import (
