--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -108,13 +108,6 @@
 		// evacuatedDataCentres is the set of data centres that are evacuated.
 		evacuatedDataCentres map[string]bool
 
-		// readers holds the last result of rankReaders.
-		readers struct {
-			mu       sync.Mutex
-			ranked   []netip.AddrPort
-			rankedAt time.Time
-		}
-
 		loadEstimator loadEstimator
 		// partitionDetector and manyGateways are used only by the control loop.
 		// manyGateways is set while overshootCutoff gateways or more are registered, as
