--- a/internal/coordination/clmirror/mirror_test.go
+++ b/internal/coordination/clmirror/mirror_test.go
@@ -337,7 +337,7 @@
 	go func() { runErrs <- follower.Run(ctx) }()
 	require.Eventually(t, func() bool { return followerCopy.equal(map[string]int{"a": 1}) }, 5*time.Second, time.Millisecond)
 	readerSource.down.Store(true)
-	// The loop runs longer than readStoreDuration, so that the follower returns to the reader.
+	// Between two changes the follower asks the reader again, whose copy stays behind.
 	for i := 2; i < 8; i++ {
 		time.Sleep(time.Second)
 		store.recordChange("a", i, false)
--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -132,8 +132,9 @@
 	// the peers' rates are enough to estimate their spending.
 	maxFreshDigestInterval = 300 * time.Millisecond
 	// peerSilenceLimit is how long after a peer's last report unreportedSpending
-	// still assumes spending by the peer: twice the interval between digests in a
-	// large installation. A peer that is silent for longer has probably ended; only
+	// still assumes spending by the peer: several intervals between digests with a
+	// hundred gateways, and about one with four hundred. A peer that is silent for
+	// longer has probably ended; only
 	// advance goes on deducting for it, until maxExtrapolationTime.
 	peerSilenceLimit = 2500 * time.Millisecond
 	// maxPeerRatio limits the spending that unreportedSpending assumes of a peer, as
