Log what the requests at a crashed endpoint have in common

Cause: during an incident in which one endpoint after the other crashed, the logs could not tell whether the requests shared a part of their prompts or whether no request was the cause. A line named only a hash of the whole request, and no metric counted crashes.

Change: the line about a crash also gives the IDs of the prompt's parts, whether the response's header had been read, and for how long events had been arriving. chestnutlead_gateway_crashed_attempts_total counts such attempts by service. No decision depends on either.

Measured: go test ./internal/serving/... passes; no other run.

--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -27,6 +27,9 @@
 		respInfo ResponseInfo
 		// startedAt is the time at which the attempt began, before connecting.
 		startedAt time.Time
+		// beganAt is the time of the first event, or of a response that is not a
+		// stream; it is zero until then.
+		beganAt time.Time
 		// resumeAfter is the ID of the last event sent to the caller, if isResume
 		// is set: the attempt then resumes a stream that an earlier attempt has
 		// begun.
@@ -379,9 +382,26 @@
 	if g.Probe == nil || g.Probe(a.choice.Address) {
 		return
 	}
-	n := g.Crashes.Record(a.fingerprint, time.Now())
+	now := time.Now()
+	n := g.Crashes.Record(a.fingerprint, now)
+	writingFor := time.Duration(0)
+	if !a.beganAt.IsZero() {
+		writingFor = now.Sub(a.beganAt)
+	}
+	g.collectors.crashes.WithLabelValues(a.service).Inc()
 	g.Logger.Info("endpoint crashed while running the request", zap.String("request", a.reqInfo.ID),
-		zap.String("endpoint", a.choice.Endpoint), zap.Uint64("fingerprint", a.fingerprint), zap.Uint32("crashes", n))
+		zap.String("endpoint", a.choice.Endpoint), zap.Uint64("fingerprint", a.fingerprint), zap.Uint32("crashes", n),
+		zap.Strings("prompt_parts", partNames(a.reqInfo.PromptParts)), zap.Bool("header_read", a.response != nil), zap.Duration("writing_for", writingFor))
+}
+
+// partNames returns the IDs of the parts of a prompt in the form in which callers state
+// them.
+func partNames(parts []clfleet.PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return names
 }
 
 // recordSample records for the version of the endpoint whether the attempt failed,
@@ -393,6 +413,9 @@
 // recordStart records the time to the first event or the response of an attempt, and
 // counts the request as started unless it was counted at an earlier attempt.
 func (g *Gateway) recordStart(a *attempt) {
+	if a.beganAt.IsZero() {
+		a.beganAt = time.Now()
+	}
 	g.Fleet.RecordFirstEvent(a.choice, time.Since(a.startedAt))
 	if !a.startRecorded {
 		a.startRecorded = true
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -14,6 +14,8 @@
 	// refusals counts the requests that end with an errorResponse.
 	refusals   *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
+	// crashes counts the attempts that ended because their endpoint crashed.
+	crashes *prometheus.CounterVec
 }
 
 // firstEventBuckets are the upper bounds, in seconds, of the buckets of firstEvent.
@@ -32,5 +34,7 @@
 			"Requests to which the gateway itself responded with an error, by reason.", "reason"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
 			"Time from the arrival of a request to its first stream event or its response.", firstEventBuckets, "kind"),
+		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
+			"Attempts that ended because their endpoint crashed, by service.", "service"),
 	}
 }
