Refuse requests with a prompt part that crashes endpoints

What callers saw: 502 at one endpoint after the other; sound requests that ran there broke off as well.

Cause: crashes were counted for whole requests, by a hash of method, path, account and body. These requests differ in all of that and share one part of their prompts, so that no count passed 1. A counter of what is identical cannot find what requests have in common.

Change: clcrash takes the place of clretry.CrashTracker. A request has traits, itself and the shared parts of its prompt. At a crash, the traits of all requests that had not been answered for a second are suspects; gateways tell each other of crashes, of suspects that ran soundly since, and of verdicts. The trait that explains most crashes is refused, and these count against no other. Why it works: the part is present at each of its crashes and never runs soundly, while what accompanies it does; the deeper part is taken when two explain the same.

Two more faults of the same count go with it: a frequent request that ran at two crashed endpoints was refused for ten minutes, although it ran soundly in between; and a gateway's counts were dropped by the others once it restarted. The old test asserted the latter by SetPeerCounts(nil); what it and TestCrashesFarApart checked otherwise stands in TestBlocks, TestCrashesAtDifferentGatewaysAddUp and TestEvidenceOutlivesItsGateway, which requires the evidence to stay.

Ruled out: counting parts alone, without sound runs and explanations, which refuses all requests of an account whose first part is in each prompt.

--- a/internal/limits/clretry/retry_test.go
+++ b/internal/limits/clretry/retry_test.go
@@ -1,4 +1,4 @@
-// This file tests the retry budget and the crash tracker.
+// This file tests the retry budget.
 
 package clretry
 
@@ -35,35 +35,3 @@
 		require.Positive(t, retries)
 	}
 }
-
-// Guards against retrying a request that crashes every endpoint it reaches, and
-// against refusing a request after a single crash.
-func TestCrashTracker(t *testing.T) {
-	now := time.Unix(1000, 0)
-	var a, b CrashTracker
-	a.Record(7, now)
-	require.False(t, a.ShouldRefuse(7, now))
-	b.SetPeerCounts("a", a.LocalCounts(now))
-	require.False(t, b.ShouldRefuse(7, now))
-	b.Record(7, now)
-	require.True(t, b.ShouldRefuse(7, now), "two crashes, recorded by different gateways")
-	a.SetPeerCounts("b", b.LocalCounts(now))
-	require.True(t, a.ShouldRefuse(7, now))
-	require.False(t, a.ShouldRefuse(8, now))
-	require.False(t, a.ShouldRefuse(7, now.Add(crashRetention+time.Second)) && len(a.LocalCounts(now.Add(crashRetention+time.Second))) > 0)
-	a.SetPeerCounts("b", nil)
-	require.False(t, a.ShouldRefuse(7, now))
-}
-
-// Guards against a request that is refused because of two crashes that lie further
-// apart than crashes count.
-func TestCrashesFarApart(t *testing.T) {
-	var c CrashTracker
-	now := time.Unix(1000, 0)
-	require.EqualValues(t, 1, c.Record(7, now))
-	now = now.Add(crashRetention + time.Minute)
-	require.EqualValues(t, 1, c.Record(7, now))
-	require.False(t, c.ShouldRefuse(7, now))
-	require.EqualValues(t, 2, c.Record(7, now.Add(time.Second)))
-	require.True(t, c.ShouldRefuse(7, now.Add(time.Second)))
-}
--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -58,6 +58,7 @@
 	"not_run":                   "every endpoint that was tried refused to execute it",
 	"retry_budget":              "an attempt failed, and the retry budget was exhausted; look for failing endpoints at that time",
 	"ends_endpoints":            "requests with this path, account and body crashed the endpoints that executed them",
+	"part_ends_endpoints":       "endpoints crashed under requests whose prompts have a part in common with it; see 'requests with a trait are refused' and prompt_parts in the lines about crashes",
 	"cold":                      "all endpoints were cold, and the request rate that they tolerate was used up",
 	"blocked":                   "all endpoints had recently been unreachable or full",
 	"leaving":                   "all endpoints were draining",
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -47,9 +47,10 @@
 	// Choice is the endpoint selected for an attempt, with the figures that led to
 	// the selection.
 	Choice struct {
-		// Endpoint is the ID of the endpoint; Address, DataCentre and Version are
-		// those of the endpoint.
+		// Endpoint is the ID of the endpoint; Born, Address, DataCentre and Version
+		// are those of the endpoint.
 		Endpoint   string
+		Born       int64
 		Address    netip.AddrPort
 		DataCentre string
 		Version    string
@@ -370,7 +371,7 @@
 func (f *Fleet) estimate(s *service, cfg *clcatalog.Service, e *endpoint, r Request, now time.Time) *Choice {
 	load := f.totalLoad(e)
 	c := &Choice{
-		Endpoint: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
+		Endpoint: e.ID, Born: e.Born, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 		Running: load.Running, RecentlyStarted: now.Sub(e.firstSeen) < recentStartPeriod, endpoint: e, service: r.Service, priority: clampPriority(r.Priority),
 	}
 	slots := max(1, e.Slots)
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -51,6 +51,9 @@
 		return attemptResult{outcome: clfleet.OutcomeFailed, err: errors.Errorf("endpoint responded with status %d", a.response.Status)}
 	}
 	g.recordStart(a)
+	if !failed && len(body) <= maxBufferedBytes {
+		g.recordSound(a, true)
+	}
 	if len(body) <= maxBufferedBytes {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -168,6 +171,9 @@
 			g.recordSample(a, false)
 		}
 		events += written
+		if progressed {
+			g.recordSound(a, false)
+		}
 		if writeErr != nil {
 			_ = a.response.Body.Close()
 			return attemptResult{outcome: clfleet.OutcomeAbandoned, err: errors.Wrap(writeErr, "write events to the caller")}
@@ -241,6 +247,7 @@
 	if err := http.NewResponseController(a.w).SetWriteDeadline(time.Time{}); err != nil {
 		g.Logger.Debug("clearing the write deadline failed", zap.Error(err))
 	}
+	g.recordSound(a, true)
 	g.recordCompletion(a, events)
 	return attemptResult{outcome: clfleet.OutcomeAnswered, done: true}
 }
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -28,8 +29,11 @@
 		// startedAt is the time at which the attempt began, before connecting.
 		startedAt time.Time
 		// beganAt is the time of the first event, or of a response that is not a
-		// stream; it is zero until then.
+		// stream, on the clock since boot; it is zero until then.
 		beganAt time.Time
+		// foundSound is set once the attempt has been recorded as one that does not
+		// crash its endpoint.
+		foundSound bool
 		// resumeAfter is the ID of the last event sent to the caller, if isResume
 		// is set: the attempt then resumes a stream that an earlier attempt has
 		// begun.
@@ -375,35 +379,6 @@
 	return result
 }
 
-// recordCrash counts a crash against the request if the endpoint no longer accepts
-// connections. If the endpoint still accepts them, or if Probe is nil, it is assumed
-// that only the connection or the response was lost.
-func (g *Gateway) recordCrash(a *attempt) {
-	if g.Probe == nil || g.Probe(a.choice.Address) {
-		return
-	}
-	now := time.Now()
-	n := g.Crashes.Record(a.fingerprint, now)
-	writingFor := time.Duration(0)
-	if !a.beganAt.IsZero() {
-		writingFor = now.Sub(a.beganAt)
-	}
-	g.collectors.crashes.WithLabelValues(a.service).Inc()
-	g.Logger.Info("endpoint crashed while running the request", zap.String("request", a.reqInfo.ID),
-		zap.String("endpoint", a.choice.Endpoint), zap.Uint64("fingerprint", a.fingerprint), zap.Uint32("crashes", n),
-		zap.Strings("prompt_parts", partNames(a.reqInfo.PromptParts)), zap.Bool("header_read", a.response != nil), zap.Duration("writing_for", writingFor))
-}
-
-// partNames returns the IDs of the parts of a prompt in the form in which callers state
-// them.
-func partNames(parts []clfleet.PromptPart) []string {
-	names := make([]string, len(parts))
-	for i, p := range parts {
-		names[i] = strconv.FormatUint(p.ID, 16)
-	}
-	return names
-}
-
 // recordSample records for the version of the endpoint whether the attempt failed,
 // and its latency so far.
 func (g *Gateway) recordSample(a *attempt, failed bool) {
@@ -414,7 +389,7 @@
 // counts the request as started unless it was counted at an earlier attempt.
 func (g *Gateway) recordStart(a *attempt) {
 	if a.beganAt.IsZero() {
-		a.beganAt = time.Now()
+		a.beganAt = clclock.Now()
 	}
 	g.Fleet.RecordFirstEvent(a.choice, time.Since(a.startedAt))
 	if !a.startRecorded {
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
@@ -120,9 +121,9 @@
 		// RetryBudget limits the attempts of a service beyond the first one of
 		// each request.
 		RetryBudget *clretry.Budget
-		// Crashes counts the endpoints that each request has crashed, by the
-		// request's fingerprint.
-		Crashes *clretry.CrashTracker
+		// Crashes decides which requests are refused because they, or others that
+		// have a part of the prompt in common with them, crash endpoints.
+		Crashes *clcrash.Tracker
 		// Client sends requests to endpoints.
 		Client clendpoint.Client
 		// Probe reports whether an endpoint accepts connections. If it is nil, no
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -42,6 +43,9 @@
 		cost float64
 		// fingerprint is the same for repetitions of the request by the caller.
 		fingerprint uint64
+		// traits are what the request may have in common with others that crash
+		// endpoints.
+		traits []clcrash.Trait
 		// startRecorded reports whether the request was counted as started.
 		startRecorded bool
 		// sends is the number of earlier attempts that did not fail to connect.
@@ -79,9 +83,6 @@
 	// noConfigRetryAfter is the Retry-After of the responses of a gateway that has
 	// just started and has no configuration yet.
 	noConfigRetryAfter = 500 * time.Millisecond
-	// crashRetryAfter is the Retry-After of the response to a request that has
-	// crashed endpoints.
-	crashRetryAfter = time.Minute
 	// stoppingRetryAfter is the Retry-After of the response with which a draining
 	// gateway refuses a request. It is short because the retry goes to another
 	// gateway.
@@ -111,8 +112,8 @@
 // admit finds the route and the account of a request, reads its body, and charges
 // its cost to the account's quota. It returns nil if the request is admitted, and
 // an error response if there is no configuration or no route for the request, if its
-// API key or its body is not accepted, if the shutdown could cut it off, if it has
-// crashed endpoints, or if the quota is exhausted.
+// API key or its body is not accepted, if the shutdown could cut it off, if it would
+// crash an endpoint, or if the quota is exhausted.
 func (g *Gateway) admit(c *call) *errorResponse {
 	cat := g.catalog.Load()
 	if cat == nil {
@@ -141,8 +142,9 @@
 	}
 	c.service = c.route.ServiceFor(c.reqInfo.ID)
 	c.fingerprint = fingerprint(c)
-	if g.Crashes.ShouldRefuse(c.fingerprint, c.arrived) {
-		return &errorResponse{http.StatusServiceUnavailable, "ends_endpoints", crashRetryAfter}
+	c.traits = traits(c)
+	if reason := g.crashRefusal(c); reason != "" {
+		return &errorResponse{http.StatusServiceUnavailable, string(reason), crashRetryAfter}
 	}
 	tokens := float64(c.reqInfo.PromptTokens + c.reqInfo.MaxOutputTokens)
 	if c.account != nil {
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutlead/chestnutlead/clendpoint"
 	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
@@ -133,7 +134,7 @@
 	retries.SetGateways(1)
 	addr := cltest.Address(t)
 	env.gateway = &Gateway{
-		Address: addr, Headers: testCodec{}, Fleet: fleet, Quotas: quotas, RetryBudget: retries, Crashes: &clretry.CrashTracker{},
+		Address: addr, Headers: testCodec{}, Fleet: fleet, Quotas: quotas, RetryBudget: retries, Crashes: &clcrash.Tracker{},
 		Client: &clendpoint.HTTP{}, Recorder: env.recorder, ShutdownDelay: 300 * time.Millisecond, GracePeriod: 3 * time.Second,
 		ConfigFresh: func() (bool, time.Duration) {
 			env.mu.Lock()
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -261,9 +261,7 @@
 			d.Verdicts = append(d.Verdicts, &clgossip.Verdict{Service: decision.Intent.Service, Version: decision.Intent.Version})
 		}
 	}
-	for fingerprint, count := range n.crashTracker.LocalCounts(time.Now()) {
-		d.Crashes = append(d.Crashes, &clgossip.Crash{Fingerprint: fingerprint, Count: count})
-	}
+	n.fillCrashEvidence(d)
 	for service, demand := range n.fleet.Demand() {
 		d.Demand = append(d.Demand, &clgossip.Demand{Service: service, Requests: demand.Requests, Seconds: demand.PrefillSeconds})
 	}
@@ -296,9 +294,7 @@
 	for _, v := range d.GetVerdicts() {
 		n.rolloutController.MarkBad(v.GetService(), v.GetVersion())
 	}
-	n.crashTracker.SetPeerCounts(d.GetName(), lo.SliceToMap(d.GetCrashes(), func(c *clgossip.Crash) (uint64, uint32) {
-		return c.GetFingerprint(), c.GetCount()
-	}))
+	n.mergeCrashEvidence(d)
 	for _, demand := range d.GetDemand() {
 		n.loadEstimator.record(demand.GetService(), d.GetName(), d.GetBoot(), demand.GetSeconds(), now)
 	}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmove"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
@@ -77,7 +78,7 @@
 		fleet             *clfleet.Fleet
 		quotaLimiter      *clquota.Limiter
 		retryBudget       *clretry.Budget
-		crashTracker      *clretry.CrashTracker
+		crashTracker      *clcrash.Tracker
 		rolloutController *clmove.Controller
 		usageCounter      *clduty.UsageCounter
 		coordinator       *clduty.Coordinator
@@ -204,7 +205,7 @@
 	n.readiness = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: settings.DataCentre, Rand: rand.New(rand.NewPCG(bootID, rand.Uint64()))}
 	n.quotaLimiter = &clquota.Limiter{BootTime: bootID}
-	n.crashTracker = &clretry.CrashTracker{}
+	n.crashTracker = &clcrash.Tracker{OnChange: n.logBlock}
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
 	n.usageCounter = &clduty.UsageCounter{WindowLength: settings.UsageWindow}
