Do not retry a request once it is known to crash endpoints

What callers saw: more endpoints crash under one request than two, if its route allows more attempts.

Change: asked before each attempt.

--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -133,6 +133,11 @@
 	var last attemptResult
 	g.RetryBudget.RecordRequest(c.service, c.arrived)
 	for connectFailures := 0; connectFailures < maxConnectFailures; {
+		// The latest of the crashes may be that of the attempt before.
+		if reason := g.crashRefusal(c); reason != "" {
+			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reason, RetryAfter: crashRetryAfter})
+			return
+		}
 		choice, refusal, req := g.pickEndpoint(c)
 		if choice == nil {
 			g.failRequest(c, &p, last, refusal)
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -218,11 +218,17 @@
 
 // setTimeout changes the timeout of the route with the given name.
 func (env *testEnv) setTimeout(route string, d time.Duration) {
+	env.changeRoute(route, func(r *clcatalog.Route) { r.Timeout = d })
+}
+
+// changeRoute puts a configuration in force in which the route with the given name is
+// changed.
+func (env *testEnv) changeRoute(route string, change func(r *clcatalog.Route)) {
 	old := env.gateway.Catalog()
 	changed := &clcatalog.Catalog{Version: old.Version + 1, Limits: old.Limits, Services: old.Services, Accounts: old.Accounts}
 	for _, r := range old.Routes {
 		if r.Name == route {
-			r.Timeout = d
+			change(&r)
 		}
 		changed.Routes = append(changed.Routes, r)
 	}
