Store which traits crash endpoints, so that a restart of all gateways keeps it

What callers saw: after all gateways restarted, requests with a part known to crash endpoints were sent again until it had been found out anew.

Cause: what the gateways find out lived in their memory only.

Change: the first three live gateways keep one object in the store with what is refused, by conditional updates; each gateway reads it at its start. It is read once and not followed: live gateways tell each other.

Ruled out: a watch like that of other objects, which costs each data centre's reader a waiting call for an object that changes a few times a year.

TestBlocksOutliveAllGateways passes with lost answers and refused calls, also with the race detector.

--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -79,6 +79,7 @@
 		quotaLimiter      *clquota.Limiter
 		retryBudget       *clretry.Budget
 		crashTracker      *clcrash.Tracker
+		blockKeeper       *blockKeeper
 		rolloutController *clmove.Controller
 		usageCounter      *clduty.UsageCounter
 		coordinator       *clduty.Coordinator
@@ -171,6 +172,7 @@
 	g.Go(func() error { return n.exchange.Run(componentCtx) })
 	g.Go(func() error { return n.runControlLoop(componentCtx) })
 	g.Go(func() error { n.runRegistration(componentCtx); return nil })
+	g.Go(func() error { n.blockKeeper.run(componentCtx); return nil })
 	g.Go(func() error { n.runSettingsWatch(componentCtx); return nil })
 	g.Go(func() error { return n.runReadinessServer(componentCtx) })
 	if n.Settings.MetricsAddress.IsValid() {
@@ -206,6 +208,9 @@
 	n.fleet = &clfleet.Fleet{DataCentre: settings.DataCentre, Rand: rand.New(rand.NewPCG(bootID, rand.Uint64()))}
 	n.quotaLimiter = &clquota.Limiter{BootTime: bootID}
 	n.crashTracker = &clcrash.Tracker{OnChange: n.logBlock}
+	n.blockKeeper = &blockKeeper{
+		store: n.Store, tracker: n.crashTracker, writes: func() bool { return n.isAmongFirst(blockWriterCount) }, now: n.clock.Now, logger: component("crash"),
+	}
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
 	n.usageCounter = &clduty.UsageCounter{WindowLength: settings.UsageWindow}
@@ -269,14 +274,18 @@
 // isDutyCandidate reports whether this gateway competes for the lease of the
 // duties. Only the first dutyCandidateCount live gateways in the order of their
 // names do, so that the remaining gateways do not need to read the lease.
-func (n *Node) isDutyCandidate() bool {
+func (n *Node) isDutyCandidate() bool { return n.isAmongFirst(dutyCandidateCount) }
+
+// isAmongFirst reports whether this gateway is one of the first count live gateways in
+// the order of their names.
+func (n *Node) isAmongFirst(count int) bool {
 	precedingPeers := 0
 	for _, name := range n.exchange.AlivePeers() {
 		if name < n.Settings.Name {
 			precedingPeers++
 		}
 	}
-	return precedingPeers < dutyCandidateCount
+	return precedingPeers < count
 }
 
 // dutyCandidateCount is the number of gateways that compete for the lease of the
