Keep the endpoints of a version on trial

What operators saw: a version move of a service whose endpoints are ordered was always undone at its deadline, "too few answers before the deadline", whether the version was good or bad. It got a handful of requests in its first second.

Cause: the planner took the endpoints of the new version, started beside the old ones, for more than the load needs, and ordered them away at once.

Change: endpoints of a version that a rollout has not moved the service to do not count as capacity, and are part of each target. No order is sent for the number that is there: the platform would replace them when the rollout stops them.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutlead/chestnutlead/cllease"
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -392,15 +393,18 @@
 // resendDelay, or after unansweredResendDelay if the last call got no answer, provided
 // that the target differs from the number of existing endpoints. If the last target was
 // refused, the number of endpoints that existed at the refusal is used as the last
-// target, and nothing is sent for unansweredResendDelay. Endpoints that are leaving do not count as existing.
+// target, and nothing is sent for unansweredResendDelay. Endpoints that are leaving do
+// not count as existing. While endpoints are on trial, nothing is sent if the number is
+// right, whatever was sent before.
 func (c *Coordinator) sendTarget(ctx context.Context, holder Holder, state ServiceState, planner *Planner, target ScalingTarget, now time.Time) {
 	key := targetKey{target.Service, target.DataCentre, target.Spot}
 	last, sent := c.sentTargets[key]
-	existing := 0
-	for _, e := range state.Endpoints {
-		if e.DataCentre == target.DataCentre && e.Spot == target.Spot && !e.Leaving {
-			existing++
-		}
+	existing, onTrial := countKind(state.Endpoints, target), countKind(state.TrialEndpoints, target)
+	existing += onTrial
+	if onTrial > 0 && existing == target.Count {
+		// An order for the number that is there would have the endpoints on trial
+		// replaced when their rollout stops them.
+		return
 	}
 	if sent && last.count == target.Count && (existing == target.Count || now.Sub(last.sentAt) < resendDelay) || !sent && existing == target.Count {
 		return
@@ -428,3 +432,12 @@
 		c.sentTargets[key] = sentTarget{count: target.Count, sentAt: now.Add(unansweredResendDelay - resendDelay)}
 	}
 }
+
+// countKind returns the number of endpoints that a target is about.
+func countKind(endpoints []clcatalog.Endpoint, target ScalingTarget) int {
+	spot, onDemand := countKinds(endpoints, target.DataCentre)
+	if target.Spot {
+		return spot
+	}
+	return onDemand
+}
--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -30,8 +30,12 @@
 	ServiceState struct {
 		Service string
 		Scaling clcatalog.Scaling
-		// Endpoints are the endpoints that are not leaving.
+		// Endpoints are the endpoints that are not leaving, without TrialEndpoints.
 		Endpoints []clcatalog.Endpoint
+		// TrialEndpoints are the endpoints of a version that a rollout has not moved
+		// the service to. They are started and stopped with the rollout, and do not
+		// carry the load.
+		TrialEndpoints []clcatalog.Endpoint
 		// PeakLoad is the highest recent number of endpoints that requests kept
 		// busy. If it is negative, the load is not known yet, and the targets
 		// follow from the number of endpoints.
@@ -217,13 +221,28 @@
 	}
 	onDemand := p.delayOnDemandRelease(max(minOnDemand, int(math.Ceil(currentLoad/onDemandTargetUtilization))-expectedSpot), now)
 	for i, n := range p.allocateOnDemand(dcs, expectedTargets, onDemand, state.Scaling) {
+		trialSpot, trialOnDemand := countKinds(state.TrialEndpoints, dcs[i].name)
 		targets = append(targets,
-			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Spot: true, Count: min(spotTargets[i], state.Scaling.Max-n)},
-			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Count: n})
+			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Spot: true, Count: min(spotTargets[i], state.Scaling.Max-n) + trialSpot},
+			ScalingTarget{Service: state.Service, DataCentre: dcs[i].name, Count: n + trialOnDemand})
 	}
 	return targets
 }
 
+// countKinds returns the numbers of spot and of on-demand endpoints in a data centre.
+func countKinds(endpoints []clcatalog.Endpoint, dataCentre string) (spot, onDemand int) {
+	for _, e := range endpoints {
+		switch {
+		case e.DataCentre != dataCentre || e.Leaving:
+		case e.Spot:
+			spot++
+		default:
+			onDemand++
+		}
+	}
+	return spot, onDemand
+}
+
 // spotOverprovision returns the number of spot endpoints relative to the need, at most
 // limit. One of the data centres may lose all of its spot endpoints, and the others then
 // have to carry the load; with a single data centre there is nothing to prepare for.
@@ -352,17 +371,8 @@
 	slices.SortFunc(dcs, func(a, b dcState) int {
 		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.name, b.name))
 	})
-	for _, e := range state.Endpoints {
-		for i := range dcs {
-			if dcs[i].name != e.DataCentre || e.Leaving {
-				continue
-			}
-			if e.Spot {
-				dcs[i].spot++
-			} else {
-				dcs[i].onDemand++
-			}
-		}
+	for i := range dcs {
+		dcs[i].spot, dcs[i].onDemand = countKinds(state.Endpoints, dcs[i].name)
 	}
 	return dcs
 }
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -387,3 +387,39 @@
 		}
 	}
 }
+
+// Guards against orders that end the endpoints of a version on trial, and against
+// endpoints on trial that are taken for capacity: with them or without, the others are
+// ordered alike.
+func TestTrialEndpointsAreKeptAndDoNotCount(t *testing.T) {
+	scaling := clcatalog.Scaling{Min: 1, Max: 8, Boot: 4 * time.Second, SpotPrice: 0.2, Prices: map[string]float64{"a": 1, "b": 1}}
+	var endpoints, trial []clcatalog.Endpoint
+	for _, dc := range []string{"a", "b"} {
+		for range 4 {
+			endpoints = append(endpoints, clcatalog.Endpoint{DataCentre: dc, Version: "v1", Spot: true})
+		}
+	}
+	for range 3 {
+		trial = append(trial, clcatalog.Endpoint{DataCentre: "a", Version: "v2"})
+	}
+	trial = append(trial, clcatalog.Endpoint{DataCentre: "b", Version: "v2", Spot: true}, clcatalog.Endpoint{DataCentre: "b", Version: "v2", Leaving: true})
+	var with, without Planner
+	for _, load := range []float64{0.5, 4, 9, 1} {
+		now := time.Unix(1000, 0)
+		state := ServiceState{Service: "s", Scaling: scaling, Endpoints: endpoints, PeakLoad: load, CurrentLoad: load}
+		plain := without.Plan(state, now)
+		state.TrialEndpoints = trial
+		targets := with.Plan(state, now)
+		require.Len(t, targets, len(plain))
+		for i, target := range targets {
+			extra := 0
+			switch {
+			case target.DataCentre == "a" && !target.Spot:
+				extra = 3
+			case target.DataCentre == "b" && target.Spot:
+				extra = 1
+			}
+			require.Equal(t, plain[i].Count+extra, target.Count, "%+v, load %v", target, load)
+		}
+	}
+}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -446,7 +446,12 @@
 	}
 	var states []clduty.ServiceState
 	n.mu.Lock()
-	evacuatedDataCentres := maps.Clone(n.evacuatedDataCentres)
+	evacuatedDataCentres, trialVersions := maps.Clone(n.evacuatedDataCentres), map[string]string{}
+	for service, r := range n.requestedRollouts {
+		if r.Outcome != clcatalog.RolloutDone || r.OutcomeVersion != r.Version {
+			trialVersions[service] = r.Version
+		}
+	}
 	n.mu.Unlock()
 	for _, s := range catalog.Services {
 		if s.Scaling == nil {
@@ -454,10 +459,24 @@
 		}
 		endpoints := n.fleet.Endpoints(s.Name)
 		endpoints = slices.DeleteFunc(endpoints, func(e clcatalog.Endpoint) bool { return e.Leaving })
+		trial, serving := splitTrial(endpoints, trialVersions[s.Name])
 		peak, current := n.loadEstimator.busyEndpoints(s.Name, n.fleet.OccupiedEndpoints(s.Name), clclock.Now())
 		states = append(states, clduty.ServiceState{
-			Service: s.Name, Scaling: *s.Scaling, Endpoints: endpoints, PeakLoad: peak, CurrentLoad: current, NeverRequested: n.loadEstimator.neverRequested(s.Name), Evacuated: evacuatedDataCentres,
+			Service: s.Name, Scaling: *s.Scaling, Endpoints: serving, TrialEndpoints: trial, PeakLoad: peak, CurrentLoad: current, NeverRequested: n.loadEstimator.neverRequested(s.Name), Evacuated: evacuatedDataCentres,
 		})
 	}
 	return states
 }
+
+// splitTrial divides the endpoints of a service into those of the version on trial, ""
+// if there is none, and the others. If there are no others, none is on trial.
+func splitTrial(endpoints []clcatalog.Endpoint, version string) (trial, serving []clcatalog.Endpoint) {
+	if version == "" {
+		return nil, endpoints
+	}
+	trial, serving = lo.FilterReject(endpoints, func(e clcatalog.Endpoint, _ int) bool { return e.Version == version })
+	if len(serving) == 0 {
+		return nil, endpoints
+	}
+	return trial, serving
+}
