Do not take the end of a crashed endpoint for the end of its response

What callers saw: a complete, empty stream with status 200, or half of a body, if an endpoint crashed under a response that has neither a length nor chunks.

Change: clendpoint says that a body ends with its connection. A stream that ends so before its first event is broken off; so is a body at whose end the endpoint accepts no connections. A probe is made only for such responses.

Remains: a crash between two events of an endpoint that accepts connections again at once cannot be told from the end.

--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -56,6 +56,10 @@
 		Status int
 		Header []Header
 		Body   BodyReader
+		// UntilClose says that the body has neither a length nor chunks and ends with
+		// its connection. It then cannot tell a whole body from one whose endpoint
+		// ended.
+		UntilClose bool
 	}
 
 	// BodyReader reads an answer's body; Close before the end abandons the
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -191,7 +191,8 @@
 			a.Header = append(a.Header, Header{Name: name, Value: string(v)})
 		}
 	}
-	a.Body = newBody(c, h, bodyLength(method, hdr), hdr.ConnectionClose())
+	length := bodyLength(method, hdr)
+	a.Body, a.UntilClose = newBody(c, h, length, hdr.ConnectionClose()), length == lengthUntilClose
 	return a, nil
 }
 
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -41,6 +41,9 @@
 // that exceeds maxBufferedBytes is copied as it arrives, until the request's deadline.
 func (g *Gateway) relayResponse(ctx context.Context, a *attempt, p *responseProgress) attemptResult {
 	body, err := g.readBuffered(a)
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = g.checkEnd(a)
+	}
 	if err != nil {
 		return g.failAttempt(ctx, a, err)
 	}
@@ -111,7 +114,7 @@
 			return nil, writeErr
 		}
 		if err == io.EOF {
-			return nil, nil
+			return g.checkEnd(a), nil
 		}
 		if err != nil {
 			return err, nil
@@ -119,6 +122,15 @@
 	}
 }
 
+// checkEnd returns an error if the body of a response that has just ended is not known
+// to be whole: it ended with its connection, and the endpoint no longer accepts others.
+func (g *Gateway) checkEnd(a *attempt) error {
+	if !a.response.UntilClose || g.Probe == nil || g.Probe(a.choice.Address) {
+		return nil
+	}
+	return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("endpoint ended with a body that has no length")}
+}
+
 // writeBody writes a part of a response that is not a stream. It fails if the caller
 // reads nothing for callerWriteTimeout.
 func (g *Gateway) writeBody(a *attempt, part []byte) error {
@@ -188,7 +200,12 @@
 			_ = a.response.Body.Close()
 			return g.failAttempt(ctx, a, &clendpoint.Error{Kind: clendpoint.KindSilent, Err: errors.New("stream sends bytes but no events")})
 		case err == nil:
+		case err == io.EOF && len(s.Remaining()) == 0 && a.response.UntilClose && !p.started:
+			return g.failAttempt(ctx, a, &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("stream without a length ended before the first event")})
 		case err == io.EOF && len(s.Remaining()) == 0:
+			if err := g.checkEnd(a); err != nil {
+				return g.failAttempt(ctx, a, err)
+			}
 			return g.finishStream(a, p, events)
 		case err == io.EOF:
 			return g.failAttempt(ctx, a, &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("stream ended within an event")})
