Tell gateways of blocked traits through the store as well

What could happen: a data centre that is cut off from the others, but not from the store and its callers, sends on requests that are known to crash endpoints, until it has seen as many crashes itself. The one object with all blocks was read only at a gateway's start.

Change: each blocked trait has a record of its own kind in the store; the first live gateway of each data centre follows them with a watch, besides reading them at the start.

Ruled out: another mirror like those of endpoints and configuration, since a failure of this kind would count towards the age up to which requests are sent.

Evidence: TestBlocksReachOtherGatewaysThroughTheStore; the test before it, of the one object, had no gateway that follows. TestPromptPartThatCrashesEndpoints passes.

--- a/internal/model/clcatalog/endpoint.go
+++ b/internal/model/clcatalog/endpoint.go
@@ -1,4 +1,5 @@
-// This file defines the entries of endpoints and gateways, and operators' requests.
+// This file defines the entries of endpoints and gateways, operators' requests and the
+// gateways' own records.
 
 package clcatalog
 
@@ -63,6 +64,17 @@
 	// the data centre with the name DataCentre.
 	Evacuation struct{ DataCentre string }
 
+	// CrashBlock is the gateways' own record that requests with a trait are refused,
+	// because they crash endpoints.
+	CrashBlock struct {
+		// Trait identifies what the requests have in common, and Depth is its position
+		// in their prompts; see clcrash.Trait.
+		Trait uint64
+		Depth uint8
+		// LastCrash is the time of day of the latest crash.
+		LastCrash time.Time
+	}
+
 	// Member is the entry of a registered gateway.
 	Member struct {
 		// Name identifies the gateway; it stays the same after a restart.
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -54,6 +54,7 @@
 		Register(ctx context.Context, m clcatalog.Member) error
 		// Unregister removes the entry of the gateway with the given name.
 		Unregister(ctx context.Context, name string) error
+		blockStore
 		// ReportRollout writes the outcome of a rollout for operators to read.
 		ReportRollout(ctx context.Context, r clcatalog.Rollout, outcome clcatalog.RolloutOutcome) error
 	}
@@ -209,7 +210,8 @@
 	n.quotaLimiter = &clquota.Limiter{BootTime: bootID}
 	n.crashTracker = &clcrash.Tracker{OnChange: n.logBlock}
 	n.blockKeeper = &blockKeeper{
-		store: n.Store, tracker: n.crashTracker, writes: func() bool { return n.isAmongFirst(blockWriterCount) }, now: n.clock.Now, logger: component("crash"),
+		store: n.Store, tracker: n.crashTracker, follows: n.followsBlocks, writes: func() bool { return n.isAmongFirst(blockWriterCount) },
+		now: n.clock.Now, logger: component("crash"),
 	}
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
