Limit what a digest says of crashes

What could happen: a gateway whose endpoints hold many requests each crashes with dozens of them at a time; its digest outgrows a datagram and is not sent at all, so that the others lose its quotas, load and usage too. Found by working out the largest digest of the new evidence: 32 crashes under some hundred requests with three traits each.

Change: at most 1,024 traits and 512 sound runs in a digest, the latest crashes first; traits as packed numbers, 9 bytes each.

--- a/internal/coordination/clgossip/exchange_test.go
+++ b/internal/coordination/clgossip/exchange_test.go
@@ -228,13 +228,23 @@
 }
 
 // Guards against a digest that is too large for a datagram when the sender has work
-// in progress at 600 endpoints and reports 600 usage windows.
+// in progress at 600 endpoints, reports 600 usage windows and tells as much of crashes as
+// clcrash allows.
 func TestLargeDigestFitsDatagram(t *testing.T) {
 	d := &Digest{Name: "g", Boot: 1 << 60}
 	for i := range 600 {
 		d.Busy = append(d.Busy, &Busy{Endpoint: 1 << 60, Running: 64, PendingTokens: []uint32{60_000, 60_000}})
 		d.Windows = append(d.Windows, &Window{Number: int64(i), Counts: map[string]uint64{"account": 1000}})
 	}
+	for range 32 {
+		d.Crashes = append(d.Crashes, &Crash{EndpointRun: 1 << 60, AgeMs: 600_000, Traits: make([]uint64, 32), Depths: make([]byte, 32)})
+	}
+	for range 512 {
+		d.SoundRuns = append(d.SoundRuns, &SoundRun{Trait: 1 << 60, AgeMs: 600_000})
+	}
+	for range 256 {
+		d.Blocks = append(d.Blocks, &Block{Trait: 1 << 60, AgeMs: 600_000, Depth: 255})
+	}
 	b, err := proto.Marshal(d)
 	require.NoError(t, err)
 	require.Less(t, len(b), maxDatagramBytes)
--- a/internal/limits/clcrash/tracker.go
+++ b/internal/limits/clcrash/tracker.go
@@ -3,6 +3,7 @@
 package clcrash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -105,6 +106,11 @@
 	// maxOwnCrashes limits how many crashes a gateway tells the others of; the latest
 	// ones count.
 	maxOwnCrashes = 32
+	// maxOwnTraits limits the traits that these crashes have in all, and maxOwnSoundRuns
+	// the sound runs that a gateway tells of, so that they fit into a datagram with the
+	// rest of a digest.
+	maxOwnTraits    = 1024
+	maxOwnSoundRuns = 512
 	// maxCrashes limits the crashes that are kept. There are as many at once if a data
 	// centre is lost, and they explain nothing.
 	maxCrashes = 512
@@ -174,17 +180,36 @@
 		}
 	}
 	slices.SortFunc(e.Crashes, func(a, b Crash) int { return b.At.Compare(a.At) })
-	e.Crashes = e.Crashes[:min(len(e.Crashes), maxOwnCrashes)]
+	e.Crashes = limitCrashes(e.Crashes)
 	for id, at := range t.ownSoundAt {
 		// One crash blocks no trait, so that nobody needs to know better.
 		if t.presence[id] > 1 && !at.Before(t.soundAt[id]) {
 			e.SoundRuns = append(e.SoundRuns, SoundRun{TraitID: id, BeganAt: at})
 		}
 	}
+	slices.SortFunc(e.SoundRuns, func(a, b SoundRun) int { return b.BeganAt.Compare(a.BeganAt) })
+	e.SoundRuns = e.SoundRuns[:min(len(e.SoundRuns), maxOwnSoundRuns)]
 	e.Blocks = t.confirmedBlocks()
 	return e
 }
 
+// limitCrashes returns the first of the crashes, up to maxOwnCrashes and maxOwnTraits.
+// The last one may lack the deepest of its traits.
+func limitCrashes(crashes []Crash) []Crash {
+	crashes = crashes[:min(len(crashes), maxOwnCrashes)]
+	left := maxOwnTraits
+	for i, c := range crashes {
+		if len(c.Traits) > left {
+			// Whole requests are the most, and the least likely to be repeated.
+			slices.SortFunc(c.Traits, func(a, b Trait) int { return cmp.Compare(a.Depth, b.Depth) })
+			crashes[i].Traits = c.Traits[:left]
+			return crashes[:i+1]
+		}
+		left -= len(c.Traits)
+	}
+	return crashes
+}
+
 // Blocks returns the blocks that stay, the latest first.
 func (t *Tracker) Blocks(now time.Time) []Block {
 	t.mu.Lock()
--- a/internal/limits/clcrash/tracker_test.go
+++ b/internal/limits/clcrash/tracker_test.go
@@ -250,3 +250,31 @@
 	_, refuses := tracker.Refuses(request(0, 0, secondPart), now)
 	require.True(t, refuses)
 }
+
+// Guards against digests that outgrow a datagram, and are then not sent at all: crashes
+// under as many requests as an engine may hold.
+func TestEvidenceIsLimited(t *testing.T) {
+	var tracker Tracker
+	now := start
+	for i := range 2 * maxOwnCrashes {
+		now = now.Add(100 * time.Millisecond)
+		for j := range 200 {
+			n := uint64(1000*i + j)
+			tracker.Record(uint64(i), request(1e6+n, 2e6+n, 3e6+n), now)
+		}
+	}
+	for j := range 4 * maxOwnSoundRuns {
+		n := uint64(j)
+		tracker.Record(1e6, request(n, 2e6+n, 3e6+n), now)
+		tracker.RecordSound(request(n, 2e6+n, 3e6+n), now.Add(-time.Hour))
+	}
+	e := tracker.Evidence(now)
+	traits := 0
+	for _, c := range e.Crashes {
+		traits += len(c.Traits)
+	}
+	require.LessOrEqual(t, len(e.Crashes), maxOwnCrashes)
+	require.LessOrEqual(t, traits, maxOwnTraits)
+	require.Positive(t, traits)
+	require.LessOrEqual(t, len(e.SoundRuns), maxOwnSoundRuns)
+}
--- a/internal/serving/clnode/crashes.go
+++ b/internal/serving/clnode/crashes.go
@@ -20,15 +20,17 @@
 	now := clclock.Now()
 	evidence := n.crashTracker.Evidence(now)
 	for _, c := range evidence.Crashes {
-		d.Crashes = append(d.Crashes, &clgossip.Crash{EndpointRun: c.EndpointRun, AgeMs: ageMillis(c.At, now), Traits: lo.Map(c.Traits, func(t clcrash.Trait, _ int) *clgossip.Trait {
-			return encodeTrait(t)
-		})})
+		crash := &clgossip.Crash{EndpointRun: c.EndpointRun, AgeMs: ageMillis(c.At, now)}
+		for _, t := range c.Traits {
+			crash.Traits, crash.Depths = append(crash.Traits, t.ID), append(crash.Depths, t.Depth)
+		}
+		d.Crashes = append(d.Crashes, crash)
 	}
 	for _, s := range evidence.SoundRuns {
 		d.SoundRuns = append(d.SoundRuns, &clgossip.SoundRun{Trait: s.TraitID, AgeMs: ageMillis(s.BeganAt, now)})
 	}
 	for _, b := range evidence.Blocks {
-		d.Blocks = append(d.Blocks, &clgossip.Block{Trait: encodeTrait(b.Trait), AgeMs: ageMillis(b.LastCrash, now)})
+		d.Blocks = append(d.Blocks, &clgossip.Block{Trait: b.ID, Depth: uint32(b.Depth), AgeMs: ageMillis(b.LastCrash, now)})
 	}
 }
 
@@ -41,15 +43,13 @@
 	at := func(ageMillis uint32) time.Time { return now.Add(-time.Duration(ageMillis) * time.Millisecond) }
 	n.crashTracker.Merge(clcrash.Evidence{
 		Crashes: lo.Map(d.GetCrashes(), func(c *clgossip.Crash, _ int) clcrash.Crash {
-			return clcrash.Crash{EndpointRun: c.GetEndpointRun(), At: at(c.GetAgeMs()), Traits: lo.Map(c.GetTraits(), func(t *clgossip.Trait, _ int) clcrash.Trait {
-				return decodeTrait(t)
-			})}
+			return clcrash.Crash{EndpointRun: c.GetEndpointRun(), At: at(c.GetAgeMs()), Traits: decodeTraits(c)}
 		}),
 		SoundRuns: lo.Map(d.GetSoundRuns(), func(s *clgossip.SoundRun, _ int) clcrash.SoundRun {
 			return clcrash.SoundRun{TraitID: s.GetTrait(), BeganAt: at(s.GetAgeMs())}
 		}),
 		Blocks: lo.Map(d.GetBlocks(), func(b *clgossip.Block, _ int) clcrash.Block {
-			return clcrash.Block{Trait: decodeTrait(b.GetTrait()), LastCrash: at(b.GetAgeMs())}
+			return clcrash.Block{Trait: clcrash.Trait{ID: b.GetTrait(), Depth: uint8(min(b.GetDepth(), math.MaxUint8))}, LastCrash: at(b.GetAgeMs())}
 		}),
 	}, now)
 }
@@ -64,12 +64,14 @@
 		zap.Duration("last_crash_age", clclock.Now().Sub(b.LastCrash)))
 }
 
-func encodeTrait(t clcrash.Trait) *clgossip.Trait {
-	return &clgossip.Trait{Id: t.ID, Depth: uint32(t.Depth)}
-}
-
-func decodeTrait(t *clgossip.Trait) clcrash.Trait {
-	return clcrash.Trait{ID: t.GetId(), Depth: uint8(min(t.GetDepth(), math.MaxUint8))}
+// decodeTraits returns the traits of a crash. Those without a depth are left out.
+func decodeTraits(c *clgossip.Crash) []clcrash.Trait {
+	depths := c.GetDepths()
+	traits := make([]clcrash.Trait, 0, len(depths))
+	for i, id := range c.GetTraits()[:min(len(c.GetTraits()), len(depths))] {
+		traits = append(traits, clcrash.Trait{ID: id, Depth: depths[i]})
+	}
+	return traits
 }
 
 // ageMillis returns the time since at in whole milliseconds.
