Let a part of prompts crash endpoints in the soak

Change: a fault sends requests with one part of their prompts in common, for 6 to 9 s, at all gateways; each endpoint that begins to answer one ends. More than three that arrive later than 3 s after the fifth crash, from gateways without a fault, break the promise; a control plants four. Streams carry prompts.

--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -37,6 +37,15 @@
 	return a.gateway.calmSince(from) && !a.gateway.stoppedSince(from) && s.world.storeTroubles.calmSince(from)
 }
 
+// inTouchNow reports whether neither the gateway that got a request in progress nor the
+// store had a fault shortly before.
+func (s *Soak) inTouchNow(id string) bool {
+	s.mu.Lock()
+	g := s.senders[id]
+	s.mu.Unlock()
+	return g != nil && s.inTouch(attempt{gateway: g, sent: time.Now()})
+}
+
 func (s *Soak) judgeKey(a attempt, runs []clstandplatform.Run) {
 	switch {
 	case !a.key.removed.IsZero() && a.sent.After(a.key.removed.Add(bounds.Revocation)) && len(runs) > 0:
@@ -150,6 +159,7 @@
 	for _, text := range append(often, s.world.cloud.Faults()...) {
 		s.violate("%s", text)
 	}
+	s.world.checkBadParts()
 	for _, g := range s.world.gateways {
 		if n := g.ownEnds(); n > 0 {
 			s.violate("%s ended by itself; see %s", g.name, s.Dir)
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -118,6 +118,7 @@
 			w.crash(e)
 		}
 	}},
+	{"a part of prompts crashes endpoints", func(s *Soak, w *world) { s.sendBadRequests(w) }},
 	{"an endpoint leaves and another one comes", func(s *Soak, w *world) {
 		if e, ok := s.takeEndpoint(w); ok {
 			w.leave(e)
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -29,13 +29,15 @@
 
 		world *world
 
-		mu         sync.Mutex
-		rnd        *rand.Rand
-		runs       map[string][]clstandplatform.Run
-		refused    []string
-		report     Report
-		version    int
-		keys       []accountKey
+		mu      sync.Mutex
+		rnd     *rand.Rand
+		runs    map[string][]clstandplatform.Run
+		refused []string
+		report  Report
+		version int
+		keys    []accountKey
+		// senders holds the gateways to which requests in progress were sent, by ID.
+		senders    map[string]*gateway
 		violations map[string]bool
 	}
 
@@ -76,7 +78,7 @@
 // error means that the run itself could not be made.
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
-	s.runs, s.violations = make(map[string][]clstandplatform.Run), make(map[string]bool)
+	s.runs, s.violations, s.senders = make(map[string][]clstandplatform.Run), make(map[string]bool), make(map[string]*gateway)
 	s.report.Seed = s.Seed
 	w, err := newWorld(s)
 	defer w.close()
@@ -197,13 +199,28 @@
 
 // call sends one request and judges its answer, and reports whether it was served.
 func (s *Soak) call(ctx context.Context, c *clstandplatform.Caller, g *gateway, prefix, id string) bool {
+	prompt := ""
+	if prefix == clstandplatform.StreamPrefix {
+		prompt = s.soundPrompt()
+	}
+	return s.send(ctx, c, g, prefix, id, prompt)
+}
+
+// send is call with a prompt, which is empty if there is none.
+func (s *Soak) send(ctx context.Context, c *clstandplatform.Caller, g *gateway, prefix, id, prompt string) bool {
+	s.mu.Lock()
+	s.senders[id] = g
+	s.mu.Unlock()
 	a := attempt{id: id, prefix: prefix, gateway: g, key: s.pickKey(), sent: time.Now()}
 	// Not bound to ctx: a run that ends lets the last requests end.
 	a.reply = c.Send(context.WithoutCancel(ctx), clstandplatform.Call{
-		Gateway: g.callers, Method: http.MethodPost, Host: clstandplatform.Host, Path: prefix + id, ID: id, Key: a.key.key,
+		Gateway: g.callers, Method: http.MethodPost, Host: clstandplatform.Host, Path: prefix + id, ID: id, Key: a.key.key, Prompt: prompt,
 		Deadline: deadline, Wait: callerWait,
 	})
 	a.ended = time.Now()
+	s.mu.Lock()
+	delete(s.senders, id)
+	s.mu.Unlock()
 	s.count(a)
 	s.judge(a)
 	return a.reply.Status == http.StatusOK && a.reply.Whole
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -105,6 +105,18 @@
 			s.ran(runOf("x", "e1", "/repeat/x"))
 			s.judge(a)
 		}},
+		{"bad part", "4 requests with the part bad1 reached endpoints", func(s *Soak) {
+			p := &badPart{id: "bad1"}
+			s.world.bad.add(p)
+			require.Same(t, p, s.world.bad.find("a1:5,bad1:5,c:5"))
+			for i := range knownCrashes + 1 {
+				p.arrived(true, time.Now().Add(time.Duration(i)*time.Second-time.Minute))
+			}
+			p.arrived(false, time.Now())
+			for range toleratedArrivals + 1 {
+				p.arrived(true, time.Now())
+			}
+		}},
 	} {
 		s := newChecks(t)
 		tc.do(s)
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -35,6 +35,9 @@
 		byID    map[string]*endpoint
 		started int
 
+		// bad are the parts of prompts under which endpoints crash.
+		bad badParts
+
 		// storeTroubles are those of the store for all.
 		storeTroubles troubles
 	}
@@ -296,7 +299,12 @@
 	w.mu.Unlock()
 	handler := &clstandplatform.Endpoint{
 		ID: e.id, StreamPrefix: clstandplatform.StreamPrefix, Events: eventCount, Work: 10 * time.Millisecond, Gap: 30 * time.Millisecond,
-		Ran: w.soak.ran, Fault: func(clstandplatform.Run) clstandplatform.Fault { return e.draw(w.soak) },
+		Ran: w.soak.ran, Fault: func(r clstandplatform.Run) clstandplatform.Fault {
+			if w.crashesUnder(e, r) {
+				return clstandplatform.AnswerLost
+			}
+			return e.draw(w.soak)
+		},
 	}
 	var err error
 	if e.server, err = newServer(handler); err != nil {
