Review: case 2 with one disruption

The workers now crash behind a cut and start again, which is one kind of trouble, in place of a crash while the gateway is suspended.

--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -1,5 +1,5 @@
 // This file defines the case of answers that end with their connection, whose worker
-// crashes while the gateway is suspended.
+// crashes behind a cut and starts again.
 
 package main
 
@@ -10,29 +10,34 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	// The gateway is suspended for freezeFor, and the worker is down for downFor
+	// The links to the workers are cut for cutFor, and the workers are down for downFor
 	// meanwhile.
-	freezeAfter = 350 * time.Millisecond
-	crashAfter  = 150 * time.Millisecond
-	downFor     = time.Second
-	freezeFor   = 1700 * time.Millisecond
+	cutAfter   = 350 * time.Millisecond
+	crashAfter = 150 * time.Millisecond
+	downFor    = time.Second
+	cutFor     = 1700 * time.Millisecond
 	// streams and plainAnswers are the requests of each kind.
 	streams, plainAnswers = 6, 6
 	streamDeadline        = 3 * time.Second
 )
 
-// truncatedAnswers sends requests whose answers have no length, and lets their worker
-// crash while the gateway is suspended.
+// unframed is a worker that answers without a length, and the link to it.
+type unframed struct {
+	*workerProcess
+	link *link
+}
+
+// truncatedAnswers sends requests whose answers have no length, and lets their workers
+// crash behind a cut and start again.
 func truncatedAnswers(f *fleet, trouble bool) (string, error) {
 	if err := f.configure(1, plainTimeout); err != nil {
 		return "", err
 	}
-	var workers []*workerProcess
+	var workers []unframed
 	for _, service := range []string{"pool", "desk"} {
 		addr, err := freeAddress()
 		if err != nil {
@@ -43,16 +48,19 @@
 			return "", err
 		}
 		defer func() { _ = p.cmd.Process.Kill() }()
-		workers = append(workers, p)
-		f.register(p.id, service, "tbilisi-a", 24, addr)
+		l, err := newLink(addr)
+		if err != nil {
+			return "", err
+		}
+		workers = append(workers, unframed{p, l})
+		f.register(p.id, service, "tbilisi-a", 24, l.addr)
 	}
 	if err := f.startGateways("tbilisi-a", "tbilisi-b"); err != nil {
 		return "", err
 	}
-	g := f.gateways[0]
-	requests, answers := f.sendUnframed(g)
+	requests, answers := f.sendUnframed(f.gateways[0])
 	if trouble {
-		if err := f.crashWhileFrozen(g, workers); err != nil {
+		if err := f.crashBehindCut(workers); err != nil {
 			return "", err
 		}
 	}
@@ -87,26 +95,37 @@
 	return requests, func() []answer { wg.Wait(); return answers }
 }
 
-// crashWhileFrozen suspends the gateway, and lets the workers crash and come back.
-func (f *fleet) crashWhileFrozen(g *gateway, workers []*workerProcess) error {
-	time.Sleep(freezeAfter)
-	f.signal(g, syscall.SIGSTOP)
-	frozenAt := time.Now()
+// crashBehindCut cuts the links to the workers, and lets the workers crash and start
+// again meanwhile.
+func (f *fleet) crashBehindCut(workers []unframed) error {
+	time.Sleep(cutAfter)
+	cutAt := time.Now()
+	for _, w := range workers {
+		w.link.cut()
+	}
+	f.record.addf("the links to the workers are cut")
 	time.Sleep(crashAfter)
-	for _, p := range workers {
-		f.crash(p)
+	for _, w := range workers {
+		w.link.shut()
+		f.crash(w.workerProcess)
 	}
 	time.Sleep(downFor)
-	for _, p := range workers {
-		next, err := f.startWorker(p.id, p.addr)
+	for _, w := range workers {
+		next, err := f.startWorker(w.id, w.addr)
 		if err != nil {
 			return err
 		}
-		*p = *next
-		f.record.addf("worker %s is back", p.id)
+		*w.workerProcess = *next
+		f.record.addf("worker %s has started again", w.id)
+		if err := w.link.open(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(cutAt.Add(cutFor)))
+	f.record.addf("the cut ends")
+	for _, w := range workers {
+		w.link.heal()
 	}
-	time.Sleep(time.Until(frozenAt.Add(freezeFor)))
-	f.signal(g, syscall.SIGCONT)
 	return nil
 }
 
