--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -33,6 +33,9 @@
 		record   *record
 		gateways []*gateway
 		servers  []*http.Server
+
+		mu        sync.Mutex
+		processes []*workerProcess
 	}
 
 	// gateway is a gateway process.
@@ -233,6 +236,11 @@
 			<-g.ended
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Kill() // fails if it has ended
+	}
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 	1: foreignEntry,
 	2: truncatedAnswers,
 	3: signalTwice,
+	5: partCrashesEngines,
 }
 
 func main() { os.Exit(run()) }
@@ -30,12 +31,17 @@
 	number := flag.Int("case", 0, "number of the case")
 	dir := flag.String("dir", "", "folder of record.txt")
 	worker := flag.String("worker", "", "ID of the worker that this process is to be")
+	engine := flag.String("engine", "", "ID of the engine that this process is to be")
 	listen := flag.String("listen", "", "address of the worker")
 	flag.Parse()
 	if *worker != "" {
 		fmt.Fprintln(os.Stderr, runWorker(*worker, *listen))
 		return exitNotRun
 	}
+	if *engine != "" {
+		fmt.Fprintln(os.Stderr, runEngine(*engine, *listen))
+		return exitNotRun
+	}
 	play, ok := scenarios[*number]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/stand/process.go
+++ b/review/stand/process.go
@@ -20,9 +20,10 @@
 type (
 	// workerProcess is a worker that runs as a process of its own.
 	workerProcess struct {
-		id   string
-		addr netip.AddrPort
-		cmd  *exec.Cmd
+		id    string
+		addr  netip.AddrPort
+		cmd   *exec.Cmd
+		ended chan struct{}
 	}
 
 	// unframedWorker answers without a length and without chunks: an answer ends with
@@ -36,14 +37,19 @@
 	pieceGap       = 100 * time.Millisecond
 )
 
-// startWorker starts a worker process that listens on addr, and copies what it writes
-// to the record.
+// startWorker starts a process that answers without a length.
 func (f *fleet) startWorker(id string, addr netip.AddrPort) (*workerProcess, error) {
+	return f.startProcess("-worker", id, addr)
+}
+
+// startProcess starts a worker process that listens on addr, and copies what it writes
+// to the record. kind is the flag that says what it is.
+func (f *fleet) startProcess(kind, id string, addr netip.AddrPort) (*workerProcess, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	p := &workerProcess{id: id, addr: addr, cmd: exec.Command(self, "-worker", id, "-listen", addr.String())}
+	p := &workerProcess{id: id, addr: addr, cmd: exec.Command(self, kind, id, "-listen", addr.String()), ended: make(chan struct{})}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -62,7 +68,11 @@
 			f.record.addf("%s", sc.Text())
 		}
 		_ = p.cmd.Wait()
+		close(p.ended)
 	}()
+	f.mu.Lock()
+	f.processes = append(f.processes, p)
+	f.mu.Unlock()
 	select {
 	case <-listening:
 		return p, nil
