--- a/review/testdata/stand/poison.go
+++ b/review/testdata/stand/poison.go
@@ -22,7 +22,7 @@
 	// every badEvery for badFor.
 	calmFor, badFor          = 7 * time.Second, 20 * time.Second
 	soundEvery, bookingEvery = 250 * time.Millisecond, 250 * time.Millisecond
-	badEvery                 = 300 * time.Millisecond
+	badEvery                 = 200 * time.Millisecond
 	// judgedAfter is 2 x contact_ms, and countedCrash the crash from which it counts.
 	judgedAfter, countedCrash = 6 * time.Second, 5
 	minJudged                 = 20
