Log and count on what a promise of not having run rests

The logs could not tell the three hypotheses about REFUSED apart: they held neither whether a response named its request, was signed or stated that it did not run it, nor whether its connection had carried other requests.

Add these to 'attempt failed', and to 'answered' from status 400 on; 'basis' to 'refused'; the counter chestnutlead_gateway_promises_total by status and basis. explain says if an endpoint's response lacks the statement. No change of what callers get.

--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -23,6 +23,7 @@
 		net.Conn
 		addr netip.AddrPort
 		boot string        // boot ID of the process that accepted the connection, if asked for
+		used bool          // it has been idle in the pool
 		br   *bufio.Reader // reads through readLimited
 		out  []byte        // request buffer
 
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -56,6 +56,9 @@
 		Status int
 		Header []Header
 		Body   BodyReader
+		// Reused says that the connection had carried other requests, so that bytes
+		// which belong to them may have come first.
+		Reused bool
 		// UntilClose says that the body has neither a length nor chunks and ends with
 		// its connection. It then cannot tell a whole body from one whose endpoint
 		// ended.
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -185,7 +185,7 @@
 		}
 	}
 	c.headBefore = time.Time{}
-	a := &Answer{Status: hdr.StatusCode()}
+	a := &Answer{Status: hdr.StatusCode(), Reused: c.used}
 	for k, v := range hdr.All() {
 		if name := string(k); !ownedHeader(name) {
 			a.Header = append(a.Header, Header{Name: name, Value: string(v)})
--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -53,7 +53,7 @@
 
 func (p *pool) put(c *conn, maxIdle int, idleTimeout time.Duration) {
 	now := time.Now()
-	c.idleSince = now
+	c.idleSince, c.used = now, true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -128,7 +128,11 @@
 	last := lines[len(lines)-1]
 	switch {
 	case strings.HasSuffix(last.Message, "answered"):
-		return fmt.Sprintf("answered with status %v by endpoint %v", last.Fields["status"], last.Fields["endpoint"])
+		text := fmt.Sprintf("answered with status %v by endpoint %v", last.Fields["status"], last.Fields["endpoint"])
+		if last.Fields["states_not_run"] == false {
+			text += ", which has not stated that it did not run the request"
+		}
+		return text
 	case strings.HasSuffix(last.Message, "stream cut"):
 		if last.Fields["caller_gone"] == true {
 			return "the caller disconnected during the stream"
--- a/internal/operator/clexplain/explain_test.go
+++ b/internal/operator/clexplain/explain_test.go
@@ -24,6 +24,7 @@
   3.7 g-3 {"level":"info","time":"2026-02-06T18:15:01.7Z","message":"gateway: stream cut","request":"bbbb","last_event":7,"caller_gone":false,"last":"broken: EOF"}
   3.7 g-3 {"level":"info","time":"2026-02-06T18:15:01.8Z","message":"gateway: attempt failed","request":"cccc","outcome":"broken","caller_gone":false}
   3.8 g-3 {"level":"info","time":"2026-02-06T18:15:01.9Z","message":"gateway: refused","request":"cccc","status":502,"reason":"endpoint_failed","sends":1}
+  3.8 g-3 {"level":"info","time":"2026-02-06T18:15:02.1Z","message":"gateway: answered","request":"eeee","status":503,"endpoint":"i-7147","states_not_run":false}
 `
 
 // Guards against a history that mixes up requests, loses lines or states the wrong
@@ -38,6 +39,7 @@
 		{"aaaa", 1, "no_time_left: the prompts queued"},
 		{"bbbb", 1, "the stream was interrupted after event 7"},
 		{"cccc", 2, "so the request may have been executed"},
+		{"eeee", 1, "answered with status 503 by endpoint i-7147, which has not stated that it did not run the request"},
 		{"dddd", 0, "no gateway logged the request"},
 	} {
 		middle := strings.Index(sampleLog, "no json")
--- /dev/null
+++ b/internal/serving/clgateway/evidence.go
@@ -0,0 +1,71 @@
+// This file defines what is known about whether a request was run, as it is logged and
+// counted.
+
+package clgateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+)
+
+// Bases of a response whose status promises that the request was not run, as values of
+// the label "basis" of collectors.promises and of the log field "basis".
+const (
+	// basisNotSent says that no endpoint can have received the request.
+	basisNotSent = "not_sent"
+	// basisStated says that every endpoint that received the request has stated that
+	// it did not run it.
+	basisStated = "stated"
+	// basisRelayed says that an endpoint's response was relayed as it came.
+	basisRelayed = "relayed"
+)
+
+// promisesNotRun reports whether callers take the status as a promise that the request
+// was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// basis returns on what the promise of a response of the gateway itself rests, or ""
+// if its status is none.
+func (c *call) basis(status int) string {
+	switch {
+	case !promisesNotRun(status):
+		return ""
+	case c.statedNotRun:
+		return basisStated
+	}
+	return basisNotSent
+}
+
+// recordPromise counts a response to the caller if its status is a promise.
+func (g *Gateway) recordPromise(status int, basis string) {
+	if promisesNotRun(status) {
+		g.collectors.promises.WithLabelValues(strconv.Itoa(status), basis).Inc()
+	}
+}
+
+// responseFields returns the log fields that tell what the header of the endpoint's
+// response proves, or nil if there is none.
+func (a *attempt) responseFields() []zap.Field {
+	if a.response == nil {
+		return nil
+	}
+	names := "other"
+	switch a.respInfo.ID {
+	case "":
+		names = "none"
+	case a.reqInfo.ID:
+		names = "own"
+	}
+	return []zap.Field{
+		zap.Int("response_status", a.response.Status), zap.String("response_request", names), zap.Bool("signed", a.respInfo.Signed),
+		zap.Bool("states_not_run", a.respInfo.NotRun), zap.Bool("connection_reused", a.response.Reused),
+	}
+}
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -255,9 +255,9 @@
 		c.sends++
 	}
 	if !result.done || result.err != nil {
-		g.Logger.Info("attempt failed", zap.String("request", c.reqInfo.ID), zap.String("endpoint", choice.Endpoint),
+		g.Logger.Info("attempt failed", append(a.responseFields(), zap.String("request", c.reqInfo.ID), zap.String("endpoint", choice.Endpoint),
 			zap.String("outcome", outcomeLabels[result.outcome]), zap.Bool("not_run", result.notRun), zap.Bool("caller_gone", callerGone(c.r)),
-			zap.Duration("after", time.Since(a.startedAt)), zap.Error(result.err))
+			zap.Duration("after", time.Since(a.startedAt)), zap.Error(result.err))...)
 	}
 	return result
 }
@@ -295,7 +295,7 @@
 			g.Logger.Debug("reading the response of an endpoint that did not run the request failed", zap.String("request", a.reqInfo.ID), zap.Error(err))
 		}
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
-		result.notRun = true
+		result.notRun, a.statedNotRun = true, true
 		return result
 	case p.started && (a.route.Kind != clcatalog.Streaming || resp.Status >= 300):
 		// The stream has already begun, so that this response can't be relayed.
@@ -422,6 +422,13 @@
 // not a stream.
 func (g *Gateway) recordCompletion(a *attempt, events int) {
 	g.collectors.requests.WithLabelValues(string(a.route.Kind), strconv.Itoa(a.response.Status)).Inc()
-	g.Logger.Info("answered", zap.String("request", a.reqInfo.ID), zap.Int("status", a.response.Status), zap.String("endpoint", a.choice.Endpoint),
-		zap.Int("events", events), zap.Duration("after", time.Since(a.arrived)), zap.Int("sends", a.sends+1))
+	g.recordPromise(a.response.Status, basisRelayed)
+	fields := []zap.Field{
+		zap.String("request", a.reqInfo.ID), zap.Int("status", a.response.Status), zap.String("endpoint", a.choice.Endpoint),
+		zap.Int("events", events), zap.Duration("after", time.Since(a.arrived)), zap.Int("sends", a.sends+1),
+	}
+	if a.response.Status >= http.StatusBadRequest {
+		fields = append(fields, a.responseFields()...)
+	}
+	g.Logger.Info("answered", fields...)
 }
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -12,7 +12,10 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	// refusals counts the requests that end with an errorResponse.
-	refusals   *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	// promises counts the responses with a status that says that the request was not
+	// run, by what that rests on.
+	promises   *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
 	// crashes counts the attempts that ended because their endpoint crashed.
 	crashes *prometheus.CounterVec
@@ -32,6 +35,8 @@
 			"Attempts by service and outcome.", "service", "outcome"),
 		refusals: m.Counter(clobserve.Name{Component: "gateway", What: "refusals", Unit: "total"},
 			"Requests to which the gateway itself responded with an error, by reason.", "reason"),
+		promises: m.Counter(clobserve.Name{Component: "gateway", What: "promises", Unit: "total"},
+			"Responses whose status promises that the request was not run, by status and basis: not_sent, stated (by every endpoint that received it), relayed (an endpoint's response as it came).", "status", "basis"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
 			"Time from the arrival of a request to its first stream event or its response.", firstEventBuckets, "kind"),
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -53,6 +53,9 @@
 		// mayHaveRun is set once an attempt ends without proof that the request
 		// was not run.
 		mayHaveRun bool
+		// statedNotRun is set once an endpoint has stated that it did not run the
+		// request.
+		statedNotRun bool
 		// tried holds the IDs of the endpoints of earlier attempts.
 		tried []string
 		// heldFailure is the latest of the failures that were held back, or nil.
@@ -226,7 +229,8 @@
 	}
 	g.Logger.Info("refused", zap.String("request", c.reqInfo.ID), zap.Int("status", errResp.status), zap.String("reason", errResp.reason),
 		zap.Duration("retry_after", errResp.retryAfter), zap.String("account", accountName(c.account)), zap.String("route", routeName(c.route)),
-		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends))
+		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)))
+	g.recordPromise(errResp.status, c.basis(errResp.status))
 	c.w.WriteHeader(errResp.status)
 	if _, err := c.w.Write([]byte(`{"title":"` + errResp.reason + `","status":` + strconv.Itoa(errResp.status) + "}\n")); err != nil {
 		g.Logger.Debug("writing the error response to the caller failed", zap.String("request", c.reqInfo.ID), zap.Error(err))
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -28,6 +28,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // testCodec is a HeaderCodec with the header names that these tests use.
@@ -80,6 +81,8 @@
 	gateway  *Gateway
 	baseURL  string
 	recorder *testRecorder
+	// logs holds the lines that the gateway has logged.
+	logs *observer.ObservedLogs
 	// configFresh is what Gateway.ConfigFresh reports; mu guards it,
 	// copiesUsableFor and receivedRequests.
 	configFresh bool
@@ -133,6 +136,8 @@
 	retries := &clretry.Budget{Ratio: 1, Floor: 100, Window: time.Minute}
 	retries.SetGateways(1)
 	addr := cltest.Address(t)
+	core, logs := observer.New(zap.InfoLevel)
+	env.logs = logs
 	env.gateway = &Gateway{
 		Address: addr, Headers: testCodec{}, Fleet: fleet, Quotas: quotas, RetryBudget: retries, Crashes: &clcrash.Tracker{},
 		Client: &clendpoint.HTTP{}, Recorder: env.recorder, ShutdownDelay: 300 * time.Millisecond, GracePeriod: 3 * time.Second,
@@ -141,7 +146,7 @@
 			defer env.mu.Unlock()
 			return env.configFresh, time.Second
 		},
-		Logger: zap.NewNop(), Metrics: clobserve.NewMetrics(),
+		Logger: zap.New(core), Metrics: clobserve.NewMetrics(),
 	}
 	env.gateway.CopiesUsableFor = func() (time.Duration, bool) {
 		env.mu.Lock()
@@ -203,6 +208,27 @@
 	}
 }
 
+// promises returns the number of responses with the given status and basis.
+func (env *testEnv) promises(status, basis string) float64 {
+	families, err := env.gateway.Metrics.Registry.Gather()
+	require.NoError(env.t, err)
+	for _, f := range families {
+		if f.GetName() != "chestnutlead_gateway_promises_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			labels := map[string]string{}
+			for _, l := range m.GetLabel() {
+				labels[l.GetName()] = l.GetValue()
+			}
+			if labels["status"] == status && labels["basis"] == basis {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
 // requests returns the lines of receivedRequests.
 func (env *testEnv) requests() []string {
 	env.mu.Lock()
