Reproduce two ways to refuse a request that has run

TestStatusWithoutStatementIsNoPromise: an endpoint runs a request and answers 408, 421, 429 or 503 without stating that it did not.

--- a/internal/serving/clgateway/evidence_test.go
+++ b/internal/serving/clgateway/evidence_test.go
@@ -3,8 +3,11 @@
 package clgateway
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -47,3 +50,71 @@
 		})
 	}
 }
+
+// runs returns a script that runs each request and responds with head, to which it adds
+// an empty body, and the number of requests that it has run.
+func runs(head string) (script, *atomic.Int64) {
+	ran := &atomic.Int64{}
+	return func(c net.Conn, r *http.Request) bool {
+		ran.Add(1)
+		return respond(head+"Content-Length: 0\r\n\r\n", true)(c, r)
+	}, ran
+}
+
+// Guards against a request that runs although it was refused (REFUSED): an endpoint
+// that fails with a status of refusals has not stated that it did not run the request.
+func TestStatusWithoutStatementIsNoPromise(t *testing.T) {
+	for _, target := range []string{"/book/1", "/stream/1", "/get/1", "/resume/1"} {
+		for _, status := range []string{"408 Request Timeout", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable"} {
+			for _, seal := range []string{"X-Seal: s\r\n", ""} {
+				t.Run(target+" "+status+" "+seal, func(t *testing.T) {
+					s, ran := runs("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n" + seal)
+					env := newTestEnv(t, s)
+					resp, err := http.DefaultClient.Do(env.request(target, "f", ""))
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.EqualValues(t, 1, ran.Load())
+					require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+					require.Empty(t, resp.Header.Get("X-Seal"), "the seal is that of another status")
+					require.Zero(t, env.promises(status[:3], basisRelayed))
+				})
+			}
+		}
+	}
+}
+
+// Guards against a request that runs although it was refused (REFUSED): a statement that
+// names no request, or another one, is not about the request that is in progress on the
+// connection.
+func TestStatementMustNameItsRequest(t *testing.T) {
+	for _, tc := range []struct{ name, head string }{
+		{"none", "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"},
+		{"none, end of an idle connection", "HTTP/1.1 408 Request Timeout\r\nX-Not-Run: 1\r\nConnection: close\r\n"},
+		{"another one", "HTTP/1.1 503 Service Unavailable\r\nX-Id: r0\r\nX-Not-Run: 1\r\n"},
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s kept=%t", tc.name, kept), func(t *testing.T) {
+				s, ran := runs(tc.head)
+				first := true
+				env := newTestEnv(t, func(c net.Conn, r *http.Request) bool {
+					if kept && first {
+						first = false
+						return respond(signedOK+"X-Id: r1\r\nContent-Length: 2\r\n\r\nok", true)(c, r)
+					}
+					return s(c, r)
+				})
+				if kept {
+					resp, err := http.DefaultClient.Do(env.request("/book/1", "f", ""))
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+				}
+				resp, err := http.DefaultClient.Do(env.request("/book/1", "f", ""))
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.EqualValues(t, 1, ran.Load())
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+			})
+		}
+	}
+}
