Do not relay a status that promises more than the endpoint has stated

Callers saw 408, 429 or 503, which promise that a request was not run and never will be, for requests that an endpoint had run (REFUSED).

Cause: endpoints say 'not run' by a statement beside the status, callers read it from the status alone. The gateway used the statement for its own retries but relayed an endpoint's final status whatever it was, and so made a promise that nobody had made.

Now a response with such a status and no statement counts as a failure of a request that may have run: retried where the route allows that, and 502 of the gateway's own otherwise, without the seal, which belongs to another status. basis=relayed of chestnutlead_gateway_promises_total must stay 0.

--- a/internal/serving/clgateway/evidence.go
+++ b/internal/serving/clgateway/evidence.go
@@ -18,7 +18,8 @@
 	// basisStated says that every endpoint that received the request has stated that
 	// it did not run it.
 	basisStated = "stated"
-	// basisRelayed says that an endpoint's response was relayed as it came.
+	// basisRelayed says that an endpoint's response was relayed as it came, which must
+	// not happen: its status is not a statement.
 	basisRelayed = "relayed"
 )
 
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -270,7 +270,9 @@
 
 // send sends the request to the endpoint of the attempt and relays the response,
 // unless its headers show that the request was not run, that the response belongs to
-// another request, or that a successful response has no signature.
+// another request, or that a successful response has no signature. Callers take the
+// status alone as a promise that the request was not run, so a response with such a
+// status is not relayed either: only the statement shows it.
 func (g *Gateway) send(ctx context.Context, a *attempt, p *responseProgress) attemptResult {
 	timeLeft := time.Until(a.deadline)
 	info := ForwardInfo{
@@ -297,6 +299,8 @@
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
 		result.notRun, a.statedNotRun = true, true
 		return result
+	case promisesNotRun(resp.Status):
+		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded with status %d without stating that it did not run the request", resp.Status))
 	case p.started && (a.route.Kind != clcatalog.Streaming || resp.Status >= 300):
 		// The stream has already begun, so that this response can't be relayed.
 		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded to a resumed stream with status %d", resp.Status))
--- a/internal/serving/clgateway/promise_test.go
+++ b/internal/serving/clgateway/promise_test.go
@@ -36,6 +36,8 @@
 		{"does not run it and closes", respond(notRun, false), false},
 		{"fails", respond("HTTP/1.1 500 Internal Server Error\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad", true), true},
 		{"refuses after running it", respond("HTTP/1.1 503 Service Unavailable\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad", true), true},
+		{"asks for patience after running it", respond("HTTP/1.1 429 Too Many Requests\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad", true), true},
+		{"times out after running it", respond("HTTP/1.1 408 Request Timeout\r\nContent-Length: 3\r\n\r\nbad", false), true},
 		{"runs it, answer lost", respond("", false), true},
 		{"runs it, half an answer", respond(signedOK+"Content-Length: 9\r\n\r\nok", false), true},
 		{"answers another request", respond(signedOK+"X-Id: other\r\nContent-Length: 2\r\n\r\nno", true), true},
@@ -79,10 +81,8 @@
 				require.Equal(rt, "ok", string(b))
 			}
 		case http.StatusServiceUnavailable:
-			if resp.Header.Get("X-Seal") == "" {
-				require.Zero(rt, ran.Load(), "503 says that the request has not run: %v", drawn)
-				require.NotEmpty(rt, resp.Header.Get("Retry-After"))
-			}
+			require.Zero(rt, ran.Load(), "503 says that the request has not run: %v", drawn)
+			require.NotEmpty(rt, resp.Header.Get("Retry-After"))
 		case http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 			require.Zero(rt, ran.Load())
 		}
