Use a response only if it names the request it answers

Callers were told that a request had not run (REFUSED) by a statement that was not about it: a refusal without a request ID that arrives where the response is expected, such as a late copy, the 408 that ends an idle connection, or the answer of a proxy on the way, while the endpoint reads and runs the request.

Cause: a response was taken for another request's only if it named that one; a response that names none was taken for the one in progress. The same held for successes and failures, whose seal callers would have had to check themselves.

Endpoints echo the ID in all responses, so a response that lacks it is nobody's and the attempt counts as broken: the request may have run. A request without an ID is sent on a connection of its own, since nothing else tells whose the response is.

TestPromisesToCallers draws two more behaviours. The scripted endpoints of the package's tests now echo the ID, as real ones do; respondRaw is for those that must not.

--- a/internal/serving/clgateway/evidence_test.go
+++ b/internal/serving/clgateway/evidence_test.go
@@ -57,7 +57,7 @@
 	ran := &atomic.Int64{}
 	return func(c net.Conn, r *http.Request) bool {
 		ran.Add(1)
-		return respond(head+"Content-Length: 0\r\n\r\n", true)(c, r)
+		return respondRaw(head+"Content-Length: 0\r\n\r\n", true)(c, r)
 	}, ran
 }
 
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -283,14 +283,17 @@
 		Endpoint: a.choice.Address, Method: a.r.Method, Path: a.r.RequestURI,
 		Header: g.Headers.ForwardHeaders(a.r.Header, info), Body: a.body, Timeouts: g.timeouts(a, timeLeft), SendBefore: a.sendBefore,
 		KeepWaiting: func() bool { return !g.giveUpFor(a) },
+		// Without an ID, only a connection that no other request has used tells
+		// whose response arrives.
+		NewConnection: a.reqInfo.ID == "",
 	})
 	if err != nil {
 		return g.failAttempt(ctx, a, err)
 	}
 	a.response, a.respInfo = resp, g.Headers.ParseResponse(resp)
 	switch {
-	case a.respInfo.ID != "" && a.respInfo.ID != a.reqInfo.ID:
-		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response is for request %s", a.respInfo.ID))
+	case a.respInfo.ID != a.reqInfo.ID:
+		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response is for request %q", a.respInfo.ID))
 	case a.respInfo.NotRun:
 		// The client reuses the connection only if the body is read to its end.
 		if err := clendpoint.Discard(resp.Body, maxDiscardedBytes, discardTimeout); err != nil {
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -73,7 +73,8 @@
 
 	// ResponseInfo holds the parsed headers of an endpoint's response.
 	ResponseInfo struct {
-		// ID is the request ID that the endpoint echoes, or empty.
+		// ID is the request ID that the endpoint echoes, or empty. A response that
+		// does not echo the ID of the request is not used.
 		ID string
 		// Signed reports whether the response carries the endpoint's signature.
 		Signed bool
--- a/internal/serving/clgateway/promise_test.go
+++ b/internal/serving/clgateway/promise_test.go
@@ -42,6 +42,8 @@
 		{"runs it, half an answer", respond(signedOK+"Content-Length: 9\r\n\r\nok", false), true},
 		{"answers another request", respond(signedOK+"X-Id: other\r\nContent-Length: 2\r\n\r\nno", true), true},
 		{"refuses another request", respond("HTTP/1.1 503 Service Unavailable\r\nX-Id: other\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), true},
+		{"refuses no request in particular", respondRaw("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), true},
+		{"answers no request in particular", respondRaw(signedOK+"Content-Length: 2\r\n\r\nno", true), true},
 		{"unsigned answer", respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", true), true},
 		{"no HTTP", respond("garbage\r\n\r\n", false), true},
 		{"stays silent", func(net.Conn, *http.Request) bool { time.Sleep(700 * time.Millisecond); return false }, true},
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -42,8 +42,11 @@
 	return info
 }
 
-func (testCodec) ForwardHeaders(_ http.Header, info ForwardInfo) []clendpoint.Header {
+func (testCodec) ForwardHeaders(h http.Header, info ForwardInfo) []clendpoint.Header {
 	headers := []clendpoint.Header{{Name: "X-Account", Value: info.Account}, {Name: "X-Left", Value: strconv.FormatInt(info.TimeLeft.Milliseconds(), 10)}}
+	if id := h.Get("X-Id"); id != "" {
+		headers = append(headers, clendpoint.Header{Name: "X-Id", Value: id})
+	}
 	if info.Resume {
 		headers = append(headers, clendpoint.Header{Name: "X-Resume", Value: strconv.FormatInt(info.LastEventID, 10)})
 	}
@@ -275,14 +278,31 @@
 }
 
 // respond returns a script that writes text, and keeps the connection open if keep is
-// set.
+// set. A response echoes the request's ID, as endpoints do, unless it has an ID already;
+// see respondRaw.
 func respond(text string, keep bool) script {
+	return func(c net.Conn, r *http.Request) bool {
+		return respondRaw(echoID(text, r.Header.Get("X-Id")), keep)(c, r)
+	}
+}
+
+// respondRaw is like respond, but does not add an ID.
+func respondRaw(text string, keep bool) script {
 	return func(c net.Conn, _ *http.Request) bool {
 		_, err := c.Write([]byte(text))
 		return err == nil && keep
 	}
 }
 
+// echoID adds the ID to the header of a final response.
+func echoID(text, id string) string {
+	status, rest, isLine := strings.Cut(text, "\r\n")
+	if !isLine || !strings.HasPrefix(status, "HTTP/1.1 ") || strings.HasPrefix(status, "HTTP/1.1 1") || strings.Contains(text, "X-Id: ") || id == "" {
+		return text
+	}
+	return status + "\r\nX-Id: " + id + "\r\n" + rest
+}
+
 // event returns the text of a server-sent event with the given ID.
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", id, id) }
 
