Relay only responses that an endpoint has signed, whatever their status

Callers got unsigned failures as they came, such as the 404 or 500 of a proxy or of another server at a reused address: taken for the endpoint's (MIXED), or for the gateway's own verdict on a proper request (DENIED).

An unsigned response that is no refusal now counts as broken: the request may have run, is retried where the route allows that, and gets 502 otherwise.

--- a/internal/serving/clgateway/evidence_test.go
+++ b/internal/serving/clgateway/evidence_test.go
@@ -118,3 +118,22 @@
 		}
 	}
 }
+
+// Guards against a failure that the caller takes for its endpoint's, or for the
+// gateway's own verdict on the request (MIXED, DENIED): a response without a signature,
+// whatever its status, is from neither.
+func TestUnsignedResponseIsNotRelayed(t *testing.T) {
+	for _, target := range []string{"/book/1", "/stream/1", "/get/1", "/resume/1"} {
+		for _, status := range []string{"200 OK", "302 Found", "400 Bad Request", "401 Unauthorized", "404 Not Found", "500 Internal Server Error", "504 Gateway Timeout"} {
+			t.Run(target+" "+status, func(t *testing.T) {
+				s, ran := runs("HTTP/1.1 " + status + "\r\nX-Id: r1\r\n")
+				env := newTestEnv(t, s)
+				resp, err := http.DefaultClient.Do(env.request(target, "f", ""))
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.EqualValues(t, 1, ran.Load())
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+			})
+		}
+	}
+}
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -270,7 +270,7 @@
 
 // send sends the request to the endpoint of the attempt and relays the response,
 // unless its headers show that the request was not run, that the response belongs to
-// another request, or that a successful response has no signature. Callers take the
+// another request, or that it is not signed by an endpoint. Callers take the
 // status alone as a promise that the request was not run, so a response with such a
 // status is not relayed either: only the statement shows it.
 func (g *Gateway) send(ctx context.Context, a *attempt, p *responseProgress) attemptResult {
@@ -307,7 +307,7 @@
 	case p.started && (a.route.Kind != clcatalog.Streaming || resp.Status >= 300):
 		// The stream has already begun, so that this response can't be relayed.
 		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded to a resumed stream with status %d", resp.Status))
-	case resp.Status < 300 && !a.respInfo.Signed:
+	case !a.respInfo.Signed:
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response with status %d has no signature", resp.Status))
 	}
 	if a.route.Kind == clcatalog.Streaming && resp.Status < 300 {
