Do not take a success for a statement that a request was not run

A signed success that also carries the statement contradicts itself. The caller got 503, which promises that the request was not run (REFUSED), although such a response is rather that of a run. It now counts as broken, so that the request may have run. TestSuccessIsNoStatement: 503 before, 502 now.

--- a/internal/serving/clgateway/evidence_test.go
+++ b/internal/serving/clgateway/evidence_test.go
@@ -137,3 +137,17 @@
 		}
 	}
 }
+
+// Guards against a promise that rests on a response which contradicts itself (REFUSED):
+// a success that also states that the request was not run.
+func TestSuccessIsNoStatement(t *testing.T) {
+	for _, target := range []string{"/book/1", "/stream/1"} {
+		s, ran := runs(signedOK + "X-Id: r1\r\nX-Not-Run: 1\r\n")
+		env := newTestEnv(t, s)
+		resp, err := http.DefaultClient.Do(env.request(target, "f", ""))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.EqualValues(t, 1, ran.Load())
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, target)
+	}
+}
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -294,6 +294,8 @@
 	switch {
 	case a.respInfo.ID != a.reqInfo.ID:
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response is for request %q", a.respInfo.ID))
+	case a.respInfo.NotRun && resp.Status < http.StatusBadRequest:
+		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response with status %d contradicts its statement that the request was not run", resp.Status))
 	case a.respInfo.NotRun:
 		// The client reuses the connection only if the body is read to its end.
 		if err := clendpoint.Discard(resp.Body, maxDiscardedBytes, discardTimeout); err != nil {
