Let endpoints and proxies refuse requests that have run, in the soak

A new fault runs a part of the requests and answers 408, 429 or 503 without the statement, or replaces the answer by a refusal that names no request. TestRefusedRequestsHaveNotRun draws it alone, with real processes. The fields for drawing some faults alone are new as well.

--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	restartAfter = time.Second
 	// leastEndpoints are left alone, so that something can be served.
 	leastEndpoints = 2
+	// refusesWhatRan is the name of a fault that a test draws alone.
+	refusesWhatRan = "an endpoint or something before it refuses what has run"
 	// storeReturn is how long after an outage gateways need to find the store.
 	storeReturn = time.Second
 )
@@ -104,14 +107,10 @@
 		e.link.set(modeOpen)
 	}},
 	{"an endpoint spoils a part of its answers", func(s *Soak, w *world) {
-		e := s.pickEndpoint(w)
-		d := s.between(shortest, longest)
-		e.trouble(time.Now().Add(d))
-		kinds := []clstandplatform.Fault{clstandplatform.Full, clstandplatform.Failure, clstandplatform.AnswerLost, clstandplatform.AnswerCut}
-		e.fault.Store(int64(kinds[s.intN(len(kinds))]))
-		time.Sleep(d)
-		e.trouble(time.Now())
-		e.fault.Store(int64(clstandplatform.NoFault))
+		s.spoil(w, clstandplatform.Full, clstandplatform.Failure, clstandplatform.AnswerLost, clstandplatform.AnswerCut)
+	}},
+	{refusesWhatRan, func(s *Soak, w *world) {
+		s.spoil(w, clstandplatform.FailureAsRefusal, clstandplatform.ForeignRefusal)
 	}},
 	{"an endpoint crashes and another one comes", func(s *Soak, w *world) {
 		if e, ok := s.takeEndpoint(w); ok {
@@ -127,12 +126,28 @@
 	{"the configuration changes", func(s *Soak, _ *world) { s.configure() }},
 }
 
+// spoil makes an endpoint treat a part of its requests in one of the given ways for a
+// while.
+func (s *Soak) spoil(w *world, kinds ...clstandplatform.Fault) {
+	e := s.pickEndpoint(w)
+	d := s.between(shortest, longest)
+	e.trouble(time.Now().Add(d))
+	e.fault.Store(int64(kinds[s.intN(len(kinds))]))
+	time.Sleep(d)
+	e.trouble(time.Now())
+	e.fault.Store(int64(clstandplatform.NoFault))
+}
+
 // runFaults begins faults one after the other; they overlap.
 func (s *Soak) runFaults(ctx context.Context) {
 	var running sync.WaitGroup
+	drawn := faults
+	if len(s.Faults) > 0 {
+		drawn = lo.Filter(faults, func(f fault, _ int) bool { return slices.Contains(s.Faults, f.name) })
+	}
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(s.between(200*time.Millisecond, 1500*time.Millisecond))
-		f := faults[s.intN(len(faults))]
+		f := drawn[s.intN(len(drawn))]
 		s.mu.Lock()
 		s.report.Faults = append(s.report.Faults, f.name)
 		s.mu.Unlock()
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -25,6 +25,8 @@
 		Gateways, Endpoints, Callers int
 		// Length is how long faults are injected.
 		Length time.Duration
+		// Faults are the names of the faults that are injected; empty means all.
+		Faults []string
 		Logger *zap.Logger
 
 		world *world
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -30,9 +30,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	binary := filepath.Join(t.TempDir(), "chestnutlead")
-	out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/chestnutlead").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	binary := buildBinary(t)
 	for _, tc := range seeds {
 		t.Run(fmt.Sprint(tc.seed), func(t *testing.T) {
 			dir, err := os.MkdirTemp("", "chestnutlead-soak")
@@ -49,6 +47,32 @@
 	}
 }
 
+// Guards against requests that run although they were refused with a promise (REFUSED):
+// endpoints and what stands before them refuse requests that have run.
+func TestRefusedRequestsHaveNotRun(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := &Soak{
+		Binary: buildBinary(t), Dir: t.TempDir(), Seed: 28001, Gateways: 3, Endpoints: 4, Callers: 16, Length: 8 * time.Second,
+		Faults: []string{refusesWhatRan}, Logger: zaptest.NewLogger(t),
+	}
+	report, err := s.Run(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.Positive(t, report.Broken, "the fault has had no effect")
+	require.Positive(t, report.Answered)
+}
+
+// buildBinary returns the path of the program under test.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "chestnutlead")
+	out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/chestnutlead").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
+}
+
 // Guards against a check that never fails: what each promise forbids must be seen.
 func TestChecksFindWhatTheyLookFor(t *testing.T) {
 	for _, tc := range []struct {
