Compare the attempt ID that endpoints echo

A caller of the daemon 'entry' could get the response of an earlier request (MIXED): a second copy that arrives, late, where the next response on the connection is expected. The client sends an attempt ID that endpoints echo, and the glossary names the mismatch, but nothing compared it. Found by looking for the cause of REFUSED elsewhere: a claim is acted on without asking what it is about.

An answer with another ID is broken. So is one without an ID on a connection on which the endpoint has echoed IDs before; endpoints that never echo are accepted as they were.

--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -21,11 +21,12 @@
 	// conn is a connection; between begin and finish it belongs to one attempt.
 	conn struct {
 		net.Conn
-		addr netip.AddrPort
-		boot string        // boot ID of the process that accepted the connection, if asked for
-		used bool          // it has been idle in the pool
-		br   *bufio.Reader // reads through readLimited
-		out  []byte        // request buffer
+		addr   netip.AddrPort
+		boot   string        // boot ID of the process that accepted the connection, if asked for
+		used   bool          // it has been idle in the pool
+		echoes bool          // an answer on it has carried an attempt ID
+		br     *bufio.Reader // reads through readLimited
+		out    []byte        // request buffer
 
 		ctx       context.Context
 		stop      func() bool // ends the watch on ctx
--- a/clendpoint/fuzz_test.go
+++ b/clendpoint/fuzz_test.go
@@ -38,7 +38,7 @@
 		h := &HTTP{MaxIdlePerEndpoint: 1}
 		c := newConn(bytesConn{r: bytes.NewReader(data)}, netip.MustParseAddrPort("127.0.0.1:1"))
 		c.begin(context.Background(), Timeouts{FirstByte: time.Second, BetweenReads: time.Second})
-		a, err := c.readAnswer("GET", h)
+		a, err := c.readAnswer(Call{Method: "GET"}, h)
 		if err != nil {
 			return
 		}
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -82,7 +82,7 @@
 		c.abandon()
 		return nil, err
 	}
-	a, err := c.readAnswer(call.Method, h)
+	a, err := c.readAnswer(call, h)
 	if err != nil {
 		err = c.classify(err, true)
 		c.abandon()
@@ -168,7 +168,7 @@
 }
 
 // readAnswer reads up to the end of the header of the final answer.
-func (c *conn) readAnswer(method string, h *HTTP) (*Answer, error) {
+func (c *conn) readAnswer(call Call, h *HTTP) (*Answer, error) {
 	hdr := responseHeaders.Get().(*fasthttp.ResponseHeader)
 	defer responseHeaders.Put(hdr)
 	for i := 0; ; i++ {
@@ -191,11 +191,28 @@
 			a.Header = append(a.Header, Header{Name: name, Value: string(v)})
 		}
 	}
-	length := bodyLength(method, hdr)
+	if err := c.checkEcho(call.AttemptID, a.Value(AttemptHeader)); err != nil {
+		return nil, err
+	}
+	length := bodyLength(call.Method, hdr)
 	a.Body, a.UntilClose = newBody(c, h, length, hdr.ConnectionClose()), length == lengthUntilClose
 	return a, nil
 }
 
+// checkEcho returns an error if the answer belongs to another attempt than the one with
+// the given ID. An answer without an ID is accepted as long as no earlier one on the
+// connection has had one: not all endpoints echo it, but those that do always do.
+func (c *conn) checkEcho(sent, echoed string) error {
+	if sent == "" || echoed == "" && !c.echoes {
+		return nil
+	}
+	if echoed != sent {
+		return errors.Errorf("answer is for attempt %q", echoed)
+	}
+	c.echoes = true
+	return nil
+}
+
 // bodyLength returns the length of the answer's body, lengthChunked or lengthUntilClose.
 func bodyLength(method string, hdr *fasthttp.ResponseHeader) int64 {
 	s := hdr.StatusCode()
--- a/clendpoint/identify.go
+++ b/clendpoint/identify.go
@@ -48,10 +48,11 @@
 			c.stop()
 		}
 	}()
-	if _, err := c.send(Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath}); err != nil {
+	call := Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath}
+	if _, err := c.send(call); err != nil {
 		return Load{}, false, err
 	}
-	a, err := c.readAnswer(http.MethodGet, nil)
+	a, err := c.readAnswer(call, nil)
 	if err != nil {
 		return Load{}, false, err
 	}
--- a/clendpoint/reuse_test.go
+++ b/clendpoint/reuse_test.go
@@ -255,3 +255,51 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a response that belongs to an earlier attempt on the connection (MIXED):
+// a second copy of it arrives where the next response is expected.
+func TestResponseOfAnotherAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// second is the attempt ID that the second response carries, or "" for none.
+		second string
+		echoes bool
+		ok     bool
+	}{
+		{"own", "b", true, true},
+		{"second copy", "a", true, false},
+		{"second copy without an ID", "", true, false},
+		{"endpoint that does not echo", "", false, true},
+		{"ID of nobody, from an endpoint that does not echo", "x", false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			answer := func(id string) string {
+				if id != "" {
+					id = AttemptHeader + ": " + id + "\r\n"
+				}
+				return "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 2\r\n\r\nok"
+			}
+			addr := listen(t, func(_ int, c net.Conn) {
+				br := bufio.NewReader(c)
+				for _, id := range []string{map[bool]string{true: "a"}[tc.echoes], tc.second} {
+					if !readRequest(br) {
+						return
+					}
+					_, _ = io.WriteString(c, answer(id))
+				}
+				readRequest(br)
+			})
+			h := newClient(t)
+			_, err := readAll(h, post(addr))
+			require.NoError(t, err)
+			call := post(addr)
+			call.AttemptID = "b"
+			_, err = readAll(h, call)
+			if tc.ok {
+				require.NoError(t, err)
+			} else {
+				require.Equal(t, KindBroken, kindOf(err), "%v", err)
+			}
+		})
+	}
+}
