Heed what endpoints say of themselves: that they leave, or want quiet

Both are one record for each start of an endpoint, kept by the fleet beside the registry's entry: an entry that is repeated as ready, or lapses and comes back, does not cancel it; another start (born) does. Only a response that names its request counts, and none with 421, which comes from another endpoint. - Leaving: the endpoint is picked no more, idle connections to it are closed. - Quiet: excluded until its end, at most an hour, since a wrong figure must not take an endpoint out for good; the longest statement stands. Afterwards the attempts that may run there grow from one to its slots within 3 s. - If all that are left want quiet, callers get 503 at once with the time at which the first one opens, with the usual spread. - Fractions are read; zero, negative, unreadable values say nothing.

The soak has both faults and checks both rules.

--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -76,6 +76,8 @@
 	Client interface {
 		// Do returns when the status and header have arrived.
 		Do(ctx context.Context, c Call) (*Answer, error)
+		// CloseIdle closes the idle connections to an address.
+		CloseIdle(addr netip.AddrPort)
 	}
 
 	// Load is an endpoint's load report, which lags.
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -91,6 +91,9 @@
 	return a, nil
 }
 
+// CloseIdle closes the idle connections to an address.
+func (h *HTTP) CloseIdle(addr netip.AddrPort) { h.pool.closeAddr(addr) }
+
 // Close closes all idle connections.
 func (h *HTTP) Close() { h.pool.closeAll() }
 
--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -87,6 +87,20 @@
 	}
 }
 
+func (p *pool) closeAddr(addr netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, cs := range p.idle {
+		if key.addr != addr {
+			continue
+		}
+		for _, c := range cs {
+			_ = c.Conn.Close()
+		}
+		delete(p.idle, key)
+	}
+}
+
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -62,6 +62,8 @@
 	"cold":                      "all endpoints were cold, and the request rate that they tolerate was used up",
 	"blocked":                   "all endpoints had recently been unreachable or full",
 	"leaving":                   "all endpoints were draining",
+	"quiet":                     "all endpoints had asked the gateway to send nothing for some time; see 'endpoint asks for quiet' (asked_for)",
+	"returning":                 "endpoints that had asked for quiet were being taken back gradually",
 	"data_centre_out":           "all endpoints were in data centres that operators had evacuated",
 	"no_endpoint":               "no endpoint was registered for the service",
 	"tried":                     "all endpoints had been tried",
--- a/internal/routing/clfleet/filter.go
+++ b/internal/routing/clfleet/filter.go
@@ -39,8 +39,10 @@
 	switch {
 	case f.isExcluded(e.DataCentre):
 		return ReasonDataCentreOut
-	case e.Leaving:
+	case e.isLeaving():
 		return ReasonLeaving
+	case e.isQuiet(x.now):
+		return ReasonQuiet
 	case !x.service.allowsVersion(e.Version, x.onSplitVersion, x.now):
 		return ReasonVersion
 	case x.now.Before(e.blockedUntil):
@@ -49,6 +51,8 @@
 		return ReasonTried
 	case !f.hasColdCapacity(x.cfg, e, x.now):
 		return ReasonCold
+	case !e.mayReturn(x.now):
+		return ReasonReturning
 	case x.maxConns > 0 && e.conns >= x.maxConns:
 		return ReasonFull
 	}
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -33,6 +33,8 @@
 		// services holds the state of each service by name.
 		services            map[string]*service
 		excludedDataCentres map[string]bool
+		// statements holds what endpoints have said of themselves, by ID.
+		statements map[string]*statement
 		// selfHash is the hash of this gateway's name, and peerHashes holds those
 		// of the other gateways' names.
 		selfHash   uint64
@@ -126,6 +128,8 @@
 		// promptCache holds the time at which each prompt part was last sent to
 		// the endpoint, by part ID.
 		promptCache map[uint64]time.Time
+		// statement is what the endpoint has said of itself, or nil.
+		statement *statement
 	}
 
 	// Load is the load of one or more gateways' requests on an endpoint.
@@ -267,6 +271,11 @@
 		}
 	}
 	e.Endpoint = ep
+	if e.statement = f.statements[ep.ID]; e.statement != nil && e.statement.born != ep.Born {
+		// Another start knows nothing of it.
+		e.statement = nil
+		delete(f.statements, ep.ID)
+	}
 	s := f.service(ep.Service)
 	if _, ok := s.versionFirstSeen[ep.Version]; !ok {
 		s.versionFirstSeen[ep.Version] = now
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -109,8 +109,12 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonDataCentreOut excludes the endpoints of excluded data centres.
 	ReasonDataCentreOut Reason = "data_centre_out"
-	// ReasonLeaving excludes endpoints that are draining.
+	// ReasonLeaving excludes endpoints that are draining, by the registry or by their
+	// own word.
 	ReasonLeaving Reason = "leaving"
+	// ReasonQuiet excludes endpoints that want no requests from this gateway for some
+	// time.
+	ReasonQuiet Reason = "quiet"
 	// ReasonVersion excludes versions to which the request may not go.
 	ReasonVersion Reason = "version"
 	// ReasonBlocked excludes endpoints shortly after they could not be reached or
@@ -121,6 +125,9 @@
 	// ReasonCold excludes cold endpoints that tolerate no further request from
 	// this gateway now.
 	ReasonCold Reason = "cold"
+	// ReasonReturning excludes endpoints that were quiet until recently and already run
+	// as many requests of this gateway as they are to get for the time being.
+	ReasonReturning Reason = "returning"
 	// ReasonFull excludes endpoints to which this gateway has as many connections
 	// as its share of the endpoint's connection limit allows.
 	ReasonFull Reason = "full"
@@ -279,10 +286,30 @@
 	}
 	if best != nil {
 		best.Candidates = len(eligible)
+	} else {
+		f.refuseUntilNotQuiet(s, refusal, now)
 	}
 	return best, refusal
 }
 
+// refuseUntilNotQuiet sets the reason and the retry time of a refusal to those of the
+// endpoint whose quiet time ends first, if no other endpoint could take the request
+// before that.
+func (f *Fleet) refuseUntilNotQuiet(s *service, refusal *Refusal, now time.Time) {
+	gone := refusal.Excluded[ReasonDataCentreOut] + refusal.Excluded[ReasonLeaving] + refusal.Excluded[ReasonVersion]
+	if refusal.Excluded[ReasonQuiet] == 0 || refusal.Excluded[ReasonQuiet]+gone < len(s.endpoints) {
+		return
+	}
+	var first time.Time
+	for _, e := range s.endpoints {
+		if e.isQuiet(now) && !e.isLeaving() && !f.isExcluded(e.DataCentre) && (first.IsZero() || e.statement.quietUntil.Before(first)) {
+			first = e.statement.quietUntil
+		}
+	}
+	refusal.Reason = ReasonQuiet
+	refusal.RetryAfter = first.Sub(now) + time.Duration(f.Rand.Int64N(int64(maxRetryJitter)))
+}
+
 // sampleEndpoints returns the endpoints among which the best is chosen: all eligible
 // ones, or a sample for an engine service if the interval between digests is long.
 // The load that the other gateways report is then old, and all gateways would send
@@ -435,7 +462,7 @@
 	key := r.Parts[len(r.Parts)-2].ID
 	var hashes [2]uint64
 	for _, e := range s.endpoints {
-		if e.Leaving || f.isExcluded(e.DataCentre) || now.Before(e.coldUntil) || affinityBonus < remotePenaltyEngine && e.DataCentre != f.DataCentre {
+		if e.isLeaving() || f.isExcluded(e.DataCentre) || now.Before(e.coldUntil) || affinityBonus < remotePenaltyEngine && e.DataCentre != f.DataCentre {
 			continue
 		}
 		switch h := mix64(e.hash ^ key*0x9e3779b97f4a7c15); {
--- a/internal/serving/clgateway/evidence.go
+++ b/internal/serving/clgateway/evidence.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -52,6 +53,26 @@
 	}
 }
 
+// recordStatements records what the endpoint says of itself in its response. A response
+// with 421 is from another endpoint than the chosen one.
+func (g *Gateway) recordStatements(a *attempt) {
+	if a.response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	now := time.Now()
+	if a.respInfo.Leaving && g.Fleet.MarkLeaving(a.choice, now) {
+		g.Logger.Info("endpoint says that it leaves", zap.String("request", a.reqInfo.ID), zap.String("endpoint", a.choice.Endpoint))
+		g.collectors.statements.WithLabelValues(a.service, "leaving").Inc()
+		g.Client.CloseIdle(a.choice.Address)
+	}
+	if a.respInfo.QuietFor > 0 {
+		until := g.Fleet.MarkQuiet(a.choice, a.respInfo.QuietFor, now)
+		g.Logger.Info("endpoint asks for quiet", zap.String("request", a.reqInfo.ID), zap.String("endpoint", a.choice.Endpoint),
+			zap.Duration("asked_for", a.respInfo.QuietFor), zap.Duration("quiet_for", until.Sub(now)))
+		g.collectors.statements.WithLabelValues(a.service, "quiet").Inc()
+	}
+}
+
 // responseFields returns the log fields that tell what the header of the endpoint's
 // response proves, or nil if there is none.
 func (a *attempt) responseFields() []zap.Field {
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -291,6 +291,9 @@
 		return g.failAttempt(ctx, a, err)
 	}
 	a.response, a.respInfo = resp, g.Headers.ParseResponse(resp)
+	if a.respInfo.ID == a.reqInfo.ID {
+		g.recordStatements(a)
+	}
 	switch {
 	case a.respInfo.ID != a.reqInfo.ID:
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response is for request %q", a.respInfo.ID))
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -80,6 +80,11 @@
 		Signed bool
 		// NotRun reports that the endpoint has not run the request and will not.
 		NotRun bool
+		// Leaving reports that the endpoint says that it leaves.
+		Leaving bool
+		// QuietFor is for how long the endpoint wants no requests from this gateway; 0
+		// if it does not say so.
+		QuietFor time.Duration
 	}
 
 	// Recorder is notified of the progress of requests and attempts. The usage of
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -17,6 +17,8 @@
 	// run, by what that rests on.
 	promises   *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
+	// statements counts what endpoints have said of themselves in responses.
+	statements *prometheus.CounterVec
 	// crashes counts the attempts that ended because their endpoint crashed.
 	crashes *prometheus.CounterVec
 }
@@ -39,6 +41,8 @@
 			"Responses whose status promises that the request was not run, by status and basis: not_sent, stated (by every endpoint that received it), relayed (an endpoint's response as it came).", "status", "basis"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
 			"Time from the arrival of a request to its first stream event or its response.", firstEventBuckets, "kind"),
+		statements: m.Counter(clobserve.Name{Component: "gateway", What: "endpoint_statements", Unit: "total"},
+			"Responses in which endpoints said that they leave (once for each) or want no requests for some time, by service.", "service", "statement"),
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
 	}
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -54,7 +54,11 @@
 }
 
 func (testCodec) ParseResponse(a *clendpoint.Answer) ResponseInfo {
-	return ResponseInfo{ID: a.Value("X-Id"), Signed: a.Value("X-Seal") != "", NotRun: a.Value("X-Not-Run") != ""}
+	info := ResponseInfo{ID: a.Value("X-Id"), Signed: a.Value("X-Seal") != "", NotRun: a.Value("X-Not-Run") != "", Leaving: a.Value("X-Leaving") != ""}
+	if ms, err := strconv.Atoi(a.Value("X-Quiet")); err == nil {
+		info.QuietFor = time.Duration(ms) * time.Millisecond
+	}
+	return info
 }
 
 func (testCodec) SetErrorHeaders(h http.Header, _ string, retryAfter time.Duration) {
--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -160,6 +160,7 @@
 		s.violate("%s", text)
 	}
 	s.world.checkBadParts()
+	s.checkQuietTimes()
 	for _, g := range s.world.gateways {
 		if n := g.ownEnds(); n > 0 {
 			s.violate("%s ended by itself; see %s", g.name, s.Dir)
--- a/internal/testing/clsoak/checks_test.go
+++ b/internal/testing/clsoak/checks_test.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// inProgress records that a request is in progress at a gateway.
+func (s *Soak) inProgress(gatewayName, request string) {
+	s.senders = map[string]*gateway{request: {name: gatewayName}}
+	s.sentAt = map[string]time.Time{request: time.Now()}
+}
+
 func runOf(id, endpoint, path string) clstandplatform.Run {
 	return clstandplatform.Run{Request: id, Endpoint: endpoint, Path: path, Account: account, At: time.Now()}
 }
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -25,8 +25,10 @@
 	restartAfter = time.Second
 	// leastEndpoints are left alone, so that something can be served.
 	leastEndpoints = 2
-	// refusesWhatRan is the name of a fault that a test draws alone.
-	refusesWhatRan = "an endpoint or something before it refuses what has run"
+	// Names of faults that tests draw alone.
+	refusesWhatRan   = "an endpoint or something before it refuses what has run"
+	asksForQuiet     = "an endpoint refuses a part of its requests and asks for quiet"
+	saysThatItLeaves = "an endpoint says that it leaves before the store does"
 	// storeReturn is how long after an outage gateways need to find the store.
 	storeReturn = time.Second
 )
@@ -70,6 +72,7 @@
 		g.current().Pause()
 		time.Sleep(d)
 		g.trouble(time.Now())
+		g.setResumed()
 		g.current().Continue()
 	}},
 	{"the store is down", func(s *Soak, w *world) {
@@ -109,6 +112,8 @@
 	{"an endpoint spoils a part of its answers", func(s *Soak, w *world) {
 		s.spoil(w, clstandplatform.Full, clstandplatform.Failure, clstandplatform.AnswerLost, clstandplatform.AnswerCut)
 	}},
+	{asksForQuiet, func(s *Soak, w *world) { s.spoil(w, clstandplatform.Quiet) }},
+	{saysThatItLeaves, func(s *Soak, w *world) { s.sayLeaving(w) }},
 	{refusesWhatRan, func(s *Soak, w *world) {
 		s.spoil(w, clstandplatform.FailureAsRefusal, clstandplatform.ForeignRefusal)
 	}},
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -39,7 +39,10 @@
 		version int
 		keys    []accountKey
 		// senders holds the gateways to which requests in progress were sent, by ID.
-		senders    map[string]*gateway
+		senders map[string]*gateway
+		// sentAt holds when these were sent.
+		sentAt     map[string]time.Time
+		statements statements
 		violations map[string]bool
 	}
 
@@ -81,6 +84,7 @@
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.rnd = rand.New(rand.NewPCG(s.Seed, 1))
 	s.runs, s.violations, s.senders = make(map[string][]clstandplatform.Run), make(map[string]bool), make(map[string]*gateway)
+	s.sentAt = make(map[string]time.Time)
 	s.report.Seed = s.Seed
 	w, err := newWorld(s)
 	defer w.close()
@@ -211,7 +215,7 @@
 // send is call with a prompt, which is empty if there is none.
 func (s *Soak) send(ctx context.Context, c *clstandplatform.Caller, g *gateway, prefix, id, prompt string) bool {
 	s.mu.Lock()
-	s.senders[id] = g
+	s.senders[id], s.sentAt[id] = g, time.Now()
 	s.mu.Unlock()
 	a := attempt{id: id, prefix: prefix, gateway: g, key: s.pickKey(), sent: time.Now()}
 	// Not bound to ctx: a run that ends lets the last requests end.
@@ -222,7 +226,9 @@
 	a.ended = time.Now()
 	s.mu.Lock()
 	delete(s.senders, id)
+	delete(s.sentAt, id)
 	s.mu.Unlock()
+	s.passedOn(a)
 	s.count(a)
 	s.judge(a)
 	return a.reply.Status == http.StatusOK && a.reply.Whole
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -64,6 +64,24 @@
 	require.Positive(t, report.Answered)
 }
 
+// Guards against gateways that send requests to endpoints which have said in their
+// answers that they leave (DRAIN) or want none for some time (BUDGET).
+func TestWhatEndpointsSayOfThemselves(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := &Soak{
+		Binary: buildBinary(t), Dir: t.TempDir(), Seed: 29001, Gateways: 3, Endpoints: 4, Callers: 16, Length: 10 * time.Second,
+		Faults: []string{asksForQuiet, saysThatItLeaves}, Logger: zaptest.NewLogger(t),
+	}
+	report, err := s.Run(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.Positive(t, report.Answered)
+	require.NotEmpty(t, s.statements.quiets, "the fault has had no effect")
+	require.NotEmpty(t, s.statements.leaving, "the fault has had no effect")
+}
+
 // buildBinary returns the path of the program under test.
 func buildBinary(t *testing.T) string {
 	t.Helper()
@@ -129,6 +147,19 @@
 			s.ran(runOf("x", "e1", "/repeat/x"))
 			s.judge(a)
 		}},
+		{"said that it leaves", "had passed on its word that it leaves", func(s *Soak) {
+			s.inProgress("g", "x")
+			s.statements.leaving = map[told]time.Time{{"g", "e1"}: time.Now().Add(-bounds.Drain - time.Second)}
+			s.arrivedAt(runOf("x", "e1", "/repeat/x"))
+		}},
+		{"asked for quiet", "3 requests reached e1 from g, which it had asked for quiet", func(s *Soak) {
+			s.inProgress("g", "x")
+			s.askedForQuiet(runOf("x", "e1", "/repeat/x"), time.Minute)
+			s.statements.quiets[0].asked = time.Now().Add(-time.Second)
+			for range toleratedQuietArrivals + 1 {
+				s.arrivedAt(runOf("x", "e1", "/repeat/x"))
+			}
+		}},
 		{"bad part", "4 requests with the part bad1 reached endpoints", func(s *Soak) {
 			p := &badPart{id: "bad1"}
 			s.world.bad.add(p)
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -67,8 +67,9 @@
 
 		mu      sync.Mutex
 		process *clharness.Process
-		// stopping is when it was last asked to stop.
-		stopping time.Time
+		// stopping is when it was last asked to stop, and resumed when it was last
+		// started or woken after a pause.
+		stopping, resumed time.Time
 		// busy says that a fault of its process goes on, and ends counts the
 		// times that the process has ended by itself.
 		busy bool
@@ -84,6 +85,8 @@
 		born       time.Time
 		// fault holds the clstandplatform.Fault of a part of its requests.
 		fault atomic.Int64
+		// saysLeaving makes it say in its answers that it leaves.
+		saysLeaving atomic.Bool
 
 		troubles
 
@@ -203,7 +206,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.process = p
+	g.process, g.resumed = p, time.Now()
 	return nil
 }
 
@@ -273,6 +276,20 @@
 	g.stopping = time.Now()
 }
 
+// setResumed records that the gateway is being woken after a pause.
+func (g *gateway) setResumed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resumed = time.Now()
+}
+
+// runsSince reports whether the gateway has been neither started nor woken since a time.
+func (g *gateway) runsSince(t time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumed.Before(t)
+}
+
 func (g *gateway) stoppedSince(t time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -299,7 +316,8 @@
 	w.mu.Unlock()
 	handler := &clstandplatform.Endpoint{
 		ID: e.id, StreamPrefix: clstandplatform.StreamPrefix, Events: eventCount, Work: 10 * time.Millisecond, Gap: 30 * time.Millisecond,
-		Ran: w.soak.ran, Fault: func(r clstandplatform.Run) clstandplatform.Fault {
+		Ran: w.soak.ran, Arrived: w.soak.arrivedAt, Quieted: w.soak.askedForQuiet, Leaving: e.saysLeaving.Load,
+		QuietFor: func() time.Duration { return w.soak.between(shortestQuiet, longest) }, Fault: func(r clstandplatform.Run) clstandplatform.Fault {
 			if w.crashesUnder(e, r) {
 				return clstandplatform.AnswerLost
 			}
