Keep catching signals until the process exits

Cause: the first signal ended the catching of signals, so that the next one had its default effect; SIGHUP likewise once the gateway had stopped to reload, and always at 'entry' and 'control'.

Signals now stay caught until the exit. SIGHUP, which reloads the settings of a gateway, is ignored by the other daemons. An operator who wants an end at once has SIGKILL. SIGPIPE is ignored as well: a log without a reader ended a process.

The soak's planned stops now send up to three more SIGTERM, SIGINT or SIGHUP during the drain.

--- a/clharness/process.go
+++ b/clharness/process.go
@@ -89,6 +89,11 @@
 	<-p.done
 }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s) // It may have ended already.
+}
+
 // Stop asks the process to shut down and waits until it has ended.
 func (p *Process) Stop(timeout time.Duration) error {
 	p.Continue()
--- a/cmd/chestnutlead/daemons.go
+++ b/cmd/chestnutlead/daemons.go
@@ -144,6 +144,7 @@
 
 // runDaemon makes the parts, and a daemon of them, and runs it.
 func runDaemon(ctx context.Context, s commonSettings, conditions []string, health netip.AddrPort, make func(*parts) daemon) error {
+	protectDaemon()
 	i := newInjector(s, conditions)
 	p, err := do.Invoke[*platforms](i)
 	if err != nil {
--- a/cmd/chestnutlead/gateway.go
+++ b/cmd/chestnutlead/gateway.go
@@ -47,6 +47,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapShare))
 	}
+	protectDaemon()
 	out := clobserve.NewAsyncWriter(os.Stdout)
 	logger, err := clobserve.NewLogger(out, level, "json")
 	if err != nil {
@@ -55,10 +56,10 @@
 	metrics := clobserve.NewMetrics()
 	metrics.GaugeFunc(clobserve.Name{Component: "log", What: "dropped_lines", Unit: "count"},
 		"Log lines that were dropped because nobody read them fast enough.", func() float64 { return float64(out.Dropped()) })
-	// A hang-up says that the settings file has changed.
+	// A hang-up says that the settings file has changed. It stays caught until the
+	// process exits, since its default is to end it.
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
 	n := &clnode.Node{
 		Settings: s, Store: cladapter.NewStore(s.StoreAddress), Cloud: cladapter.NewCloud(s.CloudAddress), HeaderCodec: cladapter.Headers{},
 		LoadSettings: func() (clnode.Settings, error) { return cladapter.LoadSettings(path) },
--- a/cmd/chestnutlead/main.go
+++ b/cmd/chestnutlead/main.go
@@ -11,11 +11,16 @@
 )
 
 func main() {
+	// The signals stay caught until the process exits, so that one that is repeated
+	// doesn't end a drain. Who wants the process to end at once has SIGKILL.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	// A second signal ends the process at once.
-	context.AfterFunc(ctx, stop)
+	defer stop()
 	app := &clcommand.App{Daemons: daemons()}
-	code := app.Run(ctx, os.Args)
-	stop()
-	os.Exit(int(code))
+	os.Exit(int(app.Run(ctx, os.Args)))
+}
+
+// protectDaemon keeps a daemon running when its terminal or the reader of its log goes
+// away. A daemon for which SIGHUP has a meaning catches it afterwards.
+func protectDaemon() {
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 }
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -6,8 +6,10 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clharness"
 	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -27,6 +29,7 @@
 	leastEndpoints = 2
 	// Names of faults that tests draw alone.
 	refusesWhatRan   = "an endpoint or something before it refuses what has run"
+	stopsAsPlanned   = "a gateway is stopped as planned"
 	asksForQuiet     = "an endpoint refuses a part of its requests and asks for quiet"
 	saysThatItLeaves = "an endpoint says that it leaves before the store does"
 	// storeReturn is how long after an outage gateways need to find the store.
@@ -44,7 +47,7 @@
 		}
 		all.Wait()
 	}},
-	{"a gateway is stopped as planned", func(s *Soak, w *world) {
+	{stopsAsPlanned, func(s *Soak, w *world) {
 		g := w.gateways[s.intN(len(w.gateways))]
 		if !g.begin() {
 			return
@@ -54,6 +57,9 @@
 		// A signal that comes before the process handles signals ends it at
 		// once, when it has not served anybody.
 		p := g.current()
+		if p.Logged("started") {
+			s.repeatSignals(p)
+		}
 		if err := p.Stop(bounds.Grace + time.Second); err != nil && p.Logged("started") {
 			s.violate("%s: %v", g.name, err)
 		}
@@ -131,6 +137,16 @@
 	{"the configuration changes", func(s *Soak, _ *world) { s.configure() }},
 }
 
+// repeatSignals asks a gateway to stop, and sends it further signals while it drains.
+func (s *Soak) repeatSignals(p *clharness.Process) {
+	p.Signal(syscall.SIGTERM)
+	signals := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+	for range s.intN(4) {
+		time.Sleep(s.between(20*time.Millisecond, bounds.Grace/10))
+		p.Signal(signals[s.intN(len(signals))])
+	}
+}
+
 // spoil makes an endpoint treat a part of its requests in one of the given ways for a
 // while.
 func (s *Soak) spoil(w *world, kinds ...clstandplatform.Fault) {
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -64,6 +64,23 @@
 	require.Positive(t, report.Answered)
 }
 
+// Guards against requests that are cut because a signal is repeated while a gateway
+// drains (LOST).
+func TestRepeatedSignalsCutNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := &Soak{
+		Binary: buildBinary(t), Dir: t.TempDir(), Seed: 29003, Gateways: 3, Endpoints: 4, Callers: 24, Length: 10 * time.Second,
+		Faults: []string{stopsAsPlanned}, Logger: zaptest.NewLogger(t),
+	}
+	report, err := s.Run(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.NotEmpty(t, report.Faults)
+	require.Positive(t, report.Answered)
+}
+
 // Guards against gateways that send requests to endpoints which have said in their
 // answers that they leave (DRAIN) or want none for some time (BUDGET).
 func TestWhatEndpointsSayOfThemselves(t *testing.T) {
