Do not wait for a reader of the log at the end of a process

Now it gives up after a second and says so. 'entry' and 'control', which wrote to standard error themselves and stopped with it, log through the same queue.

--- a/clobserve/async.go
+++ b/clobserve/async.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // AsyncWriter passes lines on from a bounded queue, so that a slow reader of
@@ -25,6 +27,8 @@
 	batchBytes = 32 << 10
 	// flushEvery bounds how long a line waits for others.
 	flushEvery = 50 * time.Millisecond
+	// flushTimeout bounds the wait for a reader of the log at the end of the process.
+	flushTimeout = time.Second
 )
 
 // NewAsyncWriter returns a writer to out; its lines are written once Run runs.
@@ -45,8 +49,27 @@
 // Dropped returns the number of lines that were dropped.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Run writes the queued lines until done is closed, and then what is left.
+// Run writes the queued lines until done is closed, and then what is left. It returns an
+// error if a line could not be written, or if nobody reads what is left in time.
 func (w *AsyncWriter) Run(done <-chan struct{}) error {
+	ended := make(chan error, 1)
+	go w.loop(done, ended)
+	select {
+	case err := <-ended:
+		return err
+	case <-done:
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(flushTimeout):
+		return errors.New("nobody reads the log; its last lines are lost")
+	}
+}
+
+// loop writes the queued lines until done is closed, and then what is left, and sends the
+// first error of a write.
+func (w *AsyncWriter) loop(done <-chan struct{}, ended chan<- error) {
 	var failed error
 	buf := make([]byte, 0, 2*batchBytes)
 	flush := func() {
@@ -80,7 +103,8 @@
 		case <-done:
 			if len(w.lines) == 0 {
 				flush()
-				return failed
+				ended <- failed
+				return
 			}
 		}
 	}
--- a/clobserve/async_test.go
+++ b/clobserve/async_test.go
@@ -49,3 +49,22 @@
 	require.Equal(t, 100, bytes.Count(b.Bytes(), []byte("line\n")))
 	require.Zero(t, out.Dropped())
 }
+
+// Guards against a process that does not end because nobody reads its log.
+func TestUnreadLogDoesNotHoldUpTheEnd(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer r.Close()
+	defer w.Close()
+	out := NewAsyncWriter(w)
+	line := bytes.Repeat([]byte("x"), 1000)
+	for range 1000 {
+		_, err := out.Write(line)
+		require.NoError(t, err)
+	}
+	done := make(chan struct{})
+	close(done)
+	begin := time.Now()
+	require.ErrorContains(t, out.Run(done), "nobody reads the log")
+	require.Less(t, time.Since(begin), 2*flushTimeout)
+}
--- a/cmd/chestnutlead/daemons.go
+++ b/cmd/chestnutlead/daemons.go
@@ -52,6 +52,7 @@
 func newInjector(s commonSettings, conditions []string) *do.RootScope {
 	i := do.New()
 	do.ProvideValue(i, s)
+	do.ProvideValue(i, clobserve.NewAsyncWriter(os.Stderr))
 	do.Provide(i, newLogger)
 	do.Provide(i, newPlatforms)
 	do.Provide(i, newEndpoints)
@@ -62,7 +63,7 @@
 
 func newLogger(i do.Injector) (*zap.Logger, error) {
 	s := do.MustInvoke[commonSettings](i)
-	l, err := clobserve.NewLogger(os.Stderr, s.GetLog().GetLevel(), s.GetLog().GetFormat())
+	l, err := clobserve.NewLogger(do.MustInvoke[*clobserve.AsyncWriter](i), s.GetLog().GetLevel(), s.GetLog().GetFormat())
 	if err != nil {
 		return nil, err
 	}
@@ -158,7 +159,16 @@
 		platforms: p, endpoints: do.MustInvoke[*clendpoint.HTTP](i), logger: l,
 		metrics: do.MustInvoke[*clobserve.Metrics](i), readiness: do.MustInvoke[*clobserve.Readiness](i),
 	})
-	return runWithHealth(ctx, i, health, d.Run)
+	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLog()
+	var log errgroup.Group
+	log.Go(func() error { return do.MustInvoke[*clobserve.AsyncWriter](i).Run(logging.Done()) })
+	err = runWithHealth(ctx, i, health, d.Run)
+	stopLog()
+	if logErr := log.Wait(); err == nil {
+		err = logErr
+	}
+	return err
 }
 
 // runWithHealth runs a daemon beside its metrics and health server, which
