End a gateway that can't listen

A gateway whose address for callers was taken did not exit but waited for a signal, and competed for the lease of the duties all the while (read in the review). It now opens the listener before anything else, and ends if it can't, as it does if it can't answer the checks of its readiness or stops serving.

--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -160,7 +160,9 @@
 		// catalog is nil until SetCatalog is called.
 		catalog atomic.Pointer[clcatalog.Catalog]
 		// shutdown is nil until the gateway starts to drain.
-		shutdown   atomic.Pointer[shutdownSchedule]
+		shutdown atomic.Pointer[shutdownSchedule]
+		// listener is nil until Listen is called.
+		listener   net.Listener
 		collectors *collectors
 		idle       idleTimers
 	}
@@ -222,20 +224,31 @@
 // Catalog returns the configuration in force, or nil if there is none yet.
 func (g *Gateway) Catalog() *clcatalog.Catalog { return g.catalog.Load() }
 
+// Listen opens the listener for callers, who wait until Run is called.
+func (g *Gateway) Listen() error {
+	ln, err := net.Listen("tcp", g.Address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen on the gateway's address, which must be a free port")
+	}
+	g.listener = ln
+	return nil
+}
+
 // Run serves requests until ctx is done, then drains and returns. If it can't listen
 // or serve, it returns an error before that.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.collectors = newCollectors(g.Metrics)
-	ln, err := net.Listen("tcp", g.Address.String())
-	if err != nil {
-		return errors.Wrap(err, "listen on the gateway's address, which must be a free port")
+	if g.listener == nil {
+		if err := g.Listen(); err != nil {
+			return err
+		}
 	}
 	srv := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.connState, ErrorLog: zap.NewStdLog(g.Logger),
 	}
 	serveErr := make(chan error, 1)
-	go g.serveListener(srv, ln, serveErr)
+	go g.serveListener(srv, g.listener, serveErr)
 	select {
 	case err := <-serveErr:
 		return errors.Wrap(err, "serve HTTP for callers")
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -162,6 +162,12 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.Settings = n.Settings.withDefaults()
 	n.buildComponents()
+	// A process that can't serve must not take part in anything, the duties above all.
+	if err := n.gateway.Listen(); err != nil {
+		return err
+	}
+	ctx, stopAll := context.WithCancel(ctx)
+	defer stopAll()
 	n.Logger.Info("started", zap.String("gateway", n.Settings.Name), zap.Uint64("boot", n.exchange.Self.Boot),
 		zap.String("data_centre", n.Settings.DataCentre), zap.Stringer("callers", n.Settings.CallerAddress))
 	// While the gateway drains, only the duties have stopped; the other components
@@ -175,7 +181,13 @@
 	g.Go(func() error { n.runRegistration(componentCtx); return nil })
 	g.Go(func() error { n.blockKeeper.run(componentCtx); return nil })
 	g.Go(func() error { n.runSettingsWatch(componentCtx); return nil })
-	g.Go(func() error { return n.runReadinessServer(componentCtx) })
+	g.Go(func() error {
+		err := n.runReadinessServer(componentCtx)
+		if err != nil {
+			stopAll()
+		}
+		return err
+	})
 	if n.Settings.MetricsAddress.IsValid() {
 		health := &clobserve.Server{Addr: n.Settings.MetricsAddress, Metrics: n.Metrics, Readiness: n.readiness, Logger: n.Logger}
 		g.Go(func() error { return health.Run(componentCtx) })
@@ -191,6 +203,7 @@
 	})
 	g.Go(func() error {
 		defer stopComponents()
+		defer stopAll()
 		return n.gateway.Run(ctx)
 	})
 	err := g.Wait()
