Reset the connection of an attempt that is given up

Cause: the connection was closed as usual, so that the kernel went on to deliver what it had queued.

An attempt that is given up now resets its connection; idle connections and those whose response has been read are closed as before. A connection that is not yet established has nothing queued. The client of the store drops what is not acknowledged within 1.5 s already.

TestGivenUpRequestDoesNotArrive: all of 512 KB arrived later, now less than half.

--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -81,9 +81,14 @@
 	return ok
 }
 
-// abandon ends the attempt and closes the connection.
+// abandon ends the attempt and resets the connection. A usual close would still deliver
+// what lies in the kernel's queue, after a partition even seconds later, when the endpoint
+// may have left and the caller has its answer from another one.
 func (c *conn) abandon() {
 	c.stop()
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection has ended
+	}
 	_ = c.Conn.Close()
 }
 
--- a/clendpoint/notsent_test.go
+++ b/clendpoint/notsent_test.go
@@ -249,3 +249,50 @@
 		require.False(t, received[path], "seed %d, round %s", seed, path)
 	}
 }
+
+// Guards against a request that was given up and arrives later all the same (DRAIN): what
+// lies in the sender's queue by then must never be delivered.
+func TestGivenUpRequestDoesNotArrive(t *testing.T) {
+	// The request fits into the sender's buffers, but not into the receiver's.
+	const receiveBuffer, requestBytes = 8 << 10, 512 << 10
+	for _, tc := range []struct {
+		name string
+		give func(cancel context.CancelFunc) Timeouts
+	}{
+		{"caller is gone", func(cancel context.CancelFunc) Timeouts {
+			time.AfterFunc(lateness/3, cancel)
+			return Timeouts{}
+		}},
+		{"endpoint is silent", func(context.CancelFunc) Timeouts { return Timeouts{FirstByte: lateness / 3} }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+				return c.Control(func(fd uintptr) {
+					_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+				})
+			}}
+			ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			arrived := make(chan int64, 1)
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				time.Sleep(lateness)
+				n, _ := io.Copy(io.Discard, c) // ends with a reset
+				arrived <- n
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			call := post(netip.MustParseAddrPort(ln.Addr().String()))
+			call.Body, call.Timeouts = make([]byte, requestBytes), tc.give(cancel)
+			_, err = newClient(t).Do(ctx, call)
+			require.Error(t, err)
+			require.Less(t, <-arrived, int64(requestBytes/2))
+		})
+	}
+}
