Read stored entries strictly

Cause: a field that was missing read as its zero value, which was checked for some fields only; names of fields matched in any case.

What is rejected is logged once for each entry and reason, and counted in chestnutlead_node_rejected_entries_total.

The entries of the project's own stand-ins got the two fields that they lacked.

--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -149,9 +149,13 @@
 		n.fleet.Retain(registeredIDs)
 	}
 	for _, c := range changes {
+		n.recordRejection(c.Name, c.Why)
 		if c.Removed {
 			n.fleet.Remove(c.Name)
-			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name), zap.String("why", c.Why))
+			if c.Why != "" {
+				continue
+			}
+			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name))
 			continue
 		}
 		n.fleet.Put(c.Value, now)
@@ -166,6 +170,22 @@
 	}
 }
 
+// recordRejection counts an entry of an endpoint that can't be used, and logs it unless it
+// was rejected for the same reason before. An empty reason means that the entry is usable
+// or gone.
+func (n *Node) recordRejection(name, why string) {
+	if why == "" {
+		delete(n.rejectedEntries, name)
+		return
+	}
+	n.rejections.Inc()
+	if n.rejectedEntries[name] == why || len(n.rejectedEntries) >= maxRejectedEntries {
+		return
+	}
+	n.rejectedEntries[name] = why
+	n.Logger.Warn("endpoint's entry cannot be used", zap.String("endpoint", name), zap.String("why", why))
+}
+
 // applyRollouts applies changes of the requested rollouts to the rollout
 // controller. If complete is set, changes contains all requested rollouts and
 // replaces the known ones. The traffic split of a service is reset when changes
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -30,6 +30,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/chestnutlead/chestnutlead/internal/serving/clgateway"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -111,6 +112,11 @@
 		// evacuatedDataCentres is the set of data centres that are evacuated.
 		evacuatedDataCentres map[string]bool
 
+		// rejectedEntries holds why entries of endpoints can't be used, by name; it is
+		// used only by the mirror of the endpoints. rejections counts them.
+		rejectedEntries map[string]string
+		rejections      prometheus.Counter
+
 		loadEstimator loadEstimator
 		// partitionDetector and manyGateways are used only by the control loop.
 		// manyGateways is set while overshootCutoff gateways or more are registered, as
@@ -121,6 +127,8 @@
 )
 
 const (
+	// maxRejectedEntries limits what is remembered of entries that can't be used.
+	maxRejectedEntries = 1024
 	// configPollFraction is the fraction of Settings.ChangeDeadline between two reads
 	// of the configuration. Each read confirms that the API keys are still valid.
 	configPollFraction = 0.2
@@ -229,6 +237,9 @@
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
 	n.usageCounter = &clduty.UsageCounter{WindowLength: settings.UsageWindow}
+	n.rejectedEntries = map[string]string{}
+	n.rejections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "rejected_entries", Unit: "total"},
+		"Entries of endpoints that were read and can't be used.").WithLabelValues()
 	n.gatewayEntries, n.silenceStart = map[string]clcatalog.Member{}, map[string]time.Time{}
 	n.requestedRollouts, n.evacuatedDataCentres = map[string]clcatalog.Rollout{}, map[string]bool{}
 	n.exchange = &clgossip.Exchange{
--- a/review/testdata/stand/fleet.go
+++ b/review/testdata/stand/fleet.go
@@ -133,10 +133,7 @@
 
 // register writes an endpoint's entry.
 func (f *fleet) register(id, service, zone string, slots int, addr netip.AddrPort) {
-	f.store.Put(cladapter.KindServers, id, map[string]any{
-		"service": service, "address": addr, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "seq": 1,
-		"born": time.Now().UnixMilli(),
-	})
+	f.store.Put(cladapter.KindServers, id, clstandplatform.EndpointEntry(service, addr, zone, slots, time.Now(), false))
 }
 
 // startGateways starts gateways in the zones and waits until they are ready.
