Keep the word of an endpoint's present start

A response of an endpoint's former start that arrives late replaced the record of the present one, and the next reading of its entry dropped both, so that an endpoint that had said that it leaves could get requests again (DRAIN). Found by reading the change. Words of former starts are no longer kept.

TestWordOfPresentStartStays failed before.

--- a/internal/routing/clfleet/statement.go
+++ b/internal/routing/clfleet/statement.go
@@ -63,9 +63,14 @@
 	return s.quietUntil
 }
 
-// statementOf returns the statement of the chosen endpoint, creating it if necessary.
-// f.mu must be held.
+// statementOf returns the statement of the chosen endpoint, creating it if necessary. If
+// the endpoint has been started anew since the choice, that of the former start is not
+// kept. f.mu must be held.
 func (f *Fleet) statementOf(c *Choice, now time.Time) *statement {
+	e := f.endpoints[c.Endpoint]
+	if e != nil && e.Born != c.Born {
+		return &statement{}
+	}
 	if len(f.statements) >= maxStatements {
 		maps.DeleteFunc(f.statements, func(_ string, s *statement) bool { return now.After(s.expiresAt) })
 	}
@@ -78,7 +83,7 @@
 		f.statements[c.Endpoint] = s
 	}
 	s.expiresAt = now.Add(statementLifetime)
-	if e := f.endpoints[c.Endpoint]; e != nil && e.Born == c.Born {
+	if e != nil {
 		e.statement = s
 	}
 	return s
--- a/internal/routing/clfleet/statement_test.go
+++ b/internal/routing/clfleet/statement_test.go
@@ -73,6 +73,19 @@
 	require.NotNil(t, choice)
 }
 
+// Guards against a late word of an endpoint's former start that cancels that of the
+// present one (DRAIN).
+func TestWordOfPresentStartStays(t *testing.T) {
+	f := newFleet(1, apiEndpoint("e1", 7))
+	former := choose(t, f, "e1")
+	f.Put(apiEndpoint("e1", 8), testStart)
+	f.MarkLeaving(choose(t, f, "e1"), testStart)
+	f.MarkQuiet(former, time.Minute, testStart)
+	f.Put(apiEndpoint("e1", 8), testStart)
+	choice, _ := f.Pick(Request{ID: "r", Service: "api", TimeLeft: time.Minute}, testStart)
+	require.Nil(t, choice)
+}
+
 // Guards against requests to an endpoint that wants none for some time (BUDGET), and
 // against callers that are told to come back before any endpoint opens.
 func TestQuiet(t *testing.T) {
