Wait for the line of an entry's present start in a test of the harness

Traced by its logs: entry-2 was ready with revision 2 (applied at 18:40:49.321), but its line was not yet in the log, since 'entry' now logs through a queue that is written every 50 ms. The test read the line of the entry's former start, with revision 1.

The test now waits for the line of the present start, and so can no longer take a former one for it; what it requires of the revision is unchanged.

--- a/clharness/config_test.go
+++ b/clharness/config_test.go
@@ -190,6 +190,9 @@
 // from its log: a question afterwards could get a later one.
 func readyRevision(t *testing.T, p *clharness.Process) uint64 {
 	t.Helper()
+	// The log is written a little later than what it tells, and it also holds the lines of
+	// former starts.
+	require.Eventually(t, func() bool { return p.Logged("entry: Entry is ready.") }, 5*time.Second, time.Millisecond, "%s has not logged that it is ready since its start", p.Name)
 	log, err := os.ReadFile(p.LogPath)
 	require.NoError(t, err)
 	var revision uint64
