Add patterns of uneven pace, output lengths and prompt costs

The patterns so far have engines of one pace, outputs of one kind and prompts that cost the same for each token, so they can't show what a choice by cost is worth.

--- a/internal/testing/clpattern/command.go
+++ b/internal/testing/clpattern/command.go
@@ -16,12 +16,15 @@
 func Command() *cli.Command {
 	return &cli.Command{
 		Name: "patterns", Usage: "compare the choice of endpoints with simple ones, by named patterns of load",
-		Flags:  []cli.Flag{&cli.IntFlag{Name: "seeds", Value: 5, Usage: "plays of each"}},
+		Flags:  []cli.Flag{&cli.IntFlag{Name: "seeds", Value: 5, Usage: "plays of each"}, &cli.BoolFlag{Name: "hard", Usage: "play the patterns of uneven cost and pace instead"}},
 		Action: runCommand,
 	}
 }
 
 func runCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Bool("hard") {
+		return compareHard(cmd.Int("seeds"))
+	}
 	seeds := cmd.Int("seeds")
 	if seeds < 1 {
 		return fmt.Errorf("set --seeds to 1 or more, not %d", seeds)
@@ -38,6 +41,23 @@
 	return t.Flush()
 }
 
+// compareHard prints how policies do on the patterns of uneven cost and pace.
+func compareHard(seeds int) error {
+	if seeds < 1 {
+		return fmt.Errorf("set --seeds to 1 or more, not %d", seeds)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "pattern\tpolicy\tp50\tp95\ton time\tlate\trefused\tlarge\tshared read\tpause\t")
+	for _, p := range HardPatterns() {
+		for _, policy := range []Policy{Fleet, Random} {
+			o := Mean(p, policy, seeds)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%s\t\n", p.Name, policy, o.P50.Round(time.Millisecond),
+				o.P95.Round(time.Millisecond), o.OnTime, o.Late, o.Refused, o.LargeOnTime, o.SharedRead, o.Pause.Round(time.Millisecond))
+		}
+	}
+	return t.Flush()
+}
+
 // Mean plays a pattern with seeds 1 to n and returns the means.
 func Mean(p Pattern, policy Policy, n int) Outcome {
 	var sum Outcome
@@ -51,7 +71,9 @@
 		sum.LastOnTime += o.LastOnTime / float64(n)
 		sum.Read += o.Read / float64(n)
 		sum.SharedRead += o.SharedRead / float64(n)
+		sum.P50 += o.P50 / time.Duration(n)
 		sum.P95 += o.P95 / time.Duration(n)
+		sum.Pause += o.Pause / time.Duration(n)
 	}
 	return sum
 }
--- a/internal/testing/clpattern/play.go
+++ b/internal/testing/clpattern/play.go
@@ -31,8 +31,11 @@
 		// Read is the number of prompt tokens read for a request, and SharedRead
 		// how many of them belong to parts that requests share.
 		Read, SharedRead float64
-		// P95 is the time to the first token of those that began.
-		P95 time.Duration
+		// P50 and P95 are times to the first token of those that began.
+		P50, P95 time.Duration
+		// Pause is how long the reading of other prompts has held up the stream of a
+		// request, on average.
+		Pause time.Duration
 	}
 
 	// play is a pattern in progress.
@@ -46,6 +49,8 @@
 		next    int
 		outcome Outcome
 		waits   []time.Duration
+		paused  time.Duration
+		ended   int
 		large   [2]int
 		last    [2]int
 		start   time.Time
@@ -79,9 +84,14 @@
 		pattern: p, policy: policy, rnd: rand.New(rand.NewPCG(seed, 3)), byID: map[string]*engine{}, start: time.Unix(1000, 0),
 	}
 	w.build(seed)
-	interval := clgossip.DigestInterval(p.Gateways)
+	interval := p.digestInterval()
+	// paces draws apart from rnd, so that even and uneven plays have the same requests.
+	paces := rand.New(rand.NewPCG(seed, 5))
 	owed := 0.0
 	for now := w.start; now.Sub(w.start) < playFor; now = now.Add(tick) {
+		if p.Uneven && now.Sub(w.start)%pacePeriod == 0 {
+			w.drawPaces(paces)
+		}
 		for owed += p.Rate(now.Sub(w.start)) * tick.Seconds(); owed >= 1; owed-- {
 			w.arrive(now)
 		}
@@ -93,26 +103,46 @@
 	return w.result()
 }
 
+// digestInterval returns the interval between two digests of a gateway.
+func (p Pattern) digestInterval() time.Duration {
+	return cmp.Or(p.DigestInterval, clgossip.DigestInterval(p.Gateways))
+}
+
+// drawPaces draws which endpoints are slow from now on.
+func (w *play) drawPaces(rnd *rand.Rand) {
+	for _, e := range w.engines {
+		if e.pace = 1; rnd.Float64() < slowShare {
+			e.pace = slowPace
+		}
+	}
+}
+
 func (w *play) build(seed uint64) {
-	catalog := &clcatalog.Catalog{Services: []clcatalog.Service{{Name: service, MaxConns: 570, Engine: &clcatalog.Engine{Slots: slotsPerEngine}}}}
+	slots := cmp.Or(w.pattern.Slots, slotsPerEngine)
+	config := clcatalog.Service{Name: service, MaxConns: 570, Engine: &clcatalog.Engine{Slots: slots}}
+	if w.pattern.Plain {
+		config.Engine = nil
+	}
+	catalog := &clcatalog.Catalog{Services: []clcatalog.Service{config}}
 	catalog.BuildIndexes()
 	names := make([]string, w.pattern.Gateways)
 	for i := range names {
 		names[i] = fmt.Sprint("gateway-", i)
 	}
 	for i := range w.pattern.Engines {
-		e := newEngine(fmt.Sprint("engine-", i), slotsPerEngine)
+		e := newEngine(fmt.Sprint("engine-", i), slots)
+		e.plain, e.quadratic = w.pattern.Plain, w.pattern.Quadratic
 		w.engines = append(w.engines, e)
 		w.byID[e.id] = e
 	}
 	for i, name := range names {
 		f := &clfleet.Fleet{DataCentre: w.dataCentre(i), Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
 		f.SetCatalog(catalog)
-		f.SetDigestInterval(clgossip.DigestInterval(w.pattern.Gateways))
+		f.SetDigestInterval(w.pattern.digestInterval())
 		f.SetGateways(name, slices.Delete(slices.Clone(names), i, i+1))
 		for j, e := range w.engines {
 			f.Put(clcatalog.Endpoint{
-				ID: e.id, Service: service, DataCentre: w.dataCentre(j), Version: "v1", Slots: slotsPerEngine, Born: 1,
+				ID: e.id, Service: service, DataCentre: w.dataCentre(j), Version: "v1", Slots: slots, Born: 1,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(j)}), 80),
 			}, w.start)
 		}
@@ -127,6 +157,9 @@
 func (w *play) exchange(now time.Time, interval time.Duration) {
 	for i, from := range w.fleets {
 		phase := interval * time.Duration(i) / time.Duration(len(w.fleets))
+		if w.pattern.DigestInterval > 0 {
+			phase = 0
+		}
 		if (now.Sub(w.start)+phase)%interval >= tick {
 			continue
 		}
@@ -151,7 +184,8 @@
 		w.last[1]++
 	}
 	f := w.fleets[w.rnd.IntN(len(w.fleets))]
-	j := &job{request: r, tokens: r.tokens, ended: func(time.Time) {}}
+	j := &job{request: r, tokens: r.tokens}
+	j.ended = func(time.Time) { w.ended++; w.paused += j.paused }
 	j.started = func(at time.Time) { w.began(r, at.Sub(now), late) }
 	var e *engine
 	switch w.policy {
@@ -161,16 +195,16 @@
 		w.next++
 		e = w.engines[w.next%len(w.engines)]
 	case Fleet:
-		req := clfleet.Request{ID: r.id, Service: service, Parts: r.parts, TimeLeft: patience, TargetLatency: target}
+		req := clfleet.Request{ID: r.id, Service: service, Parts: r.parts, TimeLeft: patience, TargetLatency: r.kind.Target, Priority: r.kind.Priority}
 		c, refused := f.Pick(req, now)
 		if refused != nil {
 			w.outcome.Refused++
 			return
 		}
 		f.Begin(c, req, now)
-		began := j.started
+		began, ended := j.started, j.ended
 		j.started = func(at time.Time) { f.RecordFirstEvent(c, at.Sub(now)); began(at) }
-		j.ended = func(at time.Time) { f.Finish(c, clfleet.OutcomeAnswered, at) }
+		j.ended = func(at time.Time) { f.Finish(c, clfleet.OutcomeAnswered, at); ended(at) }
 		e = w.byID[c.Endpoint]
 	}
 	read, shared := e.admit(j)
@@ -181,7 +215,7 @@
 // began counts a request whose first token has come.
 func (w *play) began(r *request, wait time.Duration, late bool) {
 	w.waits = append(w.waits, wait)
-	if wait > target {
+	if wait > r.kind.Target {
 		w.outcome.Late++
 		return
 	}
@@ -202,7 +236,8 @@
 	o.LastOnTime = float64(w.last[0]) / float64(max(1, w.last[1]))
 	slices.SortFunc(w.waits, cmp.Compare[time.Duration])
 	if len(w.waits) > 0 {
-		o.P95 = w.waits[len(w.waits)*95/100]
+		o.P50, o.P95 = w.waits[len(w.waits)/2], w.waits[len(w.waits)*95/100]
 	}
+	o.Pause = w.paused / time.Duration(max(1, w.ended))
 	return o
 }
