Split the file that selects an endpoint

What Pick is asked and returns is now in request.go, the estimates and scores of endpoints in score.go.

--- a/internal/routing/clfleet/filter.go
+++ b/internal/routing/clfleet/filter.go
@@ -9,6 +9,10 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 )
 
+// usableConnShare is the fraction of an endpoint's connection limit that is
+// used; the rest is left for connections that are being opened or closed.
+const usableConnShare = 0.85
+
 // filter decides which endpoints a request may go to. It holds what is the same for
 // all endpoints.
 type filter struct {
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -3,9 +3,7 @@
 package clfleet
 
 import (
-	"fmt"
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -13,143 +11,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 )
 
-type (
-	// Request describes a request for which an endpoint is to be selected.
-	Request struct {
-		// ID identifies the request at all gateways and in all its attempts.
-		ID string
-		// Service is the name of the service that the request is for.
-		Service string
-		// Parts are the parts of the prompt in order. All but the last one may be
-		// shared with other requests.
-		Parts []PromptPart
-		// Tried holds the IDs of the endpoints of earlier attempts, which must not
-		// be selected again. It is empty for the first attempt.
-		Tried []string
-		// TimeLeft is the time until the request's deadline.
-		TimeLeft time.Duration
-		// TargetLatency is the longest time to the first event that callers
-		// accept as on time; 0 means that there is no target.
-		TargetLatency time.Duration
-		// Priority is 0 for the most urgent requests and greater for less urgent
-		// ones.
-		Priority int
-	}
-
-	// PromptPart is a section of a prompt that several requests may share.
-	PromptPart struct {
-		// ID is the same for equal parts of different prompts.
-		ID uint64
-		// Tokens is the number of tokens of the part.
-		Tokens int
-	}
-
-	// Choice is the endpoint selected for an attempt, with the figures that led to
-	// the selection.
-	Choice struct {
-		// Endpoint is the ID of the endpoint; Born, Address, DataCentre and Version
-		// are those of the endpoint.
-		Endpoint   string
-		Born       int64
-		Address    netip.AddrPort
-		DataCentre string
-		Version    string
-		// ExpectedLatency is the estimated time to the first event.
-		ExpectedLatency time.Duration
-		// UncachedTokens is the number of prompt tokens that the endpoint must
-		// process because it has probably not cached them; 0 for a plain service.
-		UncachedTokens float64
-		// Running is the known number of requests running at the endpoint,
-		// without the one that the choice is for.
-		Running int
-		// Candidates is the number of endpoints that no filter has excluded.
-		Candidates int
-		// AffinityRank is 1 or 2 if the endpoint is the first or second affinity
-		// endpoint of the request, and 0 otherwise.
-		AffinityRank int
-		// RecentlyStarted is set if the endpoint was first seen so recently that
-		// its latency does not reflect its version.
-		RecentlyStarted bool
-
-		// endpoint is the state of the selected endpoint, and service the name of
-		// the request's service. priority is the request's priority level, at
-		// which Begin adds UncachedTokens to the endpoint's pending tokens.
-		endpoint *endpoint
-		service  string
-		priority int
-		// idleLatency is the expected time to the first event if the endpoint
-		// were idle.
-		idleLatency time.Duration
-		// pendingCleared is set once UncachedTokens is no longer part of the
-		// endpoint's pending tokens.
-		pendingCleared bool
-	}
-
-	// Refusal tells why no endpoint was selected and when to retry.
-	Refusal struct {
-		// Reason is the filter that excluded the endpoint examined last, or
-		// ReasonNoEndpoint or ReasonNoTimeLeft.
-		Reason Reason
-		// RetryAfter is the time after which the caller may retry.
-		RetryAfter time.Duration
-		// Excluded holds the number of endpoints that each filter has excluded.
-		Excluded map[Reason]int
-	}
-
-	// Reason is a cause of a refusal: a filter that excludes endpoints, or another
-	// cause. Other packages may define further reasons.
-	Reason string
-)
-
-// Reasons for refusals. ReasonDataCentreOut to ReasonFull name the filters, in the
-// order in which the filters are applied to an endpoint.
 const (
-	// ReasonNoEndpoint means that the service is not configured or has no
-	// endpoints.
-	ReasonNoEndpoint Reason = "no_endpoint"
-	// ReasonDataCentreOut excludes the endpoints of excluded data centres.
-	ReasonDataCentreOut Reason = "data_centre_out"
-	// ReasonLeaving excludes endpoints that are draining, by the registry or by their
-	// own word.
-	ReasonLeaving Reason = "leaving"
-	// ReasonQuiet excludes endpoints that want no requests from this gateway for some
-	// time.
-	ReasonQuiet Reason = "quiet"
-	// ReasonVersion excludes versions to which the request may not go.
-	ReasonVersion Reason = "version"
-	// ReasonBlocked excludes endpoints shortly after they could not be reached or
-	// have shed a request.
-	ReasonBlocked Reason = "blocked"
-	// ReasonTried excludes the endpoints of earlier attempts.
-	ReasonTried Reason = "tried"
-	// ReasonCold excludes cold endpoints that tolerate no further request from
-	// this gateway now.
-	ReasonCold Reason = "cold"
-	// ReasonReturning excludes endpoints that were quiet until recently and already run
-	// as many requests of this gateway as they are to get for the time being.
-	ReasonReturning Reason = "returning"
-	// ReasonFull excludes endpoints to which this gateway has as many connections
-	// as its share of the endpoint's connection limit allows.
-	ReasonFull Reason = "full"
-	// ReasonNoTimeLeft means that the first event of the best choice is expected
-	// too late.
-	ReasonNoTimeLeft Reason = "no_time_left"
-)
-
-const (
-	// remotePenaltyEngine and remotePenaltyPlain are added to the score of an
-	// endpoint in another data centre: traffic between data centres is billed,
-	// and the transit time delays each answer.
-	remotePenaltyEngine = 150 * time.Millisecond
-	remotePenaltyPlain  = 15 * time.Millisecond
-	// prefixBonusFactor is the score bonus of the first affinity endpoint, which
-	// has probably cached the request's shared prompt parts, as a multiple of the
-	// time to process these parts. Processing a prompt again takes that time from
-	// all requests that wait at the endpoint, and cache memory from other prompts.
-	prefixBonusFactor = 4
-	// maxPrefixBonus limits the bonus, and thus how long requests wait for a
-	// cached prefix.
-	maxPrefixBonus = 450 * time.Millisecond
 	// secondAffinityShare is the fraction of the bonus that the second affinity
 	// endpoint gets. The second affinity endpoint takes requests with the prefix
 	// while the first one is busy.
@@ -167,49 +29,18 @@
 	// are below the accuracy of the estimates; the randomness keeps gateways
 	// with the same information from all choosing the same endpoint.
 	maxScoreJitter = 5 * time.Millisecond
-	// fullBatchSlowdown is the relative increase of the time that an engine takes
-	// for a step over its batch of requests, and so of the prefill time, if all
-	// slots are in use. With fewer slots in use, the increase is assumed to be
-	// proportionally smaller.
-	fullBatchSlowdown = 0.5
-	// typicalSlotTime is how long a request usually occupies a slot; an endpoint
-	// with n slots, all in use, frees one every typicalSlotTime/n.
-	typicalSlotTime = 2 * time.Second
-	// failurePenalty, times the excess of an endpoint's failure rate over that of
-	// its service, is added to the score.
-	failurePenalty = 3 * time.Second
-	// usableConnShare is the fraction of an endpoint's connection limit that is
-	// used; the rest is left for connections that are being opened or closed.
-	usableConnShare = 0.85
 	// maxRetryJitter is the largest random addition to a retry time, so that callers
 	// that were refused together do not return together.
 	maxRetryJitter = 500 * time.Millisecond
 	// defaultRetryAfter is the RetryAfter of refusals if it is unknown when an
 	// endpoint will have capacity.
 	defaultRetryAfter = 500 * time.Millisecond
-	// baseFirstEventLatency is the part of the time to the first event that does
-	// not depend on the prompt.
-	baseFirstEventLatency = 40 * time.Millisecond
 	// refusedDemandWeight is the fraction of a request's prefill time that each
 	// refusal adds to the demand. A refused caller usually retries once, so a
 	// request is usually refused twice.
 	refusedDemandWeight = 0.5
-	// promptCacheLifetime is how long an unused prompt part is assumed to stay
-	// cached; engines evict the least recently used parts.
-	promptCacheLifetime = 30 * time.Second
-	// recentStartPeriod is how long after it was first seen an endpoint is assumed
-	// to be slow because it has just started.
-	recentStartPeriod = 4 * time.Second
-	// defaultPlainLatency is the assumed time to the first event of a plain
-	// service until one has been measured.
-	defaultPlainLatency = 20 * time.Millisecond
 )
 
-// Error returns why no endpoint was selected and what to do about it.
-func (r *Refusal) Error() string {
-	return fmt.Sprintf("no endpoint available: %s (endpoints excluded: %v); retry after %s or add endpoints", r.Reason, r.Excluded, r.RetryAfter)
-}
-
 // Pick selects the endpoint with the lowest score. It returns a refusal if all
 // endpoints are excluded, or if the selected endpoint's first event is expected later
 // than latencyLimit allows. The score is the expected time to the first event with
@@ -392,110 +223,3 @@
 	}
 	return len(s.versionFirstSeen) <= 1 || now.Sub(s.versionFirstSeen[version]) >= newVersionDelay
 }
-
-// estimate returns the choice of the endpoint e, with its expected time to the
-// first event and the other estimates for the request.
-func (f *Fleet) estimate(s *service, cfg *clcatalog.Service, e *endpoint, r Request, now time.Time) *Choice {
-	load := f.totalLoad(e)
-	c := &Choice{
-		Endpoint: e.ID, Born: e.Born, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-		Running: load.Running, RecentlyStarted: now.Sub(e.firstSeen) < recentStartPeriod, endpoint: e, service: r.Service, priority: clampPriority(r.Priority),
-	}
-	slots := max(1, e.Slots)
-	utilization := float64(load.Running) / float64(slots)
-	var expectedSeconds float64
-	if cfg.Engine == nil {
-		latency := s.plainLatency
-		if latency == 0 {
-			latency = defaultPlainLatency
-		}
-		expectedSeconds = latency.Seconds() * (1 + utilization)
-	} else {
-		c.UncachedTokens = e.uncachedTokens(r.Parts, now)
-		expectedSeconds = baseFirstEventLatency.Seconds() + (load.Pending.aheadOf(r.Priority)+c.UncachedTokens)/s.prefillRate*(1+fullBatchSlowdown*utilization)
-		if excess := load.Running - slots; excess >= 0 {
-			expectedSeconds += typicalSlotTime.Seconds() * float64(excess+1) / float64(slots)
-		}
-	}
-	c.ExpectedLatency = time.Duration(expectedSeconds * e.latencyFactor * float64(time.Second))
-	c.idleLatency = time.Duration((baseFirstEventLatency.Seconds() + c.UncachedTokens/s.prefillRate) * float64(time.Second))
-	return c
-}
-
-// baseScore returns the score of the choice without the affinity bonus and the random
-// addition: the expected time to the first event, plus a penalty for another data
-// centre and one for failures in excess of the service's rate.
-func (f *Fleet) baseScore(s *service, cfg *clcatalog.Service, c *Choice, now time.Time) time.Duration {
-	score := c.ExpectedLatency
-	if c.DataCentre != f.DataCentre {
-		if cfg.Engine != nil {
-			score += remotePenaltyEngine
-		} else {
-			score += remotePenaltyPlain
-		}
-	}
-	c.endpoint.failureRate.decay(now)
-	s.failureRate.decay(now)
-	if excess := c.endpoint.failureRate.value - s.failureRate.value; excess > 0 {
-		score += time.Duration(excess * float64(failurePenalty))
-	}
-	return score
-}
-
-// affinityEndpoints returns the request's affinity endpoints, to which all requests
-// with the same shared prefix (all parts of the prompt but the last one) are sent
-// preferably, and the score bonus of the first one. They are selected by rendezvous
-// hashing among the endpoints that are neither leaving, excluded nor cold, so that
-// the gateways agree without communication. A prefix whose bonus reaches
-// remotePenaltyEngine has two affinity endpoints, in any data centres; other prefixes
-// have two in each data centre. Elements of the pair are nil if there are fewer
-// endpoints to select from, or if the prompt has fewer than two parts.
-func (f *Fleet) affinityEndpoints(s *service, r Request, now time.Time) (affinityPair [2]*endpoint, affinityBonus time.Duration) {
-	if len(r.Parts) < 2 {
-		return affinityPair, 0
-	}
-	sharedTokens := 0
-	for _, p := range r.Parts[:len(r.Parts)-1] {
-		sharedTokens += p.Tokens
-	}
-	affinityBonus = min(maxPrefixBonus, time.Duration(prefixBonusFactor*float64(sharedTokens)/s.prefillRate*float64(time.Second)))
-	key := r.Parts[len(r.Parts)-2].ID
-	var hashes [2]uint64
-	for _, e := range s.endpoints {
-		if e.isLeaving() || f.isExcluded(e.DataCentre) || now.Before(e.coldUntil) || affinityBonus < remotePenaltyEngine && e.DataCentre != f.DataCentre {
-			continue
-		}
-		switch h := mix64(e.hash ^ key*0x9e3779b97f4a7c15); {
-		case affinityPair[0] == nil || h > hashes[0]:
-			affinityPair[0], affinityPair[1], hashes[0], hashes[1] = e, affinityPair[0], h, hashes[0]
-		case affinityPair[1] == nil || h > hashes[1]:
-			affinityPair[1], hashes[1] = e, h
-		}
-	}
-	return affinityPair, affinityBonus
-}
-
-// mix64 is the finalizer of the splitmix64 generator.
-func mix64(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// uncachedTokens returns the number of prompt tokens that the endpoint must
-// process: all tokens of the first part that it has probably not cached and of
-// every part after it.
-func (e *endpoint) uncachedTokens(parts []PromptPart, now time.Time) float64 {
-	total := 0
-	cached := true
-	for _, p := range parts {
-		if cached {
-			lastSentAt, ok := e.promptCache[p.ID]
-			cached = ok && now.Sub(lastSentAt) < promptCacheLifetime
-		}
-		if !cached {
-			total += p.Tokens
-		}
-	}
-	return float64(total)
-}
