Use the load and the pace that endpoints state

Where an endpoint states a pace, the expected latency scales with it while it is fresh and returns to the mean of the service's endpoints within 400 ms. A plain endpoint's queue is estimated from the stated one, which gives way to the mean as its requests end, plus what this gateway has sent since; the numbers of the digests, older than the requests are long, are not used there.

--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -67,6 +67,11 @@
 		// without uncached tokens, such as all requests of a plain service; 0
 		// means that none has been observed.
 		plainLatency time.Duration
+		// plainWork is the smoothed latency at endpoints that state a pace of 1 and
+		// have no queue, and meanPace and meanFill are the smoothed pace and requests
+		// for each slot that endpoints state; 0 means that nothing is known.
+		plainWork          time.Duration
+		meanPace, meanFill float64
 		// synced is set once the endpoints registered at the start are known.
 		synced bool
 		// demand is the total demand for the service that this gateway has
@@ -130,6 +135,11 @@
 		promptCache map[uint64]time.Time
 		// statement is what the endpoint has said of itself, or nil.
 		statement *statement
+		// heard is the load that the endpoint has last stated, addedAt the time of its
+		// first entry, and begun the begin of each of this gateway's running attempts.
+		heard   heardLoad
+		addedAt time.Time
+		begun   []time.Time
 	}
 
 	// Load is the load of one or more gateways' requests on an endpoint.
@@ -259,7 +269,7 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{hash: xxhash.Sum64String(ep.ID), latencyFactor: 1, promptCache: map[uint64]time.Time{}}
+		e = &endpoint{hash: xxhash.Sum64String(ep.ID), latencyFactor: 1, promptCache: map[uint64]time.Time{}, addedAt: now}
 		if f.endpoints == nil {
 			f.endpoints, f.byHash = make(map[string]*endpoint), make(map[uint64]*endpoint)
 		}
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -83,6 +84,9 @@
 	e := c.endpoint
 	e.running++
 	e.conns++
+	c.begunAt = now
+	e.begun = append(e.begun, now)
+	e.heard.sentSince++
 	e.pending[c.priority] += c.UncachedTokens
 	s := f.service(c.service)
 	if len(r.Tried) == 0 {
@@ -109,14 +113,23 @@
 	defer f.mu.Unlock()
 	f.clearPending(c)
 	s := f.service(c.service)
+	// paceError is how many times as long as expected work has taken by the pace that the
+	// endpoint has stated meanwhile. It says nothing about later requests.
+	paceError := 1.0
+	if c.statedPace > 0 && c.Pace > 0 {
+		paceError = c.statedPace / c.Pace
+	}
 	if c.ExpectedLatency > 0 && latency > 0 {
-		observedFactor := float64(latency) / float64(c.ExpectedLatency) * c.endpoint.latencyFactor
+		observedFactor := float64(latency) / float64(c.ExpectedLatency) / paceError * c.endpoint.latencyFactor
 		c.endpoint.latencyFactor += smoothingWeight * (min(maxLatencyFactor, max(minLatencyFactor, observedFactor)) - c.endpoint.latencyFactor)
 	}
 	// The full prefill rate shows only if at most one request was running at the
 	// endpoint when it was selected.
 	if prefillTime := latency - baseFirstEventLatency; c.UncachedTokens >= minPrefillSampleTokens && c.Running <= 1 && prefillTime > 0 {
 		rate := c.UncachedTokens / prefillTime.Seconds()
+		if c.statedPace > 0 {
+			rate *= c.statedPace / s.meanPace
+		}
 		s.prefillRate += smoothingWeight * (min(maxPrefillRate, max(minPrefillRate, rate)) - s.prefillRate)
 	}
 	if c.UncachedTokens == 0 {
@@ -124,6 +137,7 @@
 			s.plainLatency = latency
 		}
 		s.plainLatency += time.Duration(smoothingWeight * float64(latency-s.plainLatency))
+		s.recordPlainWork(c, latency)
 	}
 }
 
@@ -136,6 +150,14 @@
 	f.clearPending(c)
 	e.running--
 	e.conns--
+	if i := slices.Index(e.begun, c.begunAt); i >= 0 {
+		last := len(e.begun) - 1
+		e.begun[i] = e.begun[last]
+		e.begun = e.begun[:last]
+	}
+	if c.begunAt.After(e.heard.at) {
+		e.heard.sentSince = max(0, e.heard.sentSince-1)
+	}
 	switch o {
 	case OutcomeAnswered:
 		e.unreachableCount = 0
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -29,6 +29,10 @@
 	// are below the accuracy of the estimates; the randomness keeps gateways
 	// with the same information from all choosing the same endpoint.
 	maxScoreJitter = 5 * time.Millisecond
+	// maxStatedJitter takes the place of maxScoreJitter at plain endpoints that state
+	// their load, which all gateways hear at about the same time. With 5 ms, 0.2 % of
+	// the requests of the pattern uneven_plain were late, with 30 ms less than 0.1 %.
+	maxStatedJitter = 30 * time.Millisecond
 	// maxRetryJitter is the largest random addition to a retry time, so that callers
 	// that were refused together do not return together.
 	maxRetryJitter = 500 * time.Millisecond
@@ -198,7 +202,11 @@
 				score -= time.Duration(secondAffinityShare * float64(affinityBonus))
 			}
 		}
-		score += time.Duration(f.Rand.Int64N(int64(maxScoreJitter)))
+		jitter := maxScoreJitter
+		if cfg.Engine == nil && c.Pace > 0 {
+			jitter = maxStatedJitter
+		}
+		score += time.Duration(f.Rand.Int64N(int64(jitter)))
 		if score < bestScore {
 			best, bestScore = c, score
 		}
--- a/internal/routing/clfleet/request.go
+++ b/internal/routing/clfleet/request.go
@@ -59,6 +59,9 @@
 		Running int
 		// Candidates is the number of endpoints that no filter has excluded.
 		Candidates int
+		// Pace is how many times as long as usual work is expected to take at the
+		// endpoint; 0 if it does not state a pace.
+		Pace float64
 		// AffinityRank is 1 or 2 if the endpoint is the first or second affinity
 		// endpoint of the request, and 0 otherwise.
 		AffinityRank int
@@ -75,6 +78,11 @@
 		// idleLatency is the expected time to the first event if the endpoint
 		// were idle.
 		idleLatency time.Duration
+		// statedPace is the pace that the endpoint has stated in its response to the
+		// attempt; 0 if it has stated none.
+		statedPace float64
+		// begunAt is when the attempt began.
+		begunAt time.Time
 		// pendingCleared is set once UncachedTokens is no longer part of the
 		// endpoint's pending tokens.
 		pendingCleared bool
--- a/internal/routing/clfleet/score.go
+++ b/internal/routing/clfleet/score.go
@@ -56,17 +56,32 @@
 		Running: load.Running, RecentlyStarted: now.Sub(e.firstSeen) < recentStartPeriod, endpoint: e, service: r.Service, priority: clampPriority(r.Priority),
 	}
 	slots := max(1, e.Slots)
+	slowdown := 1.0
+	if e.statesPace() {
+		c.Pace = s.expectedPace(e, now)
+		slowdown = c.Pace / s.meanPace
+		if cfg.Engine != nil {
+			load.Running = int(e.expectedRequests(float64(load.Running), typicalSlotTime.Seconds(), now) + 0.5)
+			c.Running = load.Running
+		}
+	}
 	utilization := float64(load.Running) / float64(slots)
 	var expectedSeconds float64
-	if cfg.Engine == nil {
+	switch {
+	case cfg.Engine == nil && c.Pace > 0:
+		var requests float64
+		expectedSeconds, requests = s.plainSeconds(e, c.Pace, now)
+		c.Running = int(requests + 0.5)
+	case cfg.Engine == nil:
 		latency := s.plainLatency
 		if latency == 0 {
 			latency = defaultPlainLatency
 		}
 		expectedSeconds = latency.Seconds() * (1 + utilization)
-	} else {
+	default:
 		c.UncachedTokens = e.uncachedTokens(r.Parts, now)
 		expectedSeconds = baseFirstEventLatency.Seconds() + (load.Pending.aheadOf(r.Priority)+c.UncachedTokens)/s.prefillRate*(1+fullBatchSlowdown*utilization)
+		expectedSeconds *= slowdown
 		if excess := load.Running - slots; excess >= 0 {
 			expectedSeconds += typicalSlotTime.Seconds() * float64(excess+1) / float64(slots)
 		}
--- a/internal/serving/clgateway/evidence.go
+++ b/internal/serving/clgateway/evidence.go
@@ -60,6 +60,9 @@
 		return
 	}
 	now := time.Now()
+	if a.respInfo.Load != nil {
+		g.Fleet.RecordStatedLoad(a.choice, *a.respInfo.Load, now)
+	}
 	if a.respInfo.Leaving && g.Fleet.MarkLeaving(a.choice, now) {
 		g.Logger.Info("endpoint says that it leaves", zap.String("request", a.reqInfo.ID), zap.String("endpoint", a.choice.Endpoint))
 		g.collectors.statements.WithLabelValues(a.service, "leaving").Inc()
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -85,6 +85,8 @@
 		// QuietFor is for how long the endpoint wants no requests from this gateway; 0
 		// if it does not say so.
 		QuietFor time.Duration
+		// Load is the load that the endpoint states; nil if it states none.
+		Load *clfleet.StatedLoad
 	}
 
 	// Recorder is notified of the progress of requests and attempts. The usage of
--- a/internal/serving/clgateway/statement_test.go
+++ b/internal/serving/clgateway/statement_test.go
@@ -83,3 +83,27 @@
 		require.Equal(t, http.StatusOK, post(t, both, "/book/1").StatusCode)
 	}
 }
+
+// Guards against stated loads that do not reach the choice, and against those of another
+// endpoint or of another request that do.
+func TestEndpointThatStatesItsPace(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		want       bool
+	}{
+		{"response", signedOK + "X-Pace: 2.5\r\nContent-Length: 2\r\n\r\nok", true},
+		{"another endpoint at the address", "HTTP/1.1 421 Misdirected Request\r\nX-Not-Run: 1\r\nX-Pace: 2.5\r\nContent-Length: 0\r\n\r\n", false},
+		{"another request", signedOK + "X-Id: r0\r\nX-Pace: 2.5\r\nContent-Length: 2\r\n\r\nok", false},
+	} {
+		env := newTestEnv(t, respond(tc.text, true))
+		post(t, env, "/book/1")
+		// The time for which an endpoint is avoided after a refusal.
+		time.Sleep(150 * time.Millisecond)
+		post(t, env, "/book/1")
+		lines := env.logs.FilterMessage("sent").All()
+		require.Len(t, lines, 2, tc.name)
+		pace, ok := lines[1].ContextMap()["pace"].(float64)
+		require.True(t, ok)
+		require.Equal(t, tc.want, pace > 0, tc.name)
+	}
+}
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -55,6 +55,9 @@
 
 func (testCodec) ParseResponse(a *clendpoint.Answer) ResponseInfo {
 	info := ResponseInfo{ID: a.Value("X-Id"), Signed: a.Value("X-Seal") != "", NotRun: a.Value("X-Not-Run") != "", Leaving: a.Value("X-Leaving") != ""}
+	if pace, err := strconv.ParseFloat(a.Value("X-Pace"), 64); err == nil {
+		info.Load = &clfleet.StatedLoad{Slots: 8, Pace: pace}
+	}
 	if ms, err := strconv.Atoi(a.Value("X-Quiet")); err == nil {
 		info.QuietFor = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/testing/clpattern/engine.go
+++ b/internal/testing/clpattern/engine.go
@@ -101,6 +101,11 @@
 	return unread, shared
 }
 
+// load returns what the engine states of itself in a response.
+func (e *engine) load() clfleet.StatedLoad {
+	return clfleet.StatedLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots, Pace: e.pace}
+}
+
 // step advances the engine by dt.
 func (e *engine) step(now time.Time, dt time.Duration) {
 	for len(e.waiting) > 0 && len(e.running) < e.slots {
--- a/internal/testing/clpattern/pattern_test.go
+++ b/internal/testing/clpattern/pattern_test.go
@@ -54,3 +54,19 @@
 	o = Mean(pattern(t, "large_among_small"), Fleet, testSeeds)
 	require.GreaterOrEqual(t, o.LargeOnTime, 0.5*o.OnTime)
 }
+
+// Guards against what plain endpoints state of their pace and queue going unused, and
+// against gateways that all send to the endpoint that was idle when it stated it.
+func TestStatedLoadOfPlainEndpoints(t *testing.T) {
+	for _, p := range HardPatterns() {
+		if !p.Plain {
+			continue
+		}
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			unstated, stated := Mean(p, Fleet, testSeeds), Mean(p, Stated, testSeeds)
+			require.GreaterOrEqual(t, stated.OnTime, unstated.OnTime)
+			require.Less(t, stated.P95.Seconds(), 0.9*unstated.P95.Seconds())
+		})
+	}
+}
--- a/internal/testing/clpattern/play.go
+++ b/internal/testing/clpattern/play.go
@@ -61,6 +61,8 @@
 const (
 	// Fleet is the gateways' own choice.
 	Fleet Policy = "fleet"
+	// Stated is the gateways' own choice with what the endpoints state of their load.
+	Stated Policy = "stated"
 	// Random and RoundRobin know nothing of the endpoints.
 	Random     Policy = "random"
 	RoundRobin Policy = "round_robin"
@@ -163,10 +165,11 @@
 		if (now.Sub(w.start)+phase)%interval >= tick {
 			continue
 		}
-		work := from.LocalLoad()
+		work, statements := from.LocalLoad(), from.Statements(now)
 		for j, to := range w.fleets {
 			if i != j {
 				to.SetPeerLoad(fmt.Sprint(i), work)
+				to.RecordPeerStatements(statements, now)
 			}
 		}
 	}
@@ -194,7 +197,7 @@
 	case RoundRobin:
 		w.next++
 		e = w.engines[w.next%len(w.engines)]
-	case Fleet:
+	case Fleet, Stated:
 		req := clfleet.Request{ID: r.id, Service: service, Parts: r.parts, TimeLeft: patience, TargetLatency: r.kind.Target, Priority: r.kind.Priority}
 		c, refused := f.Pick(req, now)
 		if refused != nil {
@@ -203,7 +206,13 @@
 		}
 		f.Begin(c, req, now)
 		began, ended := j.started, j.ended
-		j.started = func(at time.Time) { f.RecordFirstEvent(c, at.Sub(now)); began(at) }
+		j.started = func(at time.Time) {
+			if w.policy != Fleet {
+				f.RecordStatedLoad(c, w.byID[c.Endpoint].load(), at)
+			}
+			f.RecordFirstEvent(c, at.Sub(now))
+			began(at)
+		}
 		j.ended = func(at time.Time) { f.Finish(c, clfleet.OutcomeAnswered, at); ended(at) }
 		e = w.byID[c.Endpoint]
 	}
