Order on-demand endpoints by the pace that endpoints state

They were also ordered half a second late, since ordered spot endpoints counted as expected until they were refused.

The present load counts the mean pace that endpoints state, and during a wave of reclaims with refusals ordered spot endpoints no longer count where a pace is stated. Without stated paces, endpoints are ordered as before.

Weighed and left out: requests to leaving endpoints until the end of their drain time. The time at which an endpoint has reported that it leaves is not known exactly enough: a mirror counts as current while only its own kind fails.

Also found in the review: a refusal with a time of return far in the past if all endpoints that want quiet leave as well (TestQuietEndpointsThatLeave), and a division by zero if an endpoint states a pace only after a load without one.

--- a/internal/coordination/clduty/plan.go
+++ b/internal/coordination/clduty/plan.go
@@ -44,6 +44,9 @@
 		// coordinator replaces a negative value by PeakLoad, and a planner ignores
 		// it if PeakLoad is negative.
 		CurrentLoad float64
+		// StatesPace reports that the endpoints state how long work takes on their
+		// machines, which they share.
+		StatesPace bool
 		// NeverRequested reports that this process has seen no request for the
 		// service yet. On-demand endpoints then need not run until spot endpoints
 		// have booted.
@@ -63,6 +66,8 @@
 		// last found a reclaim.
 		lastSpotCounts map[string]int
 		lastReclaimAt  time.Time
+		// waveStartedAt is the time of the first reclaim of the latest wave.
+		waveStartedAt time.Time
 		// peakSpotPerDC is the highest recent number of spot endpoints wanted in
 		// each data centre. peakSpotPerDCAt is the last time at which that many were
 		// wanted, or at which a reclaim wave was in progress.
@@ -207,6 +212,9 @@
 			delete(p.spotOrderedAt, dc.name)
 		}
 		expected := p.expectedSpot(dc, targetBeforeRefusals, state, now)
+		if state.StatesPace && p.isDryWave(now) {
+			expected = dc.spot
+		}
 		expectedSpot += expected
 		maxExpectedSpot = max(maxExpectedSpot, expected)
 		expectedTargets[i] = min(spotTargets[i], expected)
@@ -229,6 +237,22 @@
 	return targets
 }
 
+// isDryWave reports whether spot endpoints have been reclaimed recently and some have
+// been refused since the wave began. Spot endpoints that are ordered during such a wave
+// are mostly refused as well, and waiting for the refusal delays the on-demand endpoints
+// that replace them.
+func (p *Planner) isDryWave(now time.Time) bool {
+	if now.Sub(p.lastReclaimAt) >= reclaimWaveDuration {
+		return false
+	}
+	for _, refusedUntil := range p.spotRefusedUntil {
+		if !refusedUntil.Add(-spotRefusalBackoff).Before(p.waveStartedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // countKinds returns the numbers of spot and of on-demand endpoints in a data centre.
 func countKinds(endpoints []clcatalog.Endpoint, dataCentre string) (spot, onDemand int) {
 	for _, e := range endpoints {
@@ -278,6 +302,9 @@
 	}
 	for _, dc := range dcs {
 		if dc.spot == 0 && p.lastSpotCounts[dc.name] > 0 {
+			if now.Sub(p.lastReclaimAt) >= reclaimWaveDuration {
+				p.waveStartedAt = now
+			}
 			p.lastReclaimAt = now
 		}
 		p.lastSpotCounts[dc.name] = dc.spot
--- a/internal/coordination/clduty/plan_test.go
+++ b/internal/coordination/clduty/plan_test.go
@@ -24,6 +24,9 @@
 	// load is both the peak and the current load of the service; if it is negative,
 	// the load is not known.
 	load float64
+	// pace is how many times as long as usual work takes at the endpoints, which state
+	// it; 0 if they don't.
+	pace float64
 	// targetChanges is the number of targets that differed from the number of
 	// endpoints.
 	targetChanges int
@@ -98,7 +101,7 @@
 		}
 	}
 	m.endpoints = kept
-	for _, target := range m.planner.Plan(ServiceState{Service: "s", Scaling: m.scaling, Endpoints: m.registered(), PeakLoad: m.load, CurrentLoad: m.load}, m.now) {
+	for _, target := range m.planner.Plan(ServiceState{Service: "s", Scaling: m.scaling, Endpoints: m.registered(), PeakLoad: m.load, CurrentLoad: m.load * max(1, m.pace), StatesPace: m.pace > 0}, m.now) {
 		m.apply(target)
 	}
 }
@@ -200,6 +203,40 @@
 	require.GreaterOrEqual(t, float64(m.ready()), m.load/onDemandTargetUtilization)
 }
 
+// Guards against on-demand endpoints that are ordered late in a wave of reclaims because
+// the spot endpoints that are ordered in the second data centre, and refused, count as
+// expected; and against other orders where endpoints state no pace.
+func TestReclaimWaveAtUnevenPace(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		pace float64
+		// booted is the number of on-demand endpoints that have booted one boot time and
+		// one plan after the second notice.
+		booted int
+	}{
+		{"as long as usual on average", 1, 45},
+		{"longer than usual on average", 1.225, 55},
+		{"not stated", 0, 14},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := newCloudModel(31)
+			m.scaling.Max, m.pace = 76, tc.pace
+			m.advance(20*time.Second, nil)
+			m.reclaim("c", 14*time.Second)
+			m.advance(3*time.Second, nil)
+			m.reclaim("b", 14*time.Second)
+			m.advance(modelStep+m.scaling.Boot, nil)
+			booted := 0
+			for _, e := range m.endpoints {
+				if !e.spot && !e.readyAt.After(m.now) {
+					booted++
+				}
+			}
+			require.Equal(t, tc.booted, booted)
+		})
+	}
+}
+
 // Guards against spare spot endpoints that are released just before or during a
 // wave of reclaims, when no new spot endpoints are available.
 func TestSpareSpotKeptDuringReclaimWave(t *testing.T) {
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -127,7 +127,7 @@
 	// endpoint when it was selected.
 	if prefillTime := latency - baseFirstEventLatency; c.UncachedTokens >= minPrefillSampleTokens && c.Running <= 1 && prefillTime > 0 {
 		rate := c.UncachedTokens / prefillTime.Seconds()
-		if c.statedPace > 0 {
+		if c.statedPace > 0 && s.meanPace > 0 {
 			rate *= c.statedPace / s.meanPace
 		}
 		s.prefillRate += smoothingWeight * (min(maxPrefillRate, max(minPrefillRate, rate)) - s.prefillRate)
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -141,6 +141,10 @@
 			first = e.statement.quietUntil
 		}
 	}
+	if first.IsZero() {
+		// Those that are quiet leave as well.
+		return
+	}
 	refusal.Reason = ReasonQuiet
 	refusal.RetryAfter = first.Sub(now) + time.Duration(f.Rand.Int64N(int64(maxRetryJitter)))
 }
--- a/internal/routing/clfleet/stated.go
+++ b/internal/routing/clfleet/stated.go
@@ -51,6 +51,12 @@
 	// gateways. Without passing them on, the 95th percentile of the pattern
 	// uneven_plain was 151 ms, and 135 ms with it.
 	maxSharedAge = paceLifetime
+	// meanPaceWindow is the age up to which a stated pace counts towards MeanPace. In
+	// that time, a gateway hears of most endpoints, from its own requests or by digests.
+	meanPaceWindow = 5 * time.Second
+	// maxMeanPace limits MeanPace, by which endpoints are ordered, against endpoints
+	// that state absurd figures.
+	maxMeanPace = 2.0
 	// maxClockSkew is how far in the future a statement may lie, for rounding of ages.
 	maxClockSkew = time.Millisecond
 	// minPace and maxPace limit the paces that other gateways may report; cladapter
@@ -122,6 +128,25 @@
 	s.meanFill += smoothingWeight * (float64(load.Running+load.Waiting)/float64(max(1, load.Slots)) - s.meanFill)
 }
 
+// MeanPace returns how many times as long as usual work takes at the endpoints of a
+// service, as the mean of what they have stated within meanPaceWindow, from 1 to
+// maxMeanPace. It returns 0 if none has stated a pace.
+func (f *Fleet) MeanPace(name string, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum, n := 0.0, 0
+	for _, e := range f.service(name).endpoints {
+		if e.statesPace() && now.Sub(e.heard.at) < meanPaceWindow {
+			sum += e.heard.Pace
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return min(maxMeanPace, max(1, sum/float64(n)))
+}
+
 // statesPace reports whether the endpoint has stated a pace in its latest statement.
 func (e *endpoint) statesPace() bool { return e.heard.Pace > 0 }
 
--- a/internal/routing/clfleet/stated_test.go
+++ b/internal/routing/clfleet/stated_test.go
@@ -165,3 +165,19 @@
 	state(f, "p0", StatedLoad{Slots: 6, Pace: 4}, 200*time.Millisecond, now.Add(1100*time.Millisecond))
 	require.Zero(t, f.endpoints["p0"].heard.Pace, "the former start has stated it")
 }
+
+// Guards against orders of endpoints that follow statements which are old, absurd or not
+// there at all.
+func TestMeanPace(t *testing.T) {
+	f := newPlainFleet(3)
+	require.Zero(t, f.MeanPace("api", testStart), "none is stated")
+	state(f, "p0", StatedLoad{Slots: 6}, 0, testStart)
+	require.Zero(t, f.MeanPace("api", testStart), "a load without a pace")
+	state(f, "p0", StatedLoad{Slots: 6, Pace: 1}, 0, testStart)
+	state(f, "p1", StatedLoad{Slots: 6, Pace: 2}, 0, testStart)
+	state(f, "p1", StatedLoad{Slots: 6, Pace: 2}, 0, testStart)
+	require.InDelta(t, 1.5, f.MeanPace("api", testStart), 1e-9, "each endpoint counts once")
+	require.Zero(t, f.MeanPace("api", testStart.Add(meanPaceWindow)), "old statements")
+	state(f, "p2", StatedLoad{Slots: 6, Pace: 100}, 0, testStart)
+	require.InDelta(t, maxMeanPace, f.MeanPace("api", testStart), 1e-9)
+}
--- a/internal/routing/clfleet/statement_test.go
+++ b/internal/routing/clfleet/statement_test.go
@@ -174,3 +174,16 @@
 	}
 	require.LessOrEqual(t, len(f.statements), maxStatements)
 }
+
+// Guards against a time of return far in the past if all endpoints that want quiet leave.
+func TestQuietEndpointsThatLeave(t *testing.T) {
+	e := engineEndpoint("e0", "a", "v1")
+	f := newFleet(3, e)
+	c, _ := f.Pick(llmRequest("r"), testStart)
+	f.MarkQuiet(c, time.Second, testStart)
+	e.Leaving = true
+	f.Put(e, testStart)
+	_, refusal := f.Pick(llmRequest("r"), testStart)
+	require.Equal(t, ReasonLeaving, refusal.Reason)
+	require.Equal(t, defaultRetryAfter, refusal.RetryAfter)
+}
--- a/internal/serving/clnode/load.go
+++ b/internal/serving/clnode/load.go
@@ -118,8 +118,11 @@
 // load. An endpoint is busy because it reads prompts, which is estimated from the
 // endpoint time of the requests, or because requests occupy its slots. occupied is
 // the number of endpoints whose slots are occupied; the current load is the larger
-// of the two numbers. Both results are -1 until the load is known.
-func (e *loadEstimator) busyEndpoints(service string, occupied float64, now time.Time) (peak, current float64) {
+// of the two numbers. meanPace is how many times as long as usual reading takes at the
+// endpoints, or 0 if they don't state it; it counts for the current load only, since
+// the peak, by which spare spot endpoints are kept, has room for it. Both results are -1
+// until the load is known.
+func (e *loadEstimator) busyEndpoints(service string, occupied, meanPace float64, now time.Time) (peak, current float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if firstRequestTime, ok := e.firstRequestTimes[service]; !ok || now.Sub(firstRequestTime) < loadWarmUpTime {
@@ -131,6 +134,7 @@
 			busy += load.correctedRate()
 		}
 	}
+	current = max(busy*max(1, meanPace), occupied)
 	busy = max(busy, occupied)
 	recentPeak := e.peaks[service]
 	if busy >= recentPeak.busyEndpoints || now.Sub(recentPeak.observedAt) > peakTTL {
@@ -139,5 +143,5 @@
 			e.peaks[service] = recentPeak
 		}
 	}
-	return recentPeak.busyEndpoints, busy
+	return recentPeak.busyEndpoints, current
 }
--- a/internal/serving/clnode/load_test.go
+++ b/internal/serving/clnode/load_test.go
@@ -15,7 +15,7 @@
 	var estimator loadEstimator
 	now := time.Unix(1000, 0)
 	peak := func(occupied float64) float64 {
-		recent, current := estimator.busyEndpoints("s", occupied, now)
+		recent, current := estimator.busyEndpoints("s", occupied, 0, now)
 		require.LessOrEqual(t, current, recent)
 		return recent
 	}
@@ -39,8 +39,12 @@
 	require.InDelta(t, 9, peak(9), 0.1, "occupied slots count as load")
 	step(map[string]float64{"a": 1}, 10*time.Second)
 	require.InDelta(t, 9, peak(0), 0.1, "the peak is kept for peakTTL")
-	_, current := estimator.busyEndpoints("s", 0, now)
+	_, current := estimator.busyEndpoints("s", 0, 0, now)
 	require.InDelta(t, 1, current, 0.2, "a gateway without updates does not count")
+	_, current = estimator.busyEndpoints("s", 0, 1.5, now)
+	require.InDelta(t, 1.5, current, 0.3, "reading takes longer at a pace above 1")
+	_, current = estimator.busyEndpoints("s", 7, 1.5, now)
+	require.InDelta(t, 7, current, 0.1, "occupied slots show the pace already")
 	step(map[string]float64{"a": 1}, 2*peakTTL)
 	require.InDelta(t, 1, peak(0), 0.3)
 	estimator.record("s", "a", 2, 0, now)
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -486,9 +486,10 @@
 		endpoints := n.fleet.Endpoints(s.Name)
 		endpoints = slices.DeleteFunc(endpoints, func(e clcatalog.Endpoint) bool { return e.Leaving })
 		trial, serving := splitTrial(endpoints, trialVersions[s.Name])
-		peak, current := n.loadEstimator.busyEndpoints(s.Name, n.fleet.OccupiedEndpoints(s.Name), clclock.Now())
+		pace := n.fleet.MeanPace(s.Name, time.Now())
+		peak, current := n.loadEstimator.busyEndpoints(s.Name, n.fleet.OccupiedEndpoints(s.Name), pace, clclock.Now())
 		states = append(states, clduty.ServiceState{
-			Service: s.Name, Scaling: *s.Scaling, Endpoints: serving, TrialEndpoints: trial, PeakLoad: peak, CurrentLoad: current, NeverRequested: n.loadEstimator.neverRequested(s.Name), Evacuated: evacuatedDataCentres,
+			Service: s.Name, Scaling: *s.Scaling, Endpoints: serving, TrialEndpoints: trial, PeakLoad: peak, CurrentLoad: current, StatesPace: pace > 0, NeverRequested: n.loadEstimator.neverRequested(s.Name), Evacuated: evacuatedDataCentres,
 		})
 	}
 	return states
