Guard the rejected entries of endpoints by a lock

The mirror of the endpoints applies changes from the goroutine that reads the store and from the one that follows a reader, and both wrote the map without a lock; concurrent writes to a map end the process.

--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -175,6 +175,8 @@
 // was rejected for the same reason before. An empty reason means that the entry is usable
 // or gone.
 func (n *Node) recordRejection(name, why string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if why == "" {
 		delete(n.rejectedEntries, name)
 		return
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -97,7 +97,7 @@
 		evacuationMirror *clmirror.Mirror[clcatalog.Evacuation]
 		gatewayMirror    *clmirror.Mirror[clcatalog.Member]
 
-		// mu guards the four maps that follow it.
+		// mu guards the five maps that follow it.
 		mu sync.Mutex
 		// gatewayEntries holds the store's entries of the registered gateways, by
 		// name.
@@ -111,11 +111,13 @@
 		requestedRollouts map[string]clcatalog.Rollout
 		// evacuatedDataCentres is the set of data centres that are evacuated.
 		evacuatedDataCentres map[string]bool
-
-		// rejectedEntries holds why entries of endpoints can't be used, by name; it is
-		// used only by the mirror of the endpoints. rejections counts them.
+		// rejectedEntries holds why entries of endpoints can't be used, by name. It is
+		// written from the goroutine that reads the store and from the one that
+		// follows a reader.
 		rejectedEntries map[string]string
-		rejections      prometheus.Counter
+
+		// rejections counts the entries of endpoints that can't be used.
+		rejections prometheus.Counter
 
 		loadEstimator loadEstimator
 		// partitionDetector and manyGateways are used only by the control loop.
