Admit accounts below their limit with many gateways, and keep the bound

Causes of refusals below the limit:

- A bucket was refilled up to the burst before the extrapolated spending of the peers was deducted, so that a full bucket appeared emptier by the spending of an interval between digests.
- unreportedSpending multiplied a single request by the number of gateways.
- The rate of a peer was smoothed over 1 s at an interval of 0.88 s, so that one expensive request was extrapolated over the next interval.
- None of the tolerance was granted with 13 gateways or more, where a burst may be a few requests.

Causes of exceeding the bound:

- Digests of a gateway that drains were not counted, although it goes on admitting requests.
- Each gateway that restarted alone began with half of the burst.
- After a restart of all gateways, the level began above 0, although the gateways may have exceeded the quota just before.

The refill and the extrapolation are now netted. The estimate of unreported spending is weighted by how much the own requests say about the peers: fully in an empty bucket, less in a full one. A part of the tolerance that a surge does not need is granted as burst. Leaving gateways are counted until they end.

--- a/internal/limits/clquota/sim_test.go
+++ b/internal/limits/clquota/sim_test.go
@@ -49,7 +49,18 @@
 		admitted bool
 	}
 
+	// simulatedWorld is the state of a simulation.
+	simulatedWorld struct {
+		simulation
+		rng      *rand.Rand
+		interval time.Duration
+		gateways []simulatedGateway
+		outcomes []simulated
+		meanCost float64
+	}
+
 	simulatedGateway struct {
+		name       string
 		limiter    *Limiter
 		nextDigest time.Duration
 		downUntil  time.Duration
@@ -62,7 +73,9 @@
 const (
 	// simOvershoot and simSlack are the tolerances of the quota bound.
 	simOvershoot, simSlack = 0.1, 140_000.0
-	simStep                = 5 * time.Millisecond
+	// simDigestsPerLoss is the number of digests of which one is lost.
+	simDigestsPerLoss = 50
+	simStep           = 5 * time.Millisecond
 	// simTrafficStart is when requests begin after the start of the gateways.
 	simTrafficStart = 5 * time.Second
 	// simPartitionNoticed is how long an isolated gateway takes to notice: the age of
@@ -77,6 +90,9 @@
 	simMaxCost = 56_000
 )
 
+// simEpoch is the start of the simulated time.
+var simEpoch = time.Unix(1000, 0)
+
 // simRates are the accounts' rates; an account's burst is the rate of one second.
 var simRates = []float64{36_000, 100_000, 200_000, 337_000, 700_000, 1_400_000}
 
@@ -100,124 +116,137 @@
 
 // run plays the simulation and returns the outcomes of the accounts by simRates.
 func (s simulation) run() []simulated {
-	rng := rand.New(rand.NewPCG(s.seed, 7))
-	start, interval := time.Unix(1000, 0), clgossip.DigestInterval(s.n)
-	cost := s.cost
-	if cost == nil {
-		cost = requestCost
+	if s.cost == nil {
+		s.cost = requestCost
 	}
-	meanCost := meanRequestCost(cost)
-	outcomes := make([]simulated, len(simRates))
-	gateways := make([]simulatedGateway, s.n)
-	names, accounts := make([]string, s.n), make([]string, len(simRates))
-	for i := range names {
-		names[i] = fmt.Sprint("gw", i)
+	w := &simulatedWorld{
+		simulation: s, rng: rand.New(rand.NewPCG(s.seed, 7)), interval: clgossip.DigestInterval(s.n),
+		gateways: make([]simulatedGateway, s.n), outcomes: make([]simulated, len(simRates)), meanCost: meanRequestCost(s.cost),
 	}
 	for k, rate := range simRates {
-		accounts[k], outcomes[k].rate, outcomes[k].burst = fmt.Sprint("account", k), rate, rate
-	}
-	setLimits := func(l *Limiter, since time.Duration) {
-		factor := 1.0
-		if s.lowerAt > 0 && since < s.lowerAt {
-			factor = 1 / s.lowerTo
-		}
-		for k, rate := range simRates {
-			granted, burst := simGrant(rate*factor, rate*factor, s.n)
-			l.SetLimit(accounts[k], granted, burst, start.Add(since))
-		}
-	}
-	boot := func(i int, since time.Duration) {
-		now := start.Add(since)
-		g := &gateways[i]
-		g.limiter = newSimLimiter(uint64(now.UnixNano()) + uint64(i)*1e6)
-		g.limiter.SetGateways(s.n, now)
-		g.limiter.SetDigestInterval(interval)
-		setLimits(g.limiter, since)
-		g.nextDigest = since + time.Duration(rng.Float64()*float64(interval))
-		g.leaving = false
-		g.boots++
-	}
-	for i := range gateways {
-		boot(i, 0)
+		w.outcomes[k].rate, w.outcomes[k].burst = rate, rate
 	}
-	isolated := func(i int, since time.Duration) bool {
-		return i == 0 && since >= s.isolatedFrom && since < s.isolatedFrom+s.isolatedFor
-	}
-	sendDigest := func(i int, since time.Duration) {
-		from, spent := &gateways[i], gateways[i].limiter.Spent()
-		for j := range gateways {
-			if j == i || since < gateways[j].downUntil || isolated(i, since) || isolated(j, since) || rng.IntN(50) == 0 {
-				continue
-			}
-			receiveSimDigest(gateways[j].limiter, from.limiter, names[i], spent, from.leaving, start.Add(since))
-		}
+	for i := range w.gateways {
+		w.gateways[i].name = fmt.Sprint("gw", i)
+		w.boot(i, 0)
 	}
 	lowered := false
 	for since := time.Duration(0); since < s.duration; since += simStep {
-		now := start.Add(since)
-		for i := range gateways {
-			g := &gateways[i]
-			at, restarts := s.restarts[i]
-			if !restarts || since < at || g.boots > 1 {
-				continue
-			}
-			switch {
-			case s.down > 0 && !s.killed && since < at+simDrain:
-				if !g.leaving {
-					g.leaving, g.nextDigest = true, since
-				}
-			case s.down > 0 && g.downUntil == 0:
-				g.downUntil = since + s.down
-				if !s.killed {
-					sendDigest(i, since)
-				}
-			case since >= g.downUntil:
-				boot(i, since)
-			}
-		}
+		w.restartGateways(since)
 		if s.lowerAt > 0 && since >= s.lowerAt && !lowered {
 			lowered = true
-			for i := range gateways {
-				setLimits(gateways[i].limiter, since)
+			for i := range w.gateways {
+				w.setLimits(w.gateways[i].limiter, since)
 			}
 		}
 		if s.isolatedFor > 0 {
 			share := 0.0
-			if since >= s.isolatedFrom+simPartitionNoticed && since < s.isolatedFrom+s.isolatedFor+interval {
+			if since >= s.isolatedFrom+simPartitionNoticed && since < s.isolatedFrom+s.isolatedFor+w.interval {
 				share = 1 / float64(s.n)
 			}
-			gateways[0].limiter.SetReachableShare(share)
+			w.gateways[0].limiter.SetReachableShare(share)
 		}
-		for i := range gateways {
-			g := &gateways[i]
-			if since < g.downUntil || since < g.nextDigest {
-				continue
+		for i := range w.gateways {
+			if g := &w.gateways[i]; since >= g.downUntil && since >= g.nextDigest {
+				g.nextDigest += time.Duration((0.9 + 0.2*w.rng.Float64()) * float64(w.interval))
+				w.sendDigest(i, since)
 			}
-			g.nextDigest += time.Duration((0.9 + 0.2*rng.Float64()) * float64(interval))
-			sendDigest(i, since)
 		}
-		if since < simTrafficStart {
+		if since >= simTrafficStart {
+			w.sendRequests(since)
+		}
+	}
+	return w.outcomes
+}
+
+// setLimits sets the limits of all accounts that are in force at the given time.
+func (w *simulatedWorld) setLimits(l *Limiter, since time.Duration) {
+	factor := 1.0
+	if w.lowerAt > 0 && since < w.lowerAt {
+		factor = 1 / w.lowerTo
+	}
+	for k, rate := range simRates {
+		granted, burst := simGrant(rate*factor, rate*factor, w.n)
+		l.SetLimit(accountName(k), granted, burst, simEpoch.Add(since))
+	}
+}
+
+// boot starts a new process of gateway i.
+func (w *simulatedWorld) boot(i int, since time.Duration) {
+	now, g := simEpoch.Add(since), &w.gateways[i]
+	g.limiter = newSimLimiter(uint64(now.UnixNano()) + uint64(i)*1e6)
+	g.limiter.SetGateways(w.n, now)
+	g.limiter.SetDigestInterval(w.interval)
+	w.setLimits(g.limiter, since)
+	g.nextDigest = since + time.Duration(w.rng.Float64()*float64(w.interval))
+	g.leaving = false
+	g.boots++
+}
+
+// restartGateways stops and starts the gateways that are due.
+func (w *simulatedWorld) restartGateways(since time.Duration) {
+	for i := range w.gateways {
+		g := &w.gateways[i]
+		at, restarts := w.restarts[i]
+		if !restarts || since < at || g.boots > 1 {
 			continue
 		}
-		for k, rate := range simRates {
-			for range poisson(rng, s.demand(since-simTrafficStart)*rate/meanCost*simStep.Seconds()) {
-				r := simulatedRequest{at: since, cost: cost(rng)}
-				i := s.gatewayOf(k, rng.IntN(simCallers), gateways, since)
-				r.admitted, _ = gateways[i].limiter.Admit(accounts[k], r.cost, now)
-				outcomes[k].requests = append(outcomes[k].requests, r)
+		switch {
+		case w.down > 0 && !w.killed && since < at+simDrain:
+			if !g.leaving {
+				g.leaving, g.nextDigest = true, since
 			}
+		case w.down > 0 && g.downUntil == 0:
+			g.downUntil = since + w.down
+			if !w.killed {
+				w.sendDigest(i, since)
+			}
+		case since >= g.downUntil:
+			w.boot(i, since)
 		}
 	}
-	return outcomes
 }
 
+// isolated reports whether gateway i is cut off from the others.
+func (w *simulatedWorld) isolated(i int, since time.Duration) bool {
+	return i == 0 && since >= w.isolatedFrom && since < w.isolatedFrom+w.isolatedFor
+}
+
+// sendDigest sends a digest of gateway i to the others that it reaches, of which one
+// in simDigestsPerLoss is lost.
+func (w *simulatedWorld) sendDigest(i int, since time.Duration) {
+	from, spent := &w.gateways[i], w.gateways[i].limiter.Spent()
+	for j := range w.gateways {
+		to := &w.gateways[j]
+		if j == i || since < to.downUntil || w.isolated(i, since) || w.isolated(j, since) || w.rng.IntN(simDigestsPerLoss) == 0 {
+			continue
+		}
+		receiveSimDigest(to.limiter, from.limiter, from.name, spent, from.leaving, simEpoch.Add(since))
+	}
+}
+
+// sendRequests plays the requests of one step.
+func (w *simulatedWorld) sendRequests(since time.Duration) {
+	for k, rate := range simRates {
+		for range poisson(w.rng, w.demand(since-simTrafficStart)*rate/w.meanCost*simStep.Seconds()) {
+			r := simulatedRequest{at: since, cost: w.cost(w.rng)}
+			i := w.gatewayOf(k, w.rng.IntN(simCallers), since)
+			r.admitted, _ = w.gateways[i].limiter.Admit(accountName(k), r.cost, simEpoch.Add(since))
+			w.outcomes[k].requests = append(w.outcomes[k].requests, r)
+		}
+	}
+}
+
+// accountName returns the name of the account with simRates[k].
+func accountName(k int) string { return fmt.Sprint("account", k) }
+
 // gatewayOf returns the gateway of a caller: the one that its hash names, or the next
 // hash while that one is down.
-func (s simulation) gatewayOf(account, caller int, gateways []simulatedGateway, since time.Duration) int {
+func (w *simulatedWorld) gatewayOf(account, caller int, since time.Duration) int {
 	for try := 0; ; try++ {
 		h := fnv.New64a()
 		fmt.Fprint(h, account, "/", caller, "/", try)
-		if i := int(h.Sum64() >> 16 % uint64(s.n)); since >= gateways[i].downUntil {
+		if i := int(h.Sum64() >> 16 % uint64(w.n)); since >= w.gateways[i].downUntil {
 			return i
 		}
 	}
--- a/internal/limits/clquota/simcases_test.go
+++ b/internal/limits/clquota/simcases_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 )
 
 type surgeCase struct {
@@ -11,9 +13,8 @@
 	simulation
 }
 
-// calmGateways are the numbers of gateways of the cases without a surge. The present
-// code refuses requests in each of them, so they are added with the change to it.
-var calmGateways []int
+// calmGateways are the numbers of gateways of the cases without a surge.
+var calmGateways = []int{132, 70}
 
 // surgeCases returns the cases with a surge.
 func surgeCases(isolatedFrom, isolatedFor, down time.Duration) []surgeCase {
@@ -36,21 +37,19 @@
 }
 
 // newSimLimiter returns the limiter of a simulated gateway.
-func newSimLimiter(bootTime uint64) *Limiter { return &Limiter{BootTime: bootTime} }
+func newSimLimiter(bootTime uint64) *Limiter {
+	return &Limiter{BootTime: bootTime, Tolerance: Tolerance{simOvershoot, simSlack}}
+}
 
 // simGrant returns what is granted of a quota with n gateways, as clnode does.
 func simGrant(rate, burst float64, n int) (float64, float64) {
-	if n >= 13 {
-		return rate, burst
-	}
-	return rate * (1 + 0.5*simOvershoot), burst + min(simSlack, burst)/4
+	return Tolerance{simOvershoot, simSlack}.Grant(rate, burst, n, clgossip.DigestInterval(n))
 }
 
 // receiveSimDigest gives a limiter the digest of another one, as clnode does.
 func receiveSimDigest(to, from *Limiter, name string, spent map[string]float64, leaving bool, now time.Time) {
+	to.RecordPeerSpending(name, from.BootTime, spent, now)
 	if leaving {
-		to.ForgetPeer(name)
-		return
+		to.SetPeerLeaving(name)
 	}
-	to.RecordPeerSpending(name, from.BootTime, spent, now)
 }
--- a/internal/limits/clquota/surge_test.go
+++ b/internal/limits/clquota/surge_test.go
@@ -127,3 +127,53 @@
 		}
 	}
 }
+
+// Guards against the spending of a gateway that drains going uncounted, and against
+// spending assumed of it after it has ended.
+func TestLeavingPeer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := &Limiter{BootTime: uint64(now.UnixNano())}
+	l.SetGateways(2, now)
+	l.SetDigestInterval(200 * time.Millisecond)
+	l.SetLimit("a", 1000, 10_000, now)
+	level := func() float64 {
+		l.buckets["a"].advance(now, l.digestInterval)
+		return l.buckets["a"].level
+	}
+	for i := range 200 {
+		now = now.Add(200 * time.Millisecond)
+		l.RecordPeerSpending("p", l.BootTime, map[string]float64{"a": float64(i) * 100}, now)
+	}
+	require.InDelta(t, 10_000, level(), 1, "half of the rate leaves the bucket full")
+	l.SetPeerLeaving("p")
+	l.RecordPeerSpending("p", l.BootTime, map[string]float64{"a": 24_900}, now)
+	require.InDelta(t, 5_000, level(), 1, "spending while leaving counts")
+	now = now.Add(time.Second)
+	level()
+	before := level()
+	now = now.Add(time.Second)
+	require.InDelta(t, before+1000, level(), 1, "nothing is assumed of a peer that has ended")
+}
+
+// Guards against log lines that name the wrong basis of a refusal.
+func TestDecisionBasis(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newLimiter := func() *Limiter {
+		l := &Limiter{BootTime: uint64(now.UnixNano())}
+		l.SetGateways(100, now)
+		l.SetDigestInterval(time.Second)
+		l.SetLimit("a", 1000, 1000, now)
+		return l
+	}
+	require.Equal(t, BasisStartup, newLimiter().Decide("a", 100, now).Basis, "no digests yet")
+	l := newLimiter()
+	for i := range 99 {
+		l.RecordPeerSpending(fmt.Sprint(i), l.BootTime, map[string]float64{"a": 1}, now)
+	}
+	later := now.Add(2 * time.Second)
+	require.True(t, l.Decide("a", 500, later).Admitted)
+	d := l.Decide("a", 400, later.Add(100*time.Millisecond))
+	require.Equal(t, BasisUnreported, d.Basis, "the peers have probably spent as much since their reports")
+	require.Positive(t, d.Unreported)
+	require.Equal(t, BasisAboveLimit, l.Decide("a", 900, later).Basis)
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmove"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -49,29 +50,6 @@
 	clmirror.Add(n.replicator, n.gatewayMirror)
 }
 
-const (
-	// grantedOvershootFraction is the fraction of the tolerated overshoot that is
-	// granted in advance, so that requests within the quota are not refused
-	// because the counts of the other gateways arrive late. The rest of the
-	// tolerance covers the overshoot that the late counts themselves cause.
-	grantedOvershootFraction = 0.5
-	// overshootCutoff is the number of gateways from which no overshoot is granted.
-	// What each of them admits between two digests adds up, and uses up the whole
-	// tolerance.
-	overshootCutoff = 13
-)
-
-// grantedQuota returns the rate and the burst granted to an account. With fewer
-// than overshootCutoff gateways, the rate is increased by a part of the tolerated
-// overshoot, and the burst by a quarter of the slack, but at most by a quarter of
-// itself. Otherwise, and if the rate is unlimited, both are those of the account.
-func grantedQuota(a clcatalog.Account, s Settings, gatewayCount int) (rate, burst float64) {
-	if a.Rate <= 0 || gatewayCount >= overshootCutoff {
-		return a.Rate, a.Burst
-	}
-	return a.Rate * (1 + grantedOvershootFraction*s.QuotaOvershoot), a.Burst + min(s.QuotaSlack, a.Burst)/4
-}
-
 // readerAddresses returns the addresses of the gateways whose mirrors this gateway
 // may follow, the preferred one first. If there are none, this gateway reads the
 // store itself.
@@ -115,23 +93,24 @@
 	}
 }
 
-// updateQuotaGrants applies the quotas again when the number of gateways has passed
-// overshootCutoff. The configuration usually arrives before the list of gateways.
+// updateQuotaGrants applies the quotas again when the number of gateways has changed,
+// since what is granted depends on it. The configuration usually arrives before the list
+// of gateways.
 func (n *Node) updateQuotaGrants(gatewayCount int) {
-	catalog, manyGateways := n.gateway.Catalog(), gatewayCount >= overshootCutoff
-	if catalog == nil || manyGateways == n.manyGateways {
+	catalog := n.gateway.Catalog()
+	if catalog == nil || gatewayCount == n.grantedGatewayCount {
 		return
 	}
-	n.manyGateways = manyGateways
+	n.grantedGatewayCount = gatewayCount
 	n.applyQuotas(catalog, gatewayCount)
 }
 
 // applyQuotas sets the quotas of the accounts of a configuration, as they are granted
 // with the given number of gateways.
 func (n *Node) applyQuotas(c *clcatalog.Catalog, gatewayCount int) {
-	now := clclock.Now()
+	now, tolerance := clclock.Now(), clquota.Tolerance{Overshoot: n.Settings.QuotaOvershoot, Slack: n.Settings.QuotaSlack}
 	for _, a := range c.Accounts {
-		rate, burst := grantedQuota(a, n.Settings, gatewayCount)
+		rate, burst := tolerance.Grant(a.Rate, a.Burst, gatewayCount, clgossip.DigestInterval(gatewayCount))
 		n.quotaLimiter.SetLimit(a.Name, rate, burst, now)
 	}
 }
@@ -288,16 +267,15 @@
 }
 
 // applyDigest passes the content of a digest from another gateway to the
-// components. If that gateway is leaving, the quota limiter no longer assumes that
-// it uses quota.
+// components. A gateway that is leaving goes on admitting requests until the ingress
+// has noticed, so its spending counts as well.
 func (n *Node) applyDigest(d *clgossip.Digest) {
 	now := clclock.Now()
+	n.quotaLimiter.RecordPeerSpending(d.GetName(), d.GetBoot(), lo.SliceToMap(d.GetSpending(), func(s *clgossip.Spending) (string, float64) {
+		return s.GetAccount(), s.GetCost()
+	}), now)
 	if d.GetLeaving() {
-		n.quotaLimiter.ForgetPeer(d.GetName())
-	} else {
-		n.quotaLimiter.RecordPeerSpending(d.GetName(), d.GetBoot(), lo.SliceToMap(d.GetSpending(), func(s *clgossip.Spending) (string, float64) {
-			return s.GetAccount(), s.GetCost()
-		}), now)
+		n.quotaLimiter.SetPeerLeaving(d.GetName())
 	}
 	n.fleet.SetPeerLoad(d.GetName(), lo.Map(d.GetBusy(), func(b *clgossip.Busy, _ int) clfleet.EndpointLoad {
 		return clfleet.EndpointLoad{EndpointHash: b.GetEndpoint(), Load: clfleet.Load{Running: int(b.GetRunning()), Pending: clfleet.DecodePendingTokens(b.GetPendingTokens())}}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -118,11 +118,11 @@
 		rejections      prometheus.Counter
 
 		loadEstimator loadEstimator
-		// partitionDetector and manyGateways are used only by the control loop.
-		// manyGateways is set while overshootCutoff gateways or more are registered, as
-		// of the last time that the quotas were applied for that.
-		partitionDetector partitionDetector
-		manyGateways      bool
+		// partitionDetector and grantedGatewayCount are used only by the control loop.
+		// grantedGatewayCount is the number of gateways for which the control loop last
+		// applied the quotas.
+		partitionDetector   partitionDetector
+		grantedGatewayCount int
 	}
 )
 
@@ -228,7 +228,9 @@
 	n.clock = &clclock.MedianClock{}
 	n.readiness = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: settings.DataCentre, Rand: rand.New(rand.NewPCG(bootID, rand.Uint64()))}
-	n.quotaLimiter = &clquota.Limiter{BootTime: bootID}
+	n.quotaLimiter = &clquota.Limiter{
+		BootTime: bootID, Tolerance: clquota.Tolerance{Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack},
+	}
 	n.crashTracker = &clcrash.Tracker{OnChange: n.logBlock}
 	n.blockKeeper = &blockKeeper{
 		store: n.Store, tracker: n.crashTracker, follows: n.followsBlocks, writes: func() bool { return n.isAmongFirst(blockWriterCount) },
