Scale the level after a restart of all gateways with the digest interval

With frequent digests the quota bound holds without it, so the level now falls with the interval beyond 0.3 s.

--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -71,10 +71,13 @@
 	// running gateways. Gateways that restart in turn while an account is at its limit
 	// would otherwise each admit half of the burst anew.
 	joinedFill = 0.1
-	// syncedFill is the largest level, as a fraction of the burst, when the gateways
-	// have received each other's digests after a restart of all of them. It is below 0
-	// because they may have exceeded the quota just before.
-	syncedFill = -0.3
+	// syncedFillLoss is by how much the largest level, as a fraction of the burst, when
+	// the gateways have received each other's digests after a restart of all of them, is
+	// below startupBurstShare for each second of the interval between digests beyond
+	// maxFreshDigestInterval. The longer the interval, the more the gateways may have
+	// exceeded the quota just before: with 132 gateways, the level is at most -0.3 of
+	// the burst.
+	syncedFillLoss = 0.7
 	// restartReserve is the part of the tolerance that a surge and a restart of all
 	// gateways may use together, in seconds of the account's rate, and
 	// restartSpareFraction the fraction of the rest that is granted after the restart.
@@ -273,8 +276,11 @@
 			// process or later, so all gateways may have restarted, and the burst may
 			// have been spent just before.
 			b.advance(now, l.digestInterval)
-			spare := max(0, l.Tolerance.of(b.rate, b.burst)-restartReserve.Seconds()*b.rate)
-			b.level = min(b.level-b.burst*(initialFill-startupBurstShare), b.burst*syncedFill+spare*restartSpareFraction)
+			b.level -= b.burst * (initialFill - startupBurstShare)
+			if late := (l.digestInterval - maxFreshDigestInterval).Seconds(); late > 0 {
+				spare := restartSpareFraction * max(0, l.Tolerance.of(b.rate, b.burst)-restartReserve.Seconds()*b.rate)
+				b.level = min(b.level, b.burst*(startupBurstShare-syncedFillLoss*late)+spare)
+			}
 		}
 	}
 }
