Tell in the refused line on what a refusal by a quota is based

The line of an over_quota request has quota_basis, quota_level, quota_needed and quota_unreported, and chestnutlead_gateway_quota_refusals_total counts by basis, so that "above the limit" can be told from "not known".

--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -13,6 +13,9 @@
 	attempts *prometheus.CounterVec
 	// refusals counts the requests that end with an errorResponse.
 	refusals *prometheus.CounterVec
+	// quotaRefusals counts those of them that a quota has refused, by
+	// clquota.Decision.Basis.
+	quotaRefusals *prometheus.CounterVec
 	// promises counts the responses with a status that says that the request was not
 	// run, by what that rests on.
 	promises   *prometheus.CounterVec
@@ -37,6 +40,8 @@
 			"Attempts by service and outcome.", "service", "outcome"),
 		refusals: m.Counter(clobserve.Name{Component: "gateway", What: "refusals", Unit: "total"},
 			"Requests to which the gateway itself responded with an error, by reason.", "reason"),
+		quotaRefusals: m.Counter(clobserve.Name{Component: "gateway", What: "quota_refusals", Unit: "total"},
+			"Requests refused by their account's quota, by basis: above_limit (by the reported spending), unreported (by the estimate of what other gateways have not reported yet), startup (spending not known yet).", "basis"),
 		promises: m.Counter(clobserve.Name{Component: "gateway", What: "promises", Unit: "total"},
 			"Responses whose status promises that the request was not run, by status and basis: not_sent, stated (by every endpoint that received it), relayed (an endpoint's response as it came).", "status", "basis"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -41,6 +42,8 @@
 		// cost is the amount to charge to the account's quota. It stays set if the
 		// quota refuses the request.
 		cost float64
+		// quota is the decision of the account's quota, if there has been one.
+		quota clquota.Decision
 		// fingerprint is the same for repetitions of the request by the caller.
 		fingerprint uint64
 		// traits are what the request may have in common with others that crash
@@ -152,8 +155,9 @@
 	tokens := float64(c.reqInfo.PromptTokens + c.reqInfo.MaxOutputTokens)
 	if c.account != nil {
 		c.cost = c.account.Cost(tokens)
-		if admitted, wait := g.Quotas.Admit(c.account.Name, c.cost, clclock.Now()); !admitted {
-			return &errorResponse{http.StatusTooManyRequests, "over_quota", wait}
+		if c.quota = g.Quotas.Decide(c.account.Name, c.cost, clclock.Now()); !c.quota.Admitted {
+			g.collectors.quotaRefusals.WithLabelValues(string(c.quota.Basis)).Inc()
+			return &errorResponse{http.StatusTooManyRequests, "over_quota", c.quota.RetryAfter}
 		}
 	}
 	g.Recorder.RequestAdmitted(c.service)
@@ -227,9 +231,16 @@
 	if cat := g.catalog.Load(); cat != nil {
 		version = cat.Version
 	}
-	g.Logger.Info("refused", zap.String("request", c.reqInfo.ID), zap.Int("status", errResp.status), zap.String("reason", errResp.reason),
+	fields := []zap.Field{
+		zap.String("request", c.reqInfo.ID), zap.Int("status", errResp.status), zap.String("reason", errResp.reason),
 		zap.Duration("retry_after", errResp.retryAfter), zap.String("account", accountName(c.account)), zap.String("route", routeName(c.route)),
-		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)))
+		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)),
+	}
+	if c.quota.Basis != "" {
+		fields = append(fields, zap.String("quota_basis", string(c.quota.Basis)), zap.Float64("quota_level", c.quota.Level),
+			zap.Float64("quota_needed", c.quota.Needed), zap.Float64("quota_unreported", c.quota.Unreported))
+	}
+	g.Logger.Info("refused", fields...)
 	g.recordPromise(errResp.status, c.basis(errResp.status))
 	c.w.WriteHeader(errResp.status)
 	if _, err := c.w.Write([]byte(`{"title":"` + errResp.reason + `","status":` + strconv.Itoa(errResp.status) + "}\n")); err != nil {
