Ask which start of an endpoint lives when a response ends with its connection

A body with neither a length nor chunks ends with its connection, also when its endpoint crashes.

The start must be that of the entry by which the request was sent. If the process states none, its ID must be right and the entry unchanged since. A response that isn't known to be whole is cut, or becomes a 502 if nothing of it has been passed on. Services without health_path are treated as before. The metric unframed_ends counts the results.

Undecidable from outside, and left so: a start that ends a response early and lives on; a new start that states no start and whose entry has not arrived yet. Withheld although whole: a response whose endpoint ends or stops accepting connections right after it, or can't be asked in time, and one sent by an entry older than the start that ran it.

--- a/cmd/chestnutlead/gateway.go
+++ b/cmd/chestnutlead/gateway.go
@@ -62,8 +62,9 @@
 	signal.Notify(hangUp, syscall.SIGHUP)
 	n := &clnode.Node{
 		Settings: s, Store: cladapter.NewStore(s.StoreAddress), Cloud: cladapter.NewCloud(s.CloudAddress), HeaderCodec: cladapter.Headers{},
-		LoadSettings: func() (clnode.Settings, error) { return cladapter.LoadSettings(path) },
-		ReloadSignal: hangUp, Logger: logger, Metrics: metrics,
+		IdentifyEndpoint: cladapter.Identify,
+		LoadSettings:     func() (clnode.Settings, error) { return cladapter.LoadSettings(path) },
+		ReloadSignal:     hangUp, Logger: logger, Metrics: metrics,
 	}
 	done := make(chan struct{})
 	var g errgroup.Group
--- a/internal/model/clcatalog/catalog.go
+++ b/internal/model/clcatalog/catalog.go
@@ -91,6 +91,9 @@
 		Engine *Engine
 		// Scaling is nil for a service with a fixed number of endpoints.
 		Scaling *Scaling
+		// HealthPath is the path under which an endpoint says which endpoint and which
+		// start of it it is; it is empty if there is none.
+		HealthPath string
 	}
 
 	// Engine describes the model engine that each endpoint of a service runs.
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -299,6 +299,16 @@
 	}
 }
 
+// EntryUnchanged reports whether the entry of the chosen endpoint still describes the
+// start that was chosen. An entry that was removed meanwhile and has come back does so
+// only if it tells its start.
+func (f *Fleet) EntryUnchanged(c *Choice) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[c.Endpoint]
+	return e != nil && (e == c.endpoint || c.Born != 0 && e.Born == c.Born && e.Address == c.Address && e.Service == c.service)
+}
+
 // Remove removes the endpoint with the given ID, if it is known.
 func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -87,6 +87,15 @@
 		QuietFor time.Duration
 	}
 
+	// Identity is what the process at the address of an endpoint says of itself.
+	Identity struct {
+		// Endpoint is the ID of the endpoint, or empty if the process did not say it.
+		Endpoint string
+		// Born is the start of the process, as in clcatalog.Endpoint.Born, or 0 if the
+		// process did not say it.
+		Born int64
+	}
+
 	// Recorder is notified of the progress of requests and attempts. The usage of
 	// accounts, the failure rates and latencies of versions, and the load of
 	// services are computed from its calls.
@@ -134,7 +143,12 @@
 		Client clendpoint.Client
 		// Probe reports whether an endpoint accepts connections. If it is nil, no
 		// crashes are counted.
-		Probe    func(addr netip.AddrPort) bool
+		Probe func(addr netip.AddrPort) bool
+		// Identify asks the process at addr, over a new connection, which endpoint of
+		// the service and which start of it it is. Each call is charged, so that it is
+		// made only for responses that end with their connection. It is not called for
+		// a service without a HealthPath. If it is nil, Probe takes its place.
+		Identify func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort) (Identity, error)
 		Recorder Recorder
 		// ConfigFresh reports whether the configuration was confirmed recently
 		// enough to trust an API key. If not, it also returns the delay after
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -21,6 +21,9 @@
 	statements *prometheus.CounterVec
 	// crashes counts the attempts that ended because their endpoint crashed.
 	crashes *prometheus.CounterVec
+	// ends counts the responses that ended with their connection, by what the endpoint
+	// said of itself afterwards.
+	ends *prometheus.CounterVec
 }
 
 // firstEventBuckets are the upper bounds, in seconds, of the buckets of firstEvent.
@@ -45,5 +48,7 @@
 			"Responses in which endpoints said that they leave (once for each) or want no requests for some time, by service.", "service", "statement"),
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
+		ends: m.Counter(clobserve.Name{Component: "gateway", What: "unframed_ends", Unit: "total"},
+			"Responses that ended with their connection, by service and result: whole (the same start of the endpoint still lives), other_start, unknown (it can't be told). Only whole ones are passed on as complete.", "service", "result"),
 	}
 }
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -70,6 +70,8 @@
 		Cloud clduty.Cloud
 		// HeaderCodec parses and builds the headers of requests and responses.
 		HeaderCodec clgateway.HeaderCodec
+		// IdentifyEndpoint is Gateway.Identify; see there.
+		IdentifyEndpoint func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort) (clgateway.Identity, error)
 		// LoadSettings reads the settings again while the process runs.
 		LoadSettings func() (Settings, error)
 		// ReloadSignal receives a value when the settings may have changed.
@@ -254,7 +256,7 @@
 	}
 	n.gateway = &clgateway.Gateway{
 		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker,
-		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
+		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Identify: n.IdentifyEndpoint, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
 	}
 	n.partitionDetector.changeDeadline = settings.ChangeDeadline
