Mark an endpoint as crashed before its connections end in the soak

When such a part ends an endpoint, crashesUnder closed the endpoint's link first and marked the endpoint as crashed later, from another goroutine. Requests that the crash had cut in between were judged as if the endpoint were calm; if their gateway was draining, its planned stop was blamed. The endpoint is now marked before its connections end. The check itself is unchanged.

--- a/internal/testing/clsoak/badpart.go
+++ b/internal/testing/clsoak/badpart.go
@@ -78,8 +78,10 @@
 		return false
 	}
 	p.arrived(w.soak.inTouchNow(r.Request), r.At)
-	// The link first: who asks at once whether the endpoint still accepts connections
-	// must not find it open.
+	// What ends with the endpoint is judged as soon as its connections have ended.
+	e.trouble(time.Now().Add(time.Hour))
+	// The link before the server: who asks at once whether the endpoint still accepts
+	// connections must not find it open.
 	e.link.close()
 	go w.crash(e)
 	if err := w.addEndpoint(); err != nil {
