Bound what soundness outweighs, and keep lifted blocks from coming back

- A bad part with a long sound history could crash endpoints without end.
Each part that was new beside it was blocked in its place, took its crashes, and soundness outweighed the next crashes anew.
What no single other part explains now counts in full, so that the discount counts once.
- A block that had been dropped came back by a late digest, or by a record whose writer's clock was ahead, because the time of the latest crash is rebuilt from an age.
After a revision, only crashes block the trait again.

Left: a gateway that first hears of a block by a late digest, after all others have dropped it, keeps it.

--- a/internal/limits/clcrash/revise_test.go
+++ b/internal/limits/clcrash/revise_test.go
@@ -76,8 +76,8 @@
 	for _, tracker := range []*Tracker{&a, &b, &late} {
 		tracker.Merge(stale, now)
 		requireRefused(t, tracker, now, secondPart, false)
-		require.True(t, tracker.Revised(secondPart, start.Add(3*time.Second)))
-		require.False(t, tracker.Revised(secondPart, now.Add(time.Second)))
+		require.True(t, tracker.Revised(secondPart))
+		require.False(t, tracker.Revised(firstPart))
 	}
 	requireRefused(t, &a, now, firstPart, true)
 }
@@ -113,3 +113,51 @@
 	}
 	requireRefused(t, &tracker, now, firstPart, false)
 }
+
+// Guards against a bad part with a long sound history that gets more than three further
+// requests after the fifth crash, because each new part beside it is blocked in its place.
+func TestBadPartWithSuccessiveNewCompanions(t *testing.T) {
+	for _, runs := range []int{0, 50, 500} {
+		var tracker Tracker
+		runSound(&tracker, runs, otherPart, secondPart, start)
+		now, crashes, companion := start, 0, uint64(1000)
+		for refused := false; !refused && crashes < 30; {
+			if _, next := tracker.Refuses([]Trait{{ID: companion}}, now); next {
+				companion++
+			}
+			now = now.Add(1500 * time.Millisecond)
+			tracker.Record(uint64(crashes), request(uint64(2000+crashes), companion, secondPart), now)
+			runSound(&tracker, minContrast, 60, 61, now.Add(time.Millisecond))
+			crashes++
+			_, refused = tracker.Refuses([]Trait{{ID: secondPart}}, now)
+		}
+		t.Logf("refused after %d crashes with %d sound runs before", crashes, runs)
+		require.LessOrEqual(t, crashes, 5+3, "%d sound runs", runs)
+	}
+}
+
+// Guards against a block that comes back by a digest or a record that is late: the time of
+// the latest crash in it is rebuilt from an age, and so seems to be later.
+func TestRevisedBlockDoesNotComeBackLate(t *testing.T) {
+	var a, b Tracker
+	now := start
+	for i := range 3 {
+		now = now.Add(time.Second)
+		a.Record(uint64(i), request(uint64(10+i), firstPart, secondPart), now)
+	}
+	now = now.Add(2 * confirmAfter)
+	requireRefused(t, &a, now, secondPart, true)
+	lastCrash := start.Add(3 * time.Second)
+	b.Merge(a.Evidence(now), now)
+	runSound(&b, 1, otherPart, secondPart, now)
+	now = exchange(&a, &b, now, time.Second)
+	requireRefused(t, &a, now, secondPart, false)
+	for _, delay := range []time.Duration{time.Second, 6 * time.Second, time.Minute} {
+		now = now.Add(time.Second)
+		late := Evidence{Blocks: []Block{{Trait: Trait{ID: secondPart, Depth: 1}, LastCrash: lastCrash.Add(delay)}}}
+		a.Merge(late, now)
+		now = exchange(&a, &b, now, time.Second)
+		requireRefused(t, &a, now, secondPart, false)
+		requireRefused(t, &b, now, secondPart, false)
+	}
+}
--- a/internal/limits/clcrash/tracker.go
+++ b/internal/limits/clcrash/tracker.go
@@ -234,13 +234,13 @@
 	return t.confirmedBlocks()
 }
 
-// Revised reports whether a block whose latest crash was at a time has been dropped since,
-// because the evidence has turned against it.
-func (t *Tracker) Revised(id uint64, lastCrash time.Time) bool {
+// Revised reports whether the block of a trait has been dropped because the evidence has
+// turned against it, and the trait has not been blocked again.
+func (t *Tracker) Revised(id uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at, revised := t.revisedAt[id]
-	return revised && !lastCrash.After(at)
+	_, revised := t.revisedAt[id]
+	return revised && t.blocks[id] == nil
 }
 
 // Merge adds the evidence of another gateway, or what was stored of it.
@@ -337,7 +337,9 @@
 
 // adopt takes over a block that another gateway has confirmed. t.mu is held.
 func (t *Tracker) adopt(b Block, now time.Time) {
-	if now.Sub(b.LastCrash) >= Retention || !b.LastCrash.After(t.revisedAt[b.ID]) {
+	// After a revision only crashes can block the trait again. The time of the latest crash
+	// is rebuilt from an age, so that it seems later the longer a digest was under way.
+	if _, revised := t.revisedAt[b.ID]; revised || now.Sub(b.LastCrash) >= Retention {
 		return
 	}
 	known := t.blocks[b.ID]
@@ -345,7 +347,9 @@
 		known = &block{Block: b, since: now}
 		t.block(known)
 	}
-	if b.LastCrash.After(known.LastCrash) {
+	// Later crashes are heard of by themselves; of the times told, the earliest is the most
+	// accurate.
+	if t.presence[b.ID] == 0 && b.LastCrash.Before(known.LastCrash) {
 		known.LastCrash = b.LastCrash
 	}
 	// The block may explain crashes that count against another trait.
--- a/internal/limits/clcrash/verdict.go
+++ b/internal/limits/clcrash/verdict.go
@@ -112,11 +112,20 @@
 	}
 }
 
-// revise drops a confirmed block, and clears its trait up to now, here and at the other
-// gateways. t.mu is held.
+// revise drops a confirmed block, and clears its trait of the crashes up to now, here and
+// at the other gateways. t.mu is held.
 func (t *Tracker) revise(b *block, now time.Time) {
 	delete(t.blocks, b.ID)
-	t.revisedAt[b.ID] = now
+	// A crash that this gateway has not heard of yet must count. The other gateways date
+	// the latest crash a little later or earlier.
+	cleared := b.LastCrash
+	if at := t.soundAt[b.ID]; at.After(cleared) {
+		cleared = at
+	}
+	if cleared = cleared.Add(confirmAfter); cleared.After(now) {
+		cleared = now
+	}
+	t.revisedAt[b.ID] = cleared
 	if t.OnChange != nil {
 		t.OnChange(b.Block, false)
 	}
@@ -138,7 +147,7 @@
 		if rival.compare(blocked) > 0 {
 			return true
 		}
-		without := slices.DeleteFunc(crashes, func(c *crash) bool { return t.countsAgainst(c, b.ID) })
+		without := slices.DeleteFunc(t.allCrashes(), func(c *crash) bool { return t.countsAgainst(c, b.ID) })
 		if t.blocks[id].explains() && t.tally(without, id).count >= partThreshold {
 			return true
 		}
@@ -219,6 +228,7 @@
 	for {
 		best := t.bestCandidate(left)
 		if best == nil {
+			t.explainTogether(explanations)
 			return explanations
 		}
 		explanations[best.ID] = best
@@ -246,6 +256,45 @@
 	return candidates
 }
 
+// explainTogether adds the parts that used to be sound and were present at the crashes of
+// several blocked ones. Soundness outweighs some crashes of a part once, not again for each
+// new part beside it: what no single other part explains counts in full. t.mu is held.
+func (t *Tracker) explainTogether(explanations map[uint64]*candidate) {
+	all := t.allCrashes()
+	blocked := map[uint64]struct{}{}
+	for id, c := range explanations {
+		if c.Depth != WholeRequest {
+			blocked[id] = struct{}{}
+		}
+	}
+	for id, b := range t.blocks {
+		if b.explains() {
+			blocked[id] = struct{}{}
+		}
+	}
+	if len(blocked) < 2 {
+		return
+	}
+	for id, c := range t.candidates(all) {
+		if _, known := blocked[id]; known || c.Depth == WholeRequest || c.count < 2*partThreshold || c.soundness == 0 || !t.contrasts(c) {
+			continue
+		}
+		least := c.count
+		for other := range blocked {
+			without := slices.DeleteFunc(slices.Clone(all), func(c *crash) bool { return t.countsAgainst(c, other) })
+			least = min(least, t.tally(without, id).count)
+		}
+		if least >= partThreshold {
+			explanations[id] = c
+		}
+	}
+}
+
+// allCrashes returns the crashes, sorted by time. t.mu is held.
+func (t *Tracker) allCrashes() []*crash {
+	return slices.SortedFunc(maps.Values(t.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+}
+
 // bestCandidate returns the trait that is to be blocked for the crashes, which are sorted
 // by time, or nil if none explains enough. t.mu is held.
 func (t *Tracker) bestCandidate(crashes []*crash) *candidate {
--- a/internal/serving/clnode/blocks.go
+++ b/internal/serving/clnode/blocks.go
@@ -196,13 +196,13 @@
 // outdated returns the traits whose records no longer count, because they are old or the
 // evidence has turned against the block.
 func (k *blockKeeper) outdated() []uint64 {
-	now, wallNow := clclock.Now(), k.now()
+	wallNow := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var outdated []uint64
 	for trait, b := range k.recorded {
 		age := wallNow.Sub(b.LastCrash)
-		if age > clcrash.Retention || k.tracker.Revised(trait, now.Add(-age)) {
+		if age > clcrash.Retention || k.tracker.Revised(trait) {
 			outdated = append(outdated, trait)
 		}
 	}
--- a/internal/serving/clnode/blocks_test.go
+++ b/internal/serving/clnode/blocks_test.go
@@ -163,6 +163,10 @@
 	tracker.Merge(clcrash.Evidence{SoundRuns: []clcrash.SoundRun{{TraitID: 1, BeganAt: now}}}, now)
 	require.False(t, refuses(tracker, 1))
 	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	// The clock of the writer is ahead.
+	require.NoError(t, store.RecordCrashBlock(t.Context(), clcatalog.CrashBlock{Trait: 1, Depth: 1, LastCrash: time.Now().Add(time.Minute)}))
+	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	require.False(t, refuses(tracker, 1))
 	require.True(t, refuses(tracker, 2))
 	late, _ := startKeeper(t, store)
 	require.Eventually(t, func() bool { return refuses(late, 2) }, 5*time.Second, 10*time.Millisecond)
