Ask the health path where the report can't be compared

- The entry of an engine states no start, and its report no ID.
The report is now asked only if the entry states a start; otherwise the health path is.
- An endpoint that leaves answers its health path with a failure status.
What it states of itself now counts whatever the status, and a report that can't be had no longer keeps the health path from being asked.

An entry without a start leaves undecided whether the endpoint has started again, as long as the entry stands and the ID is right.

--- a/internal/serving/clgateway/ending.go
+++ b/internal/serving/clgateway/ending.go
@@ -12,10 +12,6 @@
 	"go.uber.org/zap"
 )
 
-// identifyTimeout is the maximum time for asking an endpoint which start it is. It covers
-// one lost packet while connecting, which TCP sends again after a second.
-const identifyTimeout = 1500 * time.Millisecond
-
 var (
 	errOtherStart = errors.New("another start of the endpoint answers at its address")
 	errOtherID    = errors.New("another endpoint answers at the address")
@@ -38,11 +34,9 @@
 		}
 		return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("endpoint ended with a body that has no length")}
 	}
-	// A body that is ready is delivered even after the deadline.
-	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), identifyTimeout)
-	defer cancel()
 	askedAt := time.Now()
-	said, err := g.Identify(askCtx, s, a.choice.Address)
+	// A body that is ready is delivered even after the deadline.
+	said, err := g.Identify(context.WithoutCancel(ctx), s, a.choice.Address, a.choice.Born)
 	if err == nil {
 		err = judgeIdentity(a.choice, said, g.Fleet.EntryUnchanged(a.choice))
 	}
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -144,11 +144,12 @@
 		// Probe reports whether an endpoint accepts connections. If it is nil, no
 		// crashes are counted.
 		Probe func(addr netip.AddrPort) bool
-		// Identify asks the process at addr, over a new connection, which endpoint of
-		// the service and which start of it it is. Each call is charged, so that it is
+		// Identify asks the process at addr, over a new connection and for a limited time,
+		// which endpoint of the service and which start of it it is. born is the start
+		// that the endpoint's entry states, or 0. Each call is charged, so that it is
 		// made only for responses that end with their connection. It is not called for
 		// a service without a HealthPath. If it is nil, Probe takes its place.
-		Identify func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort) (Identity, error)
+		Identify func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort, born int64) (Identity, error)
 		Recorder Recorder
 		// ConfigFresh reports whether the configuration was confirmed recently
 		// enough to trust an API key. If not, it also returns the delay after
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -71,7 +71,7 @@
 		// HeaderCodec parses and builds the headers of requests and responses.
 		HeaderCodec clgateway.HeaderCodec
 		// IdentifyEndpoint is Gateway.Identify; see there.
-		IdentifyEndpoint func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort) (clgateway.Identity, error)
+		IdentifyEndpoint func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort, born int64) (clgateway.Identity, error)
 		// LoadSettings reads the settings again while the process runs.
 		LoadSettings func() (Settings, error)
 		// ReloadSignal receives a value when the settings may have changed.
