Compare latencies of the last step with the reference only

In the last step of a rollout the old version has no traffic, and fewer engines carry the load. The step's own comparison allows for that: the odds of a slow answer may quadruple against the reference. The sum over all steps did not: it held the new version's latencies of the last step against those of the old version in the steps before. A good version was taken back near its deadline with "latency are not yet shown to be as low as before", the reason that TestVersionGoodWithKilledHolder gave when it failed. The latencies of the last step now count against the reference there as well; failures are judged as before.

TestGoodVersionUnderMoreLoadInTheLastStep: with 4 % slow answers before, a version with 16 % in the last step was rolled back before, and finishes now, as with 20 %; with 40 % it is still rolled back.

--- a/clrollout/core_test.go
+++ b/clrollout/core_test.go
@@ -146,3 +146,35 @@
 		})
 	}
 }
+
+// Guards against a good version that is taken back near its deadline, because all answers
+// are slower while it alone has the load than they were in the steps before.
+func TestGoodVersionUnderMoreLoadInTheLastStep(t *testing.T) {
+	for _, test := range []struct {
+		slow float64
+		want clrollout.Action
+	}{{0.04, clrollout.Finish}, {0.12, clrollout.Finish}, {0.16, clrollout.Finish}, {0.20, clrollout.Finish}, {0.40, clrollout.RollBack}} {
+		start := time.Unix(1_800_000_000, 0)
+		r := clrollout.New(clrollout.Config{
+			Service: "brew", From: "v1", To: "v2", Start: start, Deadline: start.Add(time.Minute), SharePermille: clrollout.Steps[0], MinDwell: 2 * time.Second, RollBackMargin: time.Second,
+		}, start)
+		share, d := clrollout.Steps[0], clrollout.Decision{Action: clrollout.Hold}
+		for now := start; d.Action == clrollout.Hold || d.Action == clrollout.Raise; now = now.Add(time.Second) {
+			slow := 0.04
+			if share == clrollout.Steps[len(clrollout.Steps)-1] {
+				slow = test.slow
+			}
+			for version, permille := range map[string]uint32{"v1": 1000 - share, "v2": share} {
+				n := 500 * float64(permille) / 1000
+				counts := make([]uint32, len(clrollout.LatencyBoundsMS)+1)
+				counts[3], counts[8] = uint32(n*(1-slow)), uint32(n*slow)
+				r.Add([]clrollout.Evidence{{Service: "brew", Route: "chat", Version: version, Minute: now.Unix() / 60 * 60, Succeeded: uint32(n), LatencyCounts: counts}})
+			}
+			if d = r.Decide(now); d.Action == clrollout.Raise {
+				share = d.SharePermille
+				r.ShareApplied(now, share)
+			}
+		}
+		require.Equal(t, test.want, d.Action, "%.2f of the answers are slow in the last step: %s", test.slow, d.Reason)
+	}
+}
--- a/clrollout/evaluator.go
+++ b/clrollout/evaluator.go
@@ -48,8 +48,9 @@
 		bad *detector
 		// step sums the cells of the current step of the share.
 		step cell
-		// total sums the cells of all steps.
-		total cell
+		// total sums the cells of all steps, and paired those of the steps in which the
+		// old version had traffic.
+		total, paired cell
 		// reference is the last step's sum in which the old version had traffic.
 		reference cell
 	}
@@ -189,6 +190,7 @@
 	t.step = t.step.plus(c)
 	t.total = t.total.plus(c)
 	if !full {
+		t.paired = t.paired.plus(c)
 		t.bad.add(c)
 		return
 	}
--- a/clrollout/rollout.go
+++ b/clrollout/rollout.go
@@ -295,7 +295,14 @@
 				why = poolOf(c, effects[j]).notGood(j)
 			}
 			if why == "" && r.eval.full && share >= minorRouteShare {
-				if p := poolOf(t.total, effects[j]); patient {
+				p := poolOf(t.total, effects[j])
+				if metrics[j] == Latency {
+					// Latencies of the last step, whose load may differ, are compared with
+					// the reference only.
+					p = poolOf(t.paired, effects[j])
+					p.add(c, effects[j])
+				}
+				if patient {
 					why = p.notGood(j)
 				} else {
 					why = p.notShown(j, RouteMissedBadRate)
