--- a/internal/limits/clquota/ledger.go
+++ b/internal/limits/clquota/ledger.go
@@ -105,7 +105,7 @@
 	maxFreshDigestInterval = 300 * time.Millisecond
 	// ignoredToleranceShare is the fraction of the tolerance below which unreported
 	// spending is ignored.
-	ignoredToleranceShare = 0.15
+	ignoredToleranceShare = 0.08
 	// maxRetryAfter limits the time after which a caller is told to retry.
 	maxRetryAfter = 10 * time.Second
 )
--- a/internal/limits/clquota/tolerance.go
+++ b/internal/limits/clquota/tolerance.go
@@ -58,7 +58,7 @@
 	minSurgeReserve       = time.Second
 	// grantedReserveFraction is the fraction of the tolerance beyond that reserve
 	// that is granted as burst.
-	grantedReserveFraction = 0.7
+	grantedReserveFraction = 0.3
 )
 
 // of returns the tolerance for a quota.
