--- /dev/null
+++ b/internal/limits/clshare/pattern_test.go
@@ -0,0 +1,189 @@
+// This file plays patterns of load against many gateways and a queue of limited
+// capacity, in virtual time.
+
+package clshare
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+)
+
+type (
+	// pattern is a load by accounts, whose weights are their usual rates.
+	pattern struct {
+		name string
+		// usual holds the usual requests per second of each account, and hot the
+		// factor of the load during the middle third of the time.
+		usual, hot []float64
+		// capacity is the requests per second that the service completes.
+		capacity float64
+		gateways int
+		// digestLoss is the fraction of the digests that are lost.
+		digestLoss float64
+	}
+
+	// result counts the callers of the hot time, by account, and those of them that
+	// were served. refusedLate counts the refusals by shares from settleTime after the
+	// hot time.
+	result struct {
+		callers, served []float64
+		refusedLate     int
+	}
+
+	// event is an arrival of a request, or a digest if account is -1.
+	event struct {
+		at       time.Duration
+		gateway  int
+		account  int
+		timeLeft time.Duration
+		returns  bool
+		priority int
+	}
+
+	eventHeap []event
+)
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	e := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return e
+}
+
+const (
+	patternTime    = 45 * time.Second
+	settleTime     = 4 * time.Second
+	callerTimeout  = 3 * time.Second
+	maxQueueTime   = time.Second
+	plainRetryTime = 500 * time.Millisecond
+)
+
+// play plays a pattern with or without shares.
+func play(p pattern, shares bool) result {
+	rng := rand.New(rand.NewPCG(1, 2))
+	epoch := time.Unix(1_000_000, 0)
+	allocators := make([]*Allocator, p.gateways)
+	weights := map[string]float64{}
+	for i, rate := range p.usual {
+		weights[fmt.Sprint("a", i)] = rate
+	}
+	events := &eventHeap{}
+	interval := max(200*time.Millisecond, time.Duration(p.gateways)*time.Second/150)
+	for g := range allocators {
+		allocators[g] = &Allocator{Rand: rand.New(rand.NewPCG(3, uint64(g)))}
+		if shares {
+			allocators[g].SetWeights(weights)
+		}
+		heap.Push(events, event{at: time.Duration(rng.Float64() * float64(interval)), gateway: g, account: -1})
+	}
+	hotFrom, hotTo := patternTime/3, 2*patternTime/3
+	for i, rate := range p.usual {
+		for at := time.Duration(0); at < patternTime; {
+			r := rate
+			if at >= hotFrom && at < hotTo {
+				r *= p.hot[i]
+			}
+			at += time.Duration(rng.ExpFloat64() / r * float64(time.Second))
+			heap.Push(events, event{at: at, gateway: rng.IntN(p.gateways), account: i, timeLeft: callerTimeout, priority: 2 * rng.IntN(2)})
+		}
+	}
+	out := result{callers: make([]float64, len(p.usual)), served: make([]float64, len(p.usual))}
+	queue, last := 0.0, time.Duration(0) // the queue in seconds of work
+	for events.Len() > 0 {
+		e := heap.Pop(events).(event)
+		now := epoch.Add(e.at)
+		queue = max(0, queue-(e.at-last).Seconds())
+		last = e.at
+		if e.account < 0 {
+			totals := allocators[e.gateway].Totals(now)
+			for g, a := range allocators {
+				if g != e.gateway && rng.Float64() >= p.digestLoss {
+					a.RecordPeer(fmt.Sprint(e.gateway), 1, totals, now)
+				}
+			}
+			if e.at < patternTime {
+				e.at += interval
+				heap.Push(events, e)
+			}
+			continue
+		}
+		counted := e.at >= hotFrom && e.at < hotTo
+		if counted && !e.returns {
+			out.callers[e.account]++
+		}
+		r := Request{Service: "s", Route: "r", Account: fmt.Sprint("a", e.account), Priority: e.priority, Timeout: e.timeLeft, TimeLeft: e.timeLeft, Cost: 1}
+		d := allocators[e.gateway].Admit(r, now)
+		if d.Refused && e.at >= hotTo+settleTime {
+			out.refusedLate++
+		}
+		if !d.Refused && queue > maxQueueTime.Seconds() {
+			allocators[e.gateway].RecordRefusal(r, true, now)
+			d = Decision{Refused: true, RetryAfter: plainRetryTime + time.Duration(rng.Float64()*float64(plainRetryTime))}
+		}
+		if !d.Refused {
+			queue += 1 / p.capacity
+			if counted {
+				out.served[e.account]++
+			}
+		} else if !e.returns {
+			e.at, e.timeLeft, e.returns, e.gateway = e.at+d.RetryAfter, e.timeLeft-d.RetryAfter, true, rng.IntN(p.gateways)
+			heap.Push(events, e)
+		}
+	}
+	return out
+}
+
+// servedFraction returns the served fraction of the callers of the accounts that are
+// hot or not.
+func (r result) servedFraction(p pattern, hot bool) float64 {
+	callers, served := 0.0, 0.0
+	for i := range r.callers {
+		if (p.hot[i] > 1) == hot {
+			callers += r.callers[i]
+			served += r.served[i]
+		}
+	}
+	return served / callers
+}
+
+// Guards against a hot account, or several competing ones, that take the capacity from
+// accounts below their shares, against capacity that is left unused in a shortage, and
+// against a shortage that outlasts the load. What those accounts get without shares is
+// the load's own check.
+func TestPatterns(t *testing.T) {
+	usual := []float64{120, 90, 70, 60, 50, 40, 30, 25, 20, 15, 12, 10, 8, 6, 4, 3}
+	hotAccount := []float64{7.5, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	competingAccounts := []float64{1, 1, 5, 1, 7.5, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	for _, tc := range []struct {
+		pattern
+		// before is the largest served fraction of the other accounts without shares,
+		// and after the smallest one with shares.
+		before, after float64
+		// late limits the refusals by shares after the load has ended.
+		late int
+	}{
+		{pattern{"hot_account", usual, hotAccount, 750, 70, 0}, 0.65, 0.97, 0},
+		{pattern{"hot_account, digests lost", usual, hotAccount, 750, 70, 0.3}, 0.65, 0.97, 0},
+		{pattern{"hot_account, no digests", usual, hotAccount, 750, 70, 1}, 0.65, 0.92, 30},
+		{pattern{"hot_account, one gateway", usual, hotAccount, 750, 1, 0}, 0.65, 0.94, 0},
+		{pattern{"competing_accounts", usual, competingAccounts, 750, 132, 0}, 0.75, 0.96, 0},
+	} {
+		before, after := play(tc.pattern, false), play(tc.pattern, true)
+		t.Logf("%s, %d gateways: other accounts %.3f before, %.3f after; hot ones %.3f, %.3f; served in all %.0f, %.0f; refused after the load %d", tc.name, tc.gateways,
+			before.servedFraction(tc.pattern, false), after.servedFraction(tc.pattern, false), before.servedFraction(tc.pattern, true), after.servedFraction(tc.pattern, true),
+			lo.Sum(before.served), lo.Sum(after.served), after.refusedLate)
+		require.Less(t, before.servedFraction(tc.pattern, false), tc.before, tc.name)
+		require.Greater(t, after.servedFraction(tc.pattern, false), tc.after, tc.name)
+		require.Greater(t, lo.Sum(after.served), 0.98*lo.Sum(before.served), tc.name)
+		require.LessOrEqual(t, after.refusedLate, tc.late, tc.name)
+	}
+}
