Apply the accounts' shares of services in shortage at the gateway

Cause: clshare was not wired.

Change: the gateway asks the allocator after the quota and refunds the quota if the share is used up (503 over_share, nothing sent). Refusals of endpoints are recorded as shortage by their reason. Accounts have weights only if their quotas differ by a factor of two (Catalog.ShareWeights). Requests refused by shares count as demand, so that endpoints are still added for them.

--- a/internal/limits/clshare/peers.go
+++ b/internal/limits/clshare/peers.go
@@ -113,9 +113,8 @@
 	}
 	p := a.peers[name]
 	if len(totals) == 0 {
-		if p != nil && p.boot != boot {
-			delete(a.peers, name)
-		}
+		// Without a shortage, the peer's totals are out of date at the next one.
+		delete(a.peers, name)
 		return
 	}
 	if p == nil || p.boot != boot {
--- a/internal/model/clcatalog/catalog.go
+++ b/internal/model/clcatalog/catalog.go
@@ -215,6 +215,49 @@
 // that is not anonymous requires an API key.
 func (c *Catalog) HasAccounts() bool { return len(c.Accounts) > 0 }
 
+// minQuotaRatio is the ratio of the largest quota to the smallest one from which the
+// capacity of a service in shortage is divided by the quotas.
+const minQuotaRatio = 2
+
+// ShareWeights returns the weights, by account, by which the accounts divide the
+// capacity of a service in shortage: their rates, and the largest rate for an account
+// without a limit. It returns nil if the quotas don't differ by minQuotaRatio, in which
+// case the capacity is not divided. Rates in tokens and in requests can't be compared;
+// if there are both, all weights are equal.
+func (c *Catalog) ShareWeights() map[string]float64 {
+	var largest, smallest [2]float64 // in requests and in tokens
+	for _, a := range c.Accounts {
+		if a.Rate <= 0 {
+			continue
+		}
+		unit := 0
+		if a.InTokens {
+			unit = 1
+		}
+		largest[unit] = max(largest[unit], a.Rate)
+		if smallest[unit] == 0 || a.Rate < smallest[unit] {
+			smallest[unit] = a.Rate
+		}
+	}
+	differ := func(unit int) bool { return largest[unit] > 0 && largest[unit] >= minQuotaRatio*smallest[unit] }
+	if !differ(0) && !differ(1) {
+		return nil
+	}
+	mixed := largest[0] > 0 && largest[1] > 0
+	weights := make(map[string]float64, len(c.Accounts))
+	for _, a := range c.Accounts {
+		switch {
+		case mixed:
+			weights[a.Name] = 1
+		case a.Rate > 0:
+			weights[a.Name] = a.Rate
+		default:
+			weights[a.Name] = max(largest[0], largest[1])
+		}
+	}
+	return weights
+}
+
 // ServiceFor returns the name of the target service of a request. The result depends
 // only on the request ID and the targets, so that all gateways assign a request to
 // the same service. A single target receives all requests, whatever its weight; if
--- a/internal/model/clcatalog/catalog_test.go
+++ b/internal/model/clcatalog/catalog_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// Guards against shares where quotas are alike, as in earlier deployments, against a
+// weight of 0 for an account without a limit, and against weights in different units.
+func TestShareWeights(t *testing.T) {
+	for _, tc := range []struct {
+		accounts []Account
+		want     map[string]float64
+	}{
+		{nil, nil},
+		{[]Account{{Name: "a"}, {Name: "b"}}, nil},
+		{[]Account{{Name: "a", Rate: 10}, {Name: "b", Rate: 19}}, nil},
+		{[]Account{{Name: "a", Rate: 10}, {Name: "b", Rate: 19, InTokens: true}}, nil},
+		{[]Account{{Name: "a", Rate: 10}, {Name: "b", Rate: 20}, {Name: "c"}}, map[string]float64{"a": 10, "b": 20, "c": 20}},
+		{[]Account{{Name: "a", Rate: 10}, {Name: "b", Rate: 20}, {Name: "c", Rate: 9000, InTokens: true}}, map[string]float64{"a": 1, "b": 1, "c": 1}},
+	} {
+		require.Equal(t, tc.want, (&Catalog{Accounts: tc.accounts}).ShareWeights(), "%+v", tc.accounts)
+	}
+}
+
 // Guards against quotas that are charged in the wrong unit, and against an
 // account priority of 0 that does not override the route's priority.
 func TestCostAndPriority(t *testing.T) {
--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -79,7 +79,7 @@
 	Demand struct {
 		// Requests is the number of requests that were sent to an endpoint, each
 		// counted once, plus the number of times that Pick refused a request with
-		// ReasonNoTimeLeft.
+		// ReasonNoTimeLeft and the number of calls of RecordRefused.
 		Requests uint64
 		// PrefillSeconds is the estimated time that engines need to process the
 		// uncached prompt tokens of the requests. A refusal adds only
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -101,6 +101,17 @@
 	}
 }
 
+// RecordRefused counts a request that was refused before Pick as demand for its
+// service, so that endpoints are added for it. tokens is the size of the part of the
+// prompt that other requests don't share.
+func (f *Fleet) RecordRefused(serviceName string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(serviceName)
+	s.demand.Requests++
+	s.demand.PrefillSeconds += refusedDemandWeight * float64(tokens) / s.prefillRate
+}
+
 // RecordFirstEvent records the first event of the attempt, at which the endpoint
 // has processed the prompt. latency is the time from sending the request to the
 // first event.
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -224,6 +224,7 @@
 		if c.account != nil {
 			g.Quotas.Refund(c.account.Name, c.cost)
 		}
+		g.recordShareRefusal(c, refusal)
 		errResp := &errorResponse{http.StatusServiceUnavailable, "not_run", notRunRetryAfter}
 		if refusal != nil {
 			errResp.reason, errResp.retryAfter = string(refusal.Reason), refusal.RetryAfter
@@ -412,6 +413,7 @@
 	if !a.startRecorded {
 		a.startRecorded = true
 		g.Recorder.RequestStarted(accountName(a.account))
+		g.countCost(a.call, costServed)
 		g.collectors.firstEvent.WithLabelValues(string(a.route.Kind)).Observe(time.Since(a.arrived).Seconds())
 	}
 }
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/go-faster/errors"
@@ -130,6 +131,9 @@
 		// Crashes decides which requests are refused because they, or others that
 		// have a part of the prompt in common with them, crash endpoints.
 		Crashes *clcrash.Tracker
+		// Shares decides which requests are refused while a service is in shortage. If
+		// it is nil, none are.
+		Shares *clshare.Allocator
 		// Client sends requests to endpoints.
 		Client clendpoint.Client
 		// Probe reports whether an endpoint accepts connections. If it is nil, no
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -17,6 +17,8 @@
 	// run, by what that rests on.
 	promises   *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
+	// costs sums the costs of the requests that the accounts' shares are computed from.
+	costs *prometheus.CounterVec
 	// statements counts what endpoints have said of themselves in responses.
 	statements *prometheus.CounterVec
 	// crashes counts the attempts that ended because their endpoint crashed.
@@ -41,6 +43,8 @@
 			"Responses whose status promises that the request was not run, by status and basis: not_sent, stated (by every endpoint that received it), relayed (an endpoint's response as it came).", "status", "basis"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
 			"Time from the arrival of a request to its first stream event or its response.", firstEventBuckets, "kind"),
+		costs: m.Counter(clobserve.Name{Component: "gateway", What: "account_cost", Unit: "total"},
+			"Cost of the requests by service, account and outcome (offered, served, refused for shortage or because of the share), in tokens or requests; 0 if the accounts' quotas are alike.", "service", "account", "outcome"),
 		statements: m.Counter(clobserve.Name{Component: "gateway", What: "endpoint_statements", Unit: "total"},
 			"Responses in which endpoints said that they leave (once for each) or want no requests for some time, by service.", "service", "statement"),
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -41,6 +42,11 @@
 		// cost is the amount to charge to the account's quota. It stays set if the
 		// quota refuses the request.
 		cost float64
+		// shareRequest is what the account's share of the service is counted by; its
+		// cost is 0 if the request is not counted. shareDecision is set if the request
+		// was refused because of the share.
+		shareRequest  clshare.Request
+		shareDecision clshare.Decision
 		// fingerprint is the same for repetitions of the request by the caller.
 		fingerprint uint64
 		// traits are what the request may have in common with others that crash
@@ -116,7 +122,8 @@
 // its cost to the account's quota. It returns nil if the request is admitted, and
 // an error response if there is no configuration or no route for the request, if its
 // API key or its body is not accepted, if the shutdown could cut it off, if it would
-// crash an endpoint, or if the quota is exhausted.
+// crash an endpoint, if the quota is exhausted, or if the account has used up its share of
+// a service in shortage.
 func (g *Gateway) admit(c *call) *errorResponse {
 	cat := g.catalog.Load()
 	if cat == nil {
@@ -156,6 +163,9 @@
 			return &errorResponse{http.StatusTooManyRequests, "over_quota", wait}
 		}
 	}
+	if errResp := g.admitToShare(c, cat, tokens); errResp != nil {
+		return errResp
+	}
 	g.Recorder.RequestAdmitted(c.service)
 	return nil
 }
@@ -227,9 +237,9 @@
 	if cat := g.catalog.Load(); cat != nil {
 		version = cat.Version
 	}
-	g.Logger.Info("refused", zap.String("request", c.reqInfo.ID), zap.Int("status", errResp.status), zap.String("reason", errResp.reason),
+	g.Logger.Info("refused", append(c.shareFields(), zap.String("request", c.reqInfo.ID), zap.Int("status", errResp.status), zap.String("reason", errResp.reason),
 		zap.Duration("retry_after", errResp.retryAfter), zap.String("account", accountName(c.account)), zap.String("route", routeName(c.route)),
-		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)))
+		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)))...)
 	g.recordPromise(errResp.status, c.basis(errResp.status))
 	c.w.WriteHeader(errResp.status)
 	if _, err := c.w.Write([]byte(`{"title":"` + errResp.reason + `","status":` + strconv.Itoa(errResp.status) + "}\n")); err != nil {
--- /dev/null
+++ b/internal/serving/clgateway/share.go
@@ -0,0 +1,104 @@
+// This file applies the accounts' shares of services in shortage.
+
+package clgateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
+	"go.uber.org/zap"
+)
+
+// Values of the label "outcome" of collectors.costs.
+const (
+	costOffered = "offered"
+	costServed  = "served"
+	costRefused = "refused"
+)
+
+// shortageReasons are the reasons for refusals that mean that no endpoint could begin
+// the request in time, although there are endpoints for it. An endpoint is also blocked
+// after it could not be reached; if that concerns all endpoints, clshare takes it for an
+// outage.
+var shortageReasons = []clfleet.Reason{
+	clfleet.ReasonNoTimeLeft, clfleet.ReasonFull, clfleet.ReasonBlocked, clfleet.ReasonCold, clfleet.ReasonReturning,
+}
+
+// admitToShare counts a request toward its account's share of the service. If the share
+// is used up, it refunds the quota and returns an error response. Requests without an
+// account have no share and are not counted.
+func (g *Gateway) admitToShare(c *call, cat *clcatalog.Catalog, tokens float64) *errorResponse {
+	if g.Shares == nil || c.account == nil || !g.Shares.Enabled() {
+		return nil
+	}
+	c.shareRequest = clshare.Request{
+		Service: c.service, Route: c.route.Name, Account: c.account.Name, Priority: c.route.RequestPriority(c.account),
+		Timeout: c.reqInfo.Timeout, TimeLeft: time.Until(c.deadline), Cost: shareCost(cat.Service(c.service), c.account, tokens),
+	}
+	g.countCost(c, costOffered)
+	d := g.Shares.Admit(c.shareRequest, clclock.Now())
+	if !d.Refused {
+		return nil
+	}
+	c.shareDecision = d
+	g.Quotas.Refund(c.account.Name, c.cost)
+	g.countCost(c, costRefused)
+	g.Fleet.RecordRefused(c.service, unsharedTokens(c.reqInfo))
+	return &errorResponse{http.StatusServiceUnavailable, "over_share", d.RetryAfter}
+}
+
+// shareCost returns the cost of a request for the share of its account: 1 at a plain
+// service, and otherwise its tokens, also if the account's quota counts requests.
+func shareCost(s *clcatalog.Service, a *clcatalog.Account, tokens float64) float64 {
+	if s == nil || s.Engine == nil {
+		return 1
+	}
+	if a.InTokens {
+		tokens = a.Cost(tokens)
+	}
+	return max(1, tokens)
+}
+
+// unsharedTokens returns the size of the last part of a prompt, which other requests
+// don't share, or of the whole prompt if its parts are not stated.
+func unsharedTokens(r RequestInfo) int {
+	if len(r.PromptParts) == 0 {
+		return r.PromptTokens
+	}
+	return r.PromptParts[len(r.PromptParts)-1].Tokens
+}
+
+// recordShareRefusal records that a request which was counted toward its account's
+// share has not run. refusal is why no further attempt was made, or nil.
+func (g *Gateway) recordShareRefusal(c *call, refusal *clfleet.Refusal) {
+	if g.Shares == nil || c.shareRequest.Cost == 0 {
+		return
+	}
+	shortage := c.statedNotRun || refusal != nil && slices.Contains(shortageReasons, refusal.Reason)
+	g.Shares.RecordRefusal(c.shareRequest, shortage, clclock.Now())
+	if shortage {
+		g.countCost(c, costRefused)
+	}
+}
+
+// countCost adds the cost of a request to the metric, if the request is counted toward
+// its account's share.
+func (g *Gateway) countCost(c *call, outcome string) {
+	if c.shareRequest.Cost > 0 {
+		g.collectors.costs.WithLabelValues(c.service, c.shareRequest.Account, outcome).Add(c.shareRequest.Cost)
+	}
+}
+
+// shareFields returns the log fields of a request that was refused because of its
+// account's share: the share and what the account offers, in cost per second.
+func (c *call) shareFields() []zap.Field {
+	if !c.shareDecision.Refused {
+		return nil
+	}
+	return []zap.Field{zap.Float64("share", c.shareDecision.Share), zap.Float64("offered", c.shareDecision.Offered), zap.Float64("cost", c.shareRequest.Cost)}
+}
--- /dev/null
+++ b/internal/serving/clgateway/share_test.go
@@ -0,0 +1,119 @@
+// This file tests the accounts' shares of services in shortage.
+
+package clgateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/stretchr/testify/require"
+)
+
+// offerLoad has the account acme offer much more than account free to service "s" for
+// ten seconds until now, of which the endpoints refuse a part if refuse is set.
+func offerLoad(a *clshare.Allocator, refuse bool) {
+	now := clclock.Now().Add(-10 * time.Second)
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		r := clshare.Request{Service: "s", Route: "get", Account: "acme", Cost: 1}
+		if i%20 == 0 {
+			r.Account = "free"
+		}
+		if !a.Admit(r, now).Refused && refuse && i%2 == 0 {
+			a.RecordRefusal(r, true, now)
+		}
+	}
+}
+
+// Guards against a hot account that is not refused in a shortage, an account below its
+// share or a request without an account that is, a refusal whose request reaches an
+// endpoint or is charged to the quota, or that does not tell when to come back or why,
+// and against refusals without a shortage.
+func TestSharesInShortage(t *testing.T) {
+	for _, tc := range []struct{ short, enabled bool }{{true, true}, {false, true}, {true, false}} {
+		env := newTestEnv(t, respond(signedOK+"Content-Length: 0\r\n\r\n", true))
+		env.gateway.Shares = &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+		if tc.enabled {
+			env.gateway.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+		}
+		offerLoad(env.gateway.Shares, tc.short)
+		env.gateway.Quotas.SetLimit("acme", 1e6, 200, clclock.Now())
+		statuses := map[string]int{}
+		for range 30 {
+			for path, key := range map[string]string{"/get/": "k", "/get/free": "f", "/open/": ""} {
+				resp, err := http.DefaultClient.Do(env.request(path, key, "x"))
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				statuses[fmt.Sprint(path, resp.StatusCode)]++
+				if resp.StatusCode == http.StatusServiceUnavailable {
+					after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+					require.NoError(t, err)
+					require.Greater(t, after, 0.1)
+					require.Less(t, after, 0.7, "a third of the time left")
+				}
+			}
+		}
+		refused := statuses["/get/503"]
+		if tc.short && tc.enabled {
+			require.Positive(t, refused)
+			line := env.logs.FilterMessage("refused").All()[0].ContextMap()
+			require.Equal(t, "over_share", line["reason"])
+			require.Less(t, line["share"], line["offered"])
+			require.Equal(t, "not_sent", line["basis"])
+		} else {
+			require.Zero(t, refused)
+		}
+		require.Equal(t, 30, statuses["/get/free200"])
+		require.Equal(t, 30, statuses["/open/200"])
+		require.Equal(t, 90-refused, len(env.requests()))
+		require.InDelta(t, 30-refused, env.gateway.Quotas.Spent()["acme"], 0.01)
+		require.EqualValues(t, refused, env.gateway.Fleet.Demand()["s"].Requests-uint64(90-refused), "refused requests are demand")
+	}
+}
+
+// Guards against refusals of endpoints that are not taken for a shortage, or refusals
+// for other reasons that are.
+func TestRefusalsOfEndpointsMakeAShortage(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		script script
+		short  bool
+	}{
+		{"full", respond("HTTP/1.1 503 Full\r\nX-Seal: s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), true},
+		{"fails", respond("HTTP/1.1 500 Failed\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", true), false},
+	} {
+		env := newTestEnv(t, tc.script)
+		env.gateway.Shares = &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+		env.gateway.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+		for range 5 {
+			resp, err := http.DefaultClient.Do(env.request("/get/", "f", "x"))
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		}
+		totals := env.gateway.Shares.Totals(clclock.Now())
+		require.Equal(t, tc.short, len(totals) == 1, tc.name)
+		if tc.short {
+			require.Equal(t, 5.0, totals[0].Refused)
+			require.Zero(t, totals[0].Accounts[0].Served)
+		}
+	}
+}
+
+// Guards against costs in other units than those of the other requests for a service.
+func TestShareCost(t *testing.T) {
+	engine, plain := &clcatalog.Service{Engine: &clcatalog.Engine{}}, &clcatalog.Service{}
+	inTokens, inRequests := &clcatalog.Account{InTokens: true, PlainTokens: 50}, &clcatalog.Account{}
+	require.Equal(t, 900.0, shareCost(engine, inTokens, 900))
+	require.Equal(t, 900.0, shareCost(engine, inRequests, 900))
+	require.Equal(t, 50.0, shareCost(engine, inTokens, 0))
+	require.Equal(t, 1.0, shareCost(engine, inRequests, 0))
+	require.Equal(t, 1.0, shareCost(plain, inTokens, 900))
+	require.Equal(t, 1.0, shareCost(nil, inTokens, 900))
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -108,6 +108,7 @@
 		// A configuration that was received from another gateway has no indexes.
 		c.Value.BuildIndexes()
 		n.applyQuotas(c.Value, len(n.registeredGateways()))
+		n.shareAllocator.SetWeights(c.Value.ShareWeights())
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
 		n.Logger.Info("configuration in force", zap.Uint64("config_version", c.Value.Version), zap.Int("routes", len(c.Value.Routes)),
@@ -251,6 +252,7 @@
 		if c.Removed {
 			delete(n.gatewayEntries, c.Name)
 			delete(n.silenceStart, c.Name)
+			n.shareAllocator.ForgetPeer(c.Name)
 		} else {
 			n.gatewayEntries[c.Name] = c.Value
 		}
@@ -282,6 +284,7 @@
 		}
 	}
 	n.fillCrashEvidence(d)
+	n.fillServiceCosts(d, clclock.Now())
 	for service, demand := range n.fleet.Demand() {
 		d.Demand = append(d.Demand, &clgossip.Demand{Service: service, Requests: demand.Requests, Seconds: demand.PrefillSeconds})
 	}
@@ -315,6 +318,7 @@
 		n.rolloutController.MarkBad(v.GetService(), v.GetVersion())
 	}
 	n.mergeCrashEvidence(d)
+	n.applyServiceCosts(d, now)
 	for _, demand := range d.GetDemand() {
 		n.loadEstimator.record(demand.GetService(), d.GetName(), d.GetBoot(), demand.GetSeconds(), now)
 	}
--- a/internal/serving/clnode/mirrors_test.go
+++ b/internal/serving/clnode/mirrors_test.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmove"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -24,7 +25,7 @@
 func newTestNode() *Node {
 	n := &Node{
 		Settings: Settings{QuotaOvershoot: 0.1, QuotaSlack: 1000}, Logger: zap.NewNop(),
-		fleet: &clfleet.Fleet{Rand: rand.New(rand.NewPCG(1, 1))}, quotaLimiter: &clquota.Limiter{}, gateway: &clgateway.Gateway{},
+		fleet: &clfleet.Fleet{Rand: rand.New(rand.NewPCG(1, 1))}, quotaLimiter: &clquota.Limiter{}, shareAllocator: &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}, gateway: &clgateway.Gateway{},
 		rolloutController: &clmove.Controller{TrialShare: 0.1}, gatewayEntries: map[string]clcatalog.Member{},
 		requestedRollouts: map[string]clcatalog.Rollout{}, evacuatedDataCentres: map[string]bool{}, silenceStart: map[string]time.Time{},
 	}
--- /dev/null
+++ b/internal/serving/clnode/shares.go
@@ -0,0 +1,62 @@
+// This file exchanges the costs of the accounts' requests by digests.
+
+package clnode
+
+import (
+	"math"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+)
+
+// fillServiceCosts adds the costs of the services in shortage to a digest.
+func (n *Node) fillServiceCosts(d *clgossip.Digest, now time.Time) {
+	for _, t := range n.shareAllocator.Totals(now) {
+		d.ServiceCosts = append(d.ServiceCosts, &clgossip.ServiceCost{
+			Service: t.Service, Offered: uint64(math.Round(t.Offered)), Admitted: uint64(math.Round(t.Admitted)), Refused: uint64(math.Round(t.Refused)),
+			Accounts: lo.Map(t.Accounts, func(a clshare.AccountTotals, _ int) *clgossip.AccountCost {
+				c := &clgossip.AccountCost{Account: a.Account, Served: uint64(math.Round(a.Served))}
+				for class, cost := range a.Offered {
+					if cost > 0 {
+						c.Offered = append(c.Offered, make([]uint64, class-len(c.Offered))...)
+						c.Offered = append(c.Offered, uint64(math.Round(cost)))
+					}
+				}
+				return c
+			}),
+		})
+	}
+}
+
+// applyServiceCosts passes the costs in a digest from another gateway to the allocator.
+func (n *Node) applyServiceCosts(d *clgossip.Digest, now time.Time) {
+	if d.GetLeaving() {
+		n.shareAllocator.ForgetPeer(d.GetName())
+		return
+	}
+	n.shareAllocator.RecordPeer(d.GetName(), d.GetBoot(), lo.Map(d.GetServiceCosts(), func(s *clgossip.ServiceCost, _ int) clshare.Totals {
+		return clshare.Totals{
+			Service: s.GetService(), Offered: float64(s.GetOffered()), Admitted: float64(s.GetAdmitted()), Refused: float64(s.GetRefused()),
+			Accounts: lo.Map(s.GetAccounts(), func(c *clgossip.AccountCost, _ int) clshare.AccountTotals {
+				a := clshare.AccountTotals{Account: c.GetAccount(), Served: float64(c.GetServed())}
+				for class, cost := range c.GetOffered()[:min(len(c.GetOffered()), clshare.Classes)] {
+					a.Offered[class] = float64(cost)
+				}
+				return a
+			}),
+		}
+	}), now)
+}
+
+// logShortage logs that the shortage of a service has begun or ended.
+func (n *Node) logShortage(c clshare.Change) {
+	message := "shortage of a service has ended"
+	if c.Short {
+		message = "shortage of a service has begun"
+	}
+	n.Logger.Info(message, zap.String("service", c.Service), zap.Float64("refused_fraction", c.RefusedFraction), zap.Float64("offered", c.Offered),
+		zap.Float64("capacity", c.Capacity), zap.Any("shares", c.Shares))
+}
