Spread the return of callers that endpoints refuse in a shortage

Cause: the fleet states when a queue would be empty, which it is not in a shortage, and some of its retry times have no random part.

Change: in a shortage, a refusal by endpoints states at least a random time up to a third of the time left, as refusals by shares do. explain knows over_share.

--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -226,13 +226,14 @@
 }
 
 // RecordRefusal records that an admitted request has not run. shortage is set if that
-// is because no endpoint could begin it in time.
-func (a *Allocator) RecordRefusal(r Request, shortage bool, now time.Time) {
+// is because no endpoint could begin it in time. It returns the time after which the
+// caller may come back if the service is in shortage, and otherwise 0.
+func (a *Allocator) RecordRefusal(r Request, shortage bool, now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.services[r.Service]
 	if s == nil || s.accounts[r.Account] == nil || !(r.Cost > 0) || math.IsInf(r.Cost, 0) {
-		return
+		return 0
 	}
 	acct := s.accounts[r.Account]
 	acct.recent.decay(now)
@@ -247,6 +248,10 @@
 		s.recent.admitted = max(0, s.recent.admitted-r.Cost)
 		s.admitted = max(0, s.admitted-r.Cost)
 	}
+	if !shortage || !s.short {
+		return 0
+	}
+	return a.retryAfter(r.TimeLeft)
 }
 
 // Enabled reports whether the accounts have weights.
--- a/internal/limits/clshare/pattern_test.go
+++ b/internal/limits/clshare/pattern_test.go
@@ -60,11 +60,11 @@
 }
 
 const (
-	patternTime    = 45 * time.Second
-	settleTime     = 4 * time.Second
-	callerTimeout  = 3 * time.Second
-	maxQueueTime   = time.Second
-	plainRetryTime = 500 * time.Millisecond
+	patternTime       = 45 * time.Second
+	settleTime        = 4 * time.Second
+	callerTimeout     = 3 * time.Second
+	maxQueueTime      = time.Second
+	maxPlainRetryTime = 500 * time.Millisecond
 )
 
 // play plays a pattern with or without shares.
@@ -126,8 +126,7 @@
 			out.refusedLate++
 		}
 		if !d.Refused && queue > maxQueueTime.Seconds() {
-			allocators[e.gateway].RecordRefusal(r, true, now)
-			d = Decision{Refused: true, RetryAfter: plainRetryTime + time.Duration(rng.Float64()*float64(plainRetryTime))}
+			d = Decision{Refused: true, RetryAfter: max(allocators[e.gateway].RecordRefusal(r, true, now), time.Duration(rng.Float64()*float64(maxPlainRetryTime)))}
 		}
 		if !d.Refused {
 			queue += 1 / p.capacity
--- a/internal/limits/clshare/shares_test.go
+++ b/internal/limits/clshare/shares_test.go
@@ -123,6 +123,8 @@
 // endpoints take everything.
 func TestShortage(t *testing.T) {
 	a, now := shortAllocator()
+	require.Positive(t, a.RecordRefusal(offer(3), true, now), "the caller of an endpoint's refusal is to come back later, too")
+	require.Zero(t, a.RecordRefusal(offer(3), false, now))
 	var changes []Change
 	a.OnChange = func(c Change) { changes = append(changes, c) }
 	refused, retryTimes, endedAt := map[string]int{}, map[time.Duration]bool{}, time.Duration(0)
--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -47,6 +47,7 @@
 var refusalCauses = map[string]string{
 	"no_time_left":              "the prompts queued at every endpoint would have delayed it past its deadline; order more endpoints, or wait for the burst to end",
 	"over_quota":                "the account had used up its quota; raise the quota, or ask the account to send fewer requests",
+	"over_share":                "the service was short of capacity, and the account asked for more than its share; compare share, offered and the line 'shortage of a service has begun', and order more endpoints or wait",
 	"configuration_unconfirmed": "the gateway had not recently reached the store, so the key may have been revoked; see its log lines 'store lost' and 'reader lost'",
 	"copies_outdated":           "what the gateway knew of the configuration and the endpoints was too old to act on, although the store was not lost; see copy_age in its log lines 'reader lost'",
 	"stopping":                  "the gateway was about to stop before the request could have ended; another gateway serves the retry",
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -224,12 +224,13 @@
 		if c.account != nil {
 			g.Quotas.Refund(c.account.Name, c.cost)
 		}
-		g.recordShareRefusal(c, refusal)
+		earliestRetry := g.recordShareRefusal(c, refusal)
 		errResp := &errorResponse{http.StatusServiceUnavailable, "not_run", notRunRetryAfter}
 		if refusal != nil {
 			errResp.reason, errResp.retryAfter = string(refusal.Reason), refusal.RetryAfter
 			g.Logger.Debug("no further attempt", zap.String("request", c.reqInfo.ID), zap.Any("excluded", refusal.Excluded))
 		}
+		errResp.retryAfter = max(errResp.retryAfter, earliestRetry)
 		g.sendError(c, errResp)
 	case time.Now().Before(c.deadline):
 		g.sendError(c, &errorResponse{http.StatusBadGateway, "endpoint_failed", 0})
--- a/internal/serving/clgateway/share.go
+++ b/internal/serving/clgateway/share.go
@@ -74,16 +74,20 @@
 }
 
 // recordShareRefusal records that a request which was counted toward its account's
-// share has not run. refusal is why no further attempt was made, or nil.
-func (g *Gateway) recordShareRefusal(c *call, refusal *clfleet.Refusal) {
+// share has not run. refusal is why no further attempt was made, or nil. In a shortage it
+// returns after which time the caller may come back, at the earliest, and otherwise 0:
+// the time that the fleet states is then that of a queue which stays full.
+func (g *Gateway) recordShareRefusal(c *call, refusal *clfleet.Refusal) time.Duration {
 	if g.Shares == nil || c.shareRequest.Cost == 0 {
-		return
+		return 0
 	}
 	shortage := c.statedNotRun || refusal != nil && slices.Contains(shortageReasons, refusal.Reason)
-	g.Shares.RecordRefusal(c.shareRequest, shortage, clclock.Now())
+	r := c.shareRequest
+	r.TimeLeft = time.Until(c.deadline)
 	if shortage {
 		g.countCost(c, costRefused)
 	}
+	return g.Shares.RecordRefusal(r, shortage, clclock.Now())
 }
 
 // countCost adds the cost of a request to the metric, if the request is counted toward
--- a/internal/serving/clnode/shares_test.go
+++ b/internal/serving/clnode/shares_test.go
@@ -43,7 +43,7 @@
 	require.Equal(t, []uint64{0, 3500, 0, 0, 0, 3500}, cost.GetAccounts()[0].GetOffered(), "first attempts of the priorities 0 and 2")
 	encoded, err := proto.Marshal(d)
 	require.NoError(t, err)
-	require.Less(t, len(encoded), 64)
+	require.Less(t, 16*len(encoded), 1024, "16 accounts")
 
 	// The classes of a later version are ignored.
 	cost.Accounts[0].Offered = append(cost.Accounts[0].Offered, 0, 0, 5, 5)
