--- a/internal/limits/clshare/shares.go
+++ b/internal/limits/clshare/shares.go
@@ -29,8 +29,7 @@
 	// lasts shows in refusals.
 	steadyRefusedFraction = 0.01
 	// minHeadroom is the fraction of the served cost that is granted beyond it while
-	// the endpoints refuse requests; without it, the capacity that is measured could
-	// only shrink.
+	// the endpoints refuse requests, so that the measured capacity can grow.
 	minHeadroom = 0.02
 	// headroomPerSecond is the growth of the headroom while the endpoints refuse
 	// almost nothing, and maxHeadroom its limit. An overload by half ends within about
