--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -102,11 +102,12 @@
 		// offered and served are this gateway's totals.
 		offered [Classes]float64
 		served  float64
-		// offeredSum is the sum of recent.offered at the latest computation, and
-		// share is the account's share, both in cost per sumTime. granted is the
+		// offeredSum is the sum of recent.offered at the latest computation, and share is
+		// the account's share, both in cost per sumTime. weightFraction is the account's
+		// part of the capacity that is left by the accounts before it. granted is the
 		// fraction of the requests of each class that is admitted in a shortage.
-		offeredSum, share float64
-		granted           [Classes]float64
+		offeredSum, share, weightFraction float64
+		granted                           [Classes]float64
 	}
 
 	// accountSums holds sums that decay with the time constant sumTime.
--- a/internal/limits/clshare/shares.go
+++ b/internal/limits/clshare/shares.go
@@ -133,13 +133,14 @@
 // fractions that are granted within each account. It sorts the accounts.
 func divide(accounts []*account, capacity float64) {
 	slices.SortFunc(accounts, func(a, b *account) int { return cmp.Compare(a.offeredSum*b.weight, b.offeredSum*a.weight) })
+	// Summed from the end, the weights that are left stay exact for small accounts.
 	weightLeft := 0.0
-	for _, acct := range accounts {
+	for _, acct := range slices.Backward(accounts) {
 		weightLeft += acct.weight
+		acct.weightFraction = acct.weight / weightLeft
 	}
 	for _, acct := range accounts {
-		acct.share = max(0, capacity) * min(1, acct.weight/weightLeft)
-		weightLeft -= acct.weight
+		acct.share = max(0, capacity) * acct.weightFraction
 		if acct.offeredSum <= acct.share {
 			for c := range acct.granted {
 				acct.granted[c] = 1
