Weigh refusals against the load of all gateways

A gateway reported totals only after its own refusals, so a healthy gateway summed its own costs and those of one faulty gateway, took half of the load for refused, and refused requests by shares although the capacity was ample.

While any gateway reports refusals, each one now reports the totals of the service, without accounts if it has no refusals itself. A shortage needs reports of most gateways that are heard, and its refused fraction leaves out the gateway with the most refusals. A shortage needs reports of the accounts by most gateways as well. Services that leave the configuration are dropped.

--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -3,6 +3,7 @@
 package clshare
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -26,7 +27,11 @@
 		// disabled.
 		weights  map[string]float64
 		services map[string]*service
-		// peers holds the latest totals of the other gateways, by name.
+		// configured holds the services of the configuration, or nil if they are not
+		// known.
+		configured map[string]bool
+		// peers holds the other gateways that are heard, and their latest totals, by
+		// name.
 		peers    map[string]*peer
 		timeouts timeouts
 	}
@@ -52,6 +57,8 @@
 		// Share and Offered are the account's share and what it has offered, in cost
 		// per second. They are set only if the request is refused.
 		Share, Offered float64
+
+		class int
 	}
 
 	// Change tells that the shortage of a service has begun or ended.
@@ -71,16 +78,17 @@
 		// startedAt is the time of the first request.
 		startedAt time.Time
 		accounts  map[string]*account
-		// recent holds the recent costs at all gateways, and local the recent
-		// offered cost at this gateway and the number of requests.
+		// recent holds the recent costs at this gateway, and local its recent offered
+		// cost and number of requests, over a longer time.
 		recent serviceSums
 		local  localSums
 		// offered and admitted are this gateway's totals, and refused is the part of
 		// the admitted cost that was refused for shortage.
 		offered, admitted, refused float64
-		// refusedAt is the time of this gateway's latest refusal for shortage, and
-		// shortAt the latest time at which the service was in shortage.
-		refusedAt, shortAt time.Time
+		// refusedAt is the time of this gateway's latest refusal for shortage, shortAt
+		// the latest time at which the service was in shortage or close to it, and
+		// peerRefusedAt the latest time at which a peer has reported that.
+		refusedAt, shortAt, peerRefusedAt time.Time
 		// short is set during a shortage. lossAt is then the latest time at which
 		// the endpoints refused more than steadyRefusedFraction.
 		short  bool
@@ -120,7 +128,10 @@
 	// serviceSums holds sums that decay with the time constant detectionTime.
 	serviceSums struct {
 		offered, admitted, refused float64
-		at                         time.Time
+		// refusals is the number of refused requests. The reports of a peer have only
+		// costs; each that contains refusals counts as one.
+		refusals float64
+		at       time.Time
 	}
 
 	// localSums holds sums that decay with the time constant sumTime.
@@ -140,6 +151,9 @@
 	// sumTime is the time constant of the costs of the accounts. It spans several
 	// digests of each gateway, which arrive every 0.9 s with 132 gateways.
 	sumTime = 2 * time.Second
+	// maxTotal is the highest offered cost that a gateway counts before its totals start
+	// anew. Up to it, every integer is exact as a float64.
+	maxTotal = 1 << 53
 	// detectionTime is the time constant of the costs by which a shortage is
 	// detected. It is about the interval between two digests of a gateway.
 	detectionTime = time.Second
@@ -162,7 +176,10 @@
 	defer a.mu.Unlock()
 	a.weights = weights
 	if len(weights) == 0 {
-		a.services, a.peers = nil, nil
+		a.services = nil
+		for _, p := range a.peers {
+			clear(p.services)
+		}
 		return
 	}
 	for _, s := range a.services {
@@ -179,9 +196,31 @@
 	}
 }
 
-// Admit decides whether a request may be sent and counts it. RecordRefusal must
-// follow if an admitted request is not run.
+// SetServices sets the services of the configuration and drops the state of others.
+func (a *Allocator) SetServices(names []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.configured = make(map[string]bool, len(names))
+	for _, name := range names {
+		a.configured[name] = true
+	}
+	gone := func(name string) bool { return !a.configured[name] }
+	maps.DeleteFunc(a.services, func(name string, _ *service) bool { return gone(name) })
+	for _, p := range a.peers {
+		maps.DeleteFunc(p.services, func(name string, _ *peerService) bool { return gone(name) })
+	}
+}
+
+// Admit decides whether a request may be sent and counts it, as Decide and Count do.
 func (a *Allocator) Admit(r Request, now time.Time) Decision {
+	d := a.Decide(r, now)
+	a.Count(r, d, now)
+	return d
+}
+
+// Decide decides whether a request may be sent. Count must follow, unless the request
+// is not sent for another reason than its account's share.
+func (a *Allocator) Decide(r Request, now time.Time) Decision {
 	decision, change := a.decide(r, now)
 	if change != nil && a.OnChange != nil {
 		a.OnChange(*change)
@@ -189,18 +228,41 @@
 	return decision
 }
 
-// decide implements Admit. It also returns the change of the service's shortage, or nil
+// decide implements Decide. It also returns the change of the service's shortage, or nil
 // if there is none.
 func (a *Allocator) decide(r Request, now time.Time) (Decision, *Change) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	weight, ok := a.weights[r.Account]
-	if !ok || !(r.Cost > 0) || math.IsInf(r.Cost, 0) {
+	if _, ok := a.weights[r.Account]; !ok || !r.hasCost() {
 		return Decision{}, nil
 	}
 	s := a.service(r.Service, now)
+	d := Decision{class: classOf(r.Priority, a.timeouts.isReturning(r.Route, r.Timeout))}
+	var change *Change
+	if now.Sub(s.computedAt) >= computeInterval {
+		change = a.compute(r.Service, s, now)
+	}
+	if acct := s.accounts[r.Account]; acct != nil && s.short && a.Rand.Float64() >= acct.granted[d.class] {
+		d.Refused, d.RetryAfter = true, a.retryAfter(r.TimeLeft)
+		d.Share, d.Offered = acct.share/sumTime.Seconds(), acct.offeredSum/sumTime.Seconds()
+	}
+	return d, change
+}
+
+// Count counts a request for which Decide has returned the decision. RecordRefusal must
+// follow if the request was admitted and is not run.
+func (a *Allocator) Count(r Request, d Decision, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	weight, ok := a.weights[r.Account]
+	if !ok || !r.hasCost() {
+		return
+	}
+	s := a.service(r.Service, now)
+	if s.offered >= maxTotal {
+		s.resetTotals()
+	}
 	acct := s.account(r.Account, weight)
-	class := classOf(r.Priority, a.timeouts.isReturning(r.Route, r.Timeout))
 	s.local.decay(now)
 	s.local.offered += r.Cost
 	s.local.requests++
@@ -208,22 +270,26 @@
 	s.recent.offered += r.Cost
 	s.offered += r.Cost
 	acct.recent.decay(now)
-	acct.recent.offered[class] += r.Cost
-	acct.offered[class] += r.Cost
-	var change *Change
-	if now.Sub(s.computedAt) >= computeInterval {
-		change = s.compute(r.Service, now)
-	}
-	if s.short && a.Rand.Float64() >= acct.granted[class] {
-		return Decision{
-			Refused: true, RetryAfter: a.retryAfter(r.TimeLeft), Share: acct.share / sumTime.Seconds(), Offered: acct.offeredSum / sumTime.Seconds(),
-		}, change
+	acct.recent.offered[d.class] += r.Cost
+	acct.offered[d.class] += r.Cost
+	if d.Refused {
+		return
 	}
 	acct.recent.served += r.Cost
 	acct.served += r.Cost
 	s.recent.admitted += r.Cost
 	s.admitted += r.Cost
-	return Decision{}, change
+}
+
+// hasCost reports whether the request has a cost that can be counted.
+func (r Request) hasCost() bool { return r.Cost > 0 && !math.IsInf(r.Cost, 0) }
+
+// resetTotals starts the totals anew, which peers take for those of a new run.
+func (s *service) resetTotals() {
+	s.offered, s.admitted, s.refused = 0, 0, 0
+	for _, acct := range s.accounts {
+		acct.offered, acct.served = [Classes]float64{}, 0
+	}
 }
 
 // RecordRefusal records that an admitted request has not run. shortage is set if that
@@ -233,7 +299,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.services[r.Service]
-	if s == nil || s.accounts[r.Account] == nil || !(r.Cost > 0) || math.IsInf(r.Cost, 0) {
+	if s == nil || s.accounts[r.Account] == nil || !r.hasCost() {
 		return 0
 	}
 	acct := s.accounts[r.Account]
@@ -243,6 +309,7 @@
 	s.recent.decay(now)
 	if shortage {
 		s.recent.refused += r.Cost
+		s.recent.refusals++
 		s.refused += r.Cost
 		s.refusedAt = now
 	} else {
@@ -321,6 +388,15 @@
 	s.offered *= f
 	s.admitted *= f
 	s.refused *= f
+	s.refusals *= f
+}
+
+// add adds other sums of the same time.
+func (s *serviceSums) add(o serviceSums) {
+	s.offered += o.offered
+	s.admitted += o.admitted
+	s.refused += o.refused
+	s.refusals += o.refusals
 }
 
 // decay decays the sums up to now.
--- a/internal/limits/clshare/pattern_test.go
+++ b/internal/limits/clshare/pattern_test.go
@@ -26,14 +26,23 @@
 		gateways int
 		// digestLoss is the fraction of the digests that are lost.
 		digestLoss float64
+		// faulty is the number of gateways whose endpoints refuse every request,
+		// whatever the load.
+		faulty int
+		// mixedCosts is set if one request in five costs 8 and the others 1, instead of
+		// all of them 1.
+		mixedCosts bool
 	}
 
 	// result counts the callers of the hot time, by account, and those of them that
-	// were served. refusedLate counts the refusals by shares from settleTime after the
-	// hot time.
+	// were served. requestsLate counts the requests from settleTime after the hot time,
+	// and refusedLate those of them that were refused by shares. requests and refused
+	// are those of the whole time.
 	result struct {
-		callers, served []float64
-		refusedLate     int
+		callers, served           []float64
+		requestsLate, refusedLate int
+		requests, refused         int
+		servedCost                float64
 	}
 
 	// event is an arrival of a request, or a digest if account is -1.
@@ -44,6 +53,7 @@
 		timeLeft time.Duration
 		returns  bool
 		priority int
+		cost     float64
 	}
 
 	eventHeap []event
@@ -68,8 +78,8 @@
 )
 
 // play plays a pattern with or without shares.
-func play(p pattern, shares bool) result {
-	rng := rand.New(rand.NewPCG(1, 2))
+func play(p pattern, shares bool, seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 2))
 	epoch := time.Unix(1_000_000, 0)
 	allocators := make([]*Allocator, p.gateways)
 	weights := map[string]float64{}
@@ -79,7 +89,7 @@
 	events := &eventHeap{}
 	interval := max(200*time.Millisecond, time.Duration(p.gateways)*time.Second/150)
 	for g := range allocators {
-		allocators[g] = &Allocator{Rand: rand.New(rand.NewPCG(3, uint64(g)))}
+		allocators[g] = &Allocator{Rand: rand.New(rand.NewPCG(2+seed, uint64(g)))}
 		if shares {
 			allocators[g].SetWeights(weights)
 		}
@@ -93,7 +103,11 @@
 				r *= p.hot[i]
 			}
 			at += time.Duration(rng.ExpFloat64() / r * float64(time.Second))
-			heap.Push(events, event{at: at, gateway: rng.IntN(p.gateways), account: i, timeLeft: callerTimeout, priority: 2 * rng.IntN(2)})
+			cost := 1.0
+			if p.mixedCosts && rng.IntN(5) == 0 {
+				cost = 8
+			}
+			heap.Push(events, event{at: at, gateway: rng.IntN(p.gateways), account: i, timeLeft: callerTimeout, priority: 2 * rng.IntN(2), cost: cost})
 		}
 	}
 	out := result{callers: make([]float64, len(p.usual)), served: make([]float64, len(p.usual))}
@@ -120,17 +134,22 @@
 		if counted && !e.returns {
 			out.callers[e.account]++
 		}
-		r := Request{Service: "s", Route: "r", Account: fmt.Sprint("a", e.account), Priority: e.priority, Timeout: e.timeLeft, TimeLeft: e.timeLeft, Cost: 1}
+		r := Request{Service: "s", Route: "r", Account: fmt.Sprint("a", e.account), Priority: e.priority, Timeout: e.timeLeft, TimeLeft: e.timeLeft, Cost: e.cost}
 		d := allocators[e.gateway].Admit(r, now)
-		if d.Refused && e.at >= hotTo+settleTime {
-			out.refusedLate++
+		late := lo.Ternary(e.at >= hotTo+settleTime, 1, 0)
+		out.requests++
+		out.requestsLate += late
+		if d.Refused {
+			out.refused++
+			out.refusedLate += late
 		}
-		if !d.Refused && queue > maxQueueTime.Seconds() {
+		if !d.Refused && (queue > maxQueueTime.Seconds() || e.gateway < p.faulty) {
 			d = Decision{Refused: true, RetryAfter: max(allocators[e.gateway].RecordRefusal(r, true, now), time.Duration(rng.Float64()*float64(maxPlainRetryTime)))}
 		}
 		if !d.Refused {
-			queue += 1 / p.capacity
+			queue += e.cost / p.capacity
 			if counted {
+				out.servedCost += e.cost
 				out.served[e.account]++
 			}
 		} else if !e.returns {
@@ -171,13 +190,13 @@
 		// 6,000 requests. Other seeds than the fixed one gave up to 36.
 		late int
 	}{
-		{pattern{"hot_account", usual, hotAccount, 750, 70, 0}, 0.65, 0.97, 0},
-		{pattern{"hot_account, digests lost", usual, hotAccount, 750, 70, 0.3}, 0.65, 0.97, 0},
-		{pattern{"hot_account, no digests", usual, hotAccount, 750, 70, 1}, 0.65, 0.92, 30},
-		{pattern{"hot_account, one gateway", usual, hotAccount, 750, 1, 0}, 0.65, 0.94, 0},
-		{pattern{"competing_accounts", usual, competingAccounts, 750, 132, 0}, 0.75, 0.96, 0},
+		{pattern{"hot_account", usual, hotAccount, 750, 70, 0, 0, false}, 0.65, 0.97, 0},
+		{pattern{"hot_account, digests lost", usual, hotAccount, 750, 70, 0.3, 0, false}, 0.65, 0.97, 0},
+		{pattern{"hot_account, no digests", usual, hotAccount, 750, 70, 1, 0, false}, 0.65, 0.92, 30},
+		{pattern{"hot_account, one gateway", usual, hotAccount, 750, 1, 0, 0, false}, 0.65, 0.94, 0},
+		{pattern{"competing_accounts", usual, competingAccounts, 750, 132, 0, 0, false}, 0.75, 0.96, 0},
 	} {
-		before, after := play(tc.pattern, false), play(tc.pattern, true)
+		before, after := play(tc.pattern, false, 1), play(tc.pattern, true, 1)
 		t.Logf("%s, %d gateways: other accounts %.3f before, %.3f after; hot ones %.3f, %.3f; served in all %.0f, %.0f; refused after the load %d", tc.name, tc.gateways,
 			before.servedFraction(tc.pattern, false), after.servedFraction(tc.pattern, false), before.servedFraction(tc.pattern, true), after.servedFraction(tc.pattern, true),
 			lo.Sum(before.served), lo.Sum(after.served), after.refusedLate)
@@ -187,3 +206,17 @@
 		require.LessOrEqual(t, after.refusedLate, tc.late, tc.name)
 	}
 }
+
+// Guards against one gateway whose requests are all refused, although the capacity is
+// ample, and that makes all gateways refuse requests by shares.
+func TestFaultyGatewayMakesNoShortage(t *testing.T) {
+	usual := []float64{171, 128, 100, 86, 71, 57, 43, 36, 29, 21, 17, 14, 11, 9, 6, 4}
+	even := lo.Times(len(usual), func(int) float64 { return 1 })
+	for _, gateways := range []int{9, 132} {
+		for seed := range uint64(3) {
+			r := play(pattern{name: "faulty", usual: usual, hot: even, capacity: 2000, gateways: gateways, faulty: 1}, true, seed+1)
+			t.Logf("%d gateways, seed %d: %d of %d requests refused by shares", gateways, seed+1, r.refused, r.requests)
+			require.Less(t, 100*r.refused, r.requests, "%d gateways, seed %d", gateways, seed+1)
+		}
+	}
+}
--- a/internal/limits/clshare/peers.go
+++ b/internal/limits/clshare/peers.go
@@ -17,7 +17,8 @@
 		// Offered is the cost of all requests, Admitted that of the admitted ones, and
 		// Refused the part of it that was refused for shortage.
 		Offered, Admitted, Refused float64
-		// Accounts holds the accounts with the highest recent offered cost.
+		// Accounts holds the accounts with the highest recent offered cost. It is empty
+		// if only other gateways have reported refusals.
 		Accounts []AccountTotals
 	}
 
@@ -31,15 +32,21 @@
 
 	// peer is what another gateway has reported last.
 	peer struct {
-		boot     uint64
+		boot uint64
+		// at is the time of the latest digest.
+		at       time.Time
 		services map[string]*peerService
 	}
 
 	// peerService is what another gateway has reported last of a service.
 	peerService struct {
 		offered, admitted, refused float64
-
-		at time.Time
+		// recent holds the peer's recent costs.
+		recent serviceSums
+		// at is the time of the latest report, and since that of the first one of those
+		// that follow each other closely. accountsAt and accountsSince are the same for
+		// the reports with accounts.
+		at, since, accountsAt, accountsSince time.Time
 		// accounts has few entries, so that a search takes less than a map's memory
 		// is worth.
 		accounts []peerAccount
@@ -67,6 +74,10 @@
 	// maxReportGap is the longest time between two reports whose difference counts as
 	// recent cost. It spans several digests.
 	maxReportGap = 3 * time.Second
+	// coverTime is how long a gateway's reports must span before its recent costs count
+	// as known. Two reports of 132 gateways do, and its refused fraction is then that
+	// of the spanned time; with 0.8 s, hot_account reaches 0.971 instead of 0.983.
+	coverTime = 400 * time.Millisecond
 	// maxPeerRatio limits the offered cost that counts for a peer, as a multiple of
 	// this gateway's own, so that wrong figures of one gateway have a bounded effect.
 	// Gateways of very uneven size are all scaled alike.
@@ -74,13 +85,19 @@
 )
 
 // Totals returns this gateway's totals of the services that are in shortage or were
-// until recently. Without a shortage, it returns nil.
+// until recently, and of those whose requests are refused at other gateways: a fraction
+// of refusals is that of all gateways only if all of them report. Otherwise, it returns
+// nil.
 func (a *Allocator) Totals(now time.Time) []Totals {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var totals []Totals
 	for name, s := range a.services {
-		if now.Sub(s.refusedAt) > reportTime && now.Sub(s.shortAt) > reportTime {
+		withAccounts := now.Sub(s.refusedAt) <= reportTime || now.Sub(s.shortAt) <= reportTime
+		if !withAccounts {
+			if now.Sub(s.peerRefusedAt) <= reportTime {
+				totals = append(totals, Totals{Service: name, Offered: s.offered, Admitted: s.admitted, Refused: s.refused})
+			}
 			continue
 		}
 		s.order = s.order[:0]
@@ -112,11 +129,6 @@
 		return
 	}
 	p := a.peers[name]
-	if len(totals) == 0 {
-		// Without a shortage, the peer's totals are out of date at the next one.
-		delete(a.peers, name)
-		return
-	}
 	if p == nil || p.boot != boot {
 		if a.peers == nil {
 			a.peers = make(map[string]*peer)
@@ -124,11 +136,21 @@
 		p = &peer{boot: boot, services: make(map[string]*peerService)}
 		a.peers[name] = p
 	}
+	p.at = now
+	if len(totals) == 0 {
+		// Without a shortage, the peer's totals are out of date at the next one.
+		clear(p.services)
+		return
+	}
 	for _, t := range totals {
 		s := a.services[t.Service]
 		if s == nil {
-			// This gateway has had no request for the service.
-			continue
+			if !a.configured[t.Service] {
+				continue
+			}
+			// Although this gateway has had no request for the service, its report
+			// shows the others that they know the costs of all.
+			s = a.service(t.Service, now)
 		}
 		ps := p.services[t.Service]
 		if ps == nil || len(ps.accounts) > maxPeerAccounts {
@@ -146,19 +168,36 @@
 	delete(a.peers, name)
 }
 
-// addReport adds the difference of a report to the one before to the recent costs of a
-// service.
+// addReport adds the difference of a report to the one before to the recent costs of the
+// peer and of the accounts.
 func (a *Allocator) addReport(s *service, ps *peerService, t Totals, now time.Time) {
+	if t.Offered < ps.offered {
+		// The peer's totals have started anew.
+		*ps = peerService{}
+	}
 	s.local.decay(now)
+	ps.recent.decay(now)
 	scale := a.peerScale(s, ps, t, now)
-	if recent := !ps.at.IsZero() && now.Sub(ps.at) <= maxReportGap; recent && scale > 0 {
-		s.recent.decay(now)
-		s.recent.offered += scale * max(0, difference(t.Offered, ps.offered))
-		admitted := scale * difference(t.Admitted, ps.admitted)
-		s.recent.admitted = max(0, s.recent.admitted+admitted)
-		s.recent.refused = max(0, s.recent.refused+min(max(0, admitted), scale*difference(t.Refused, ps.refused)))
+	if now.Sub(ps.at) > maxReportGap {
+		ps.since, ps.recent = now, serviceSums{at: now}
+	} else {
+		offered, admitted := scale*difference(t.Offered, ps.offered), scale*difference(t.Admitted, ps.admitted)
+		refused := min(max(0, admitted), scale*difference(t.Refused, ps.refused))
+		ps.recent.offered += max(0, offered)
+		ps.recent.admitted = max(0, ps.recent.admitted+admitted)
+		ps.recent.refused = max(0, ps.recent.refused+refused)
+		if refused > 0 {
+			ps.recent.refusals++
+		}
 	}
 	ps.offered, ps.admitted, ps.refused, ps.at = t.Offered, t.Admitted, t.Refused, now
+	if len(t.Accounts) > 0 {
+		s.peerRefusedAt = now
+		if now.Sub(ps.accountsAt) > maxReportGap {
+			ps.accountsSince = now
+		}
+		ps.accountsAt = now
+	}
 	for _, at := range t.Accounts[:min(len(t.Accounts), maxReportedAccounts)] {
 		weight, ok := a.weights[at.Account]
 		if !ok {
@@ -180,6 +219,44 @@
 	}
 }
 
+// load returns the recent costs at this gateway and at the peers whose reports cover
+// coverTime. Its refusals leave out the gateway with the most of them, unless that has
+// more than half of the load: a single gateway whose requests are all refused is no sign
+// that the capacity is short. known is set if most of the gateways that are heard have
+// been counted, and accountsKnown if most have reported their accounts as well.
+func (a *Allocator) load(name string, s *service, now time.Time) (sum serviceSums, known, accountsKnown bool) {
+	s.recent.decay(now)
+	sum = s.recent
+	worst := s.recent
+	live, covered, accountsCovered := 1, 1, 1
+	for peerName, p := range a.peers {
+		if now.Sub(p.at) > maxReportGap {
+			delete(a.peers, peerName)
+			continue
+		}
+		live++
+		ps := p.services[name]
+		if ps == nil || now.Sub(ps.at) > maxReportGap || ps.at.Sub(ps.since) < coverTime {
+			continue
+		}
+		covered++
+		if now.Sub(ps.accountsAt) <= maxReportGap && ps.accountsAt.Sub(ps.accountsSince) >= coverTime {
+			accountsCovered++
+		}
+		ps.recent.decay(now)
+		sum.add(ps.recent)
+		if ps.recent.refused > worst.refused {
+			worst = ps.recent
+		}
+	}
+	if live > 1 && 2*worst.admitted <= sum.admitted {
+		sum.admitted -= worst.admitted
+		sum.refused = max(0, sum.refused-worst.refused)
+		sum.refusals = max(0, sum.refusals-worst.refusals)
+	}
+	return sum, 2*covered > live, 2*accountsCovered > live
+}
+
 // account returns the entry of an account, which is added if there is none.
 func (p *peerService) account(acct *account) *peerAccount {
 	for i := range p.accounts {
--- a/internal/limits/clshare/shares.go
+++ b/internal/limits/clshare/shares.go
@@ -17,9 +17,9 @@
 	// refuse when a shortage begins. Bursts that a gateway's own estimates cause
 	// stay below it.
 	shortageRefusedFraction = 0.05
-	// minRefusedRequests is the number of recent refusals, in requests of average
-	// cost, without which no shortage begins: the one refusal of a gateway with few
-	// requests is no sign of one.
+	// minRefusedRequests is the number of recent refusals without which no shortage
+	// begins, also in requests of average cost: one refusal is no sign of a shortage,
+	// neither of a gateway with few requests nor of a request with a large cost.
 	minRefusedRequests = 3
 	// warmUpTime is the time from the first request for a service until a shortage may
 	// begin. Before, the sums of sumTime are too low to be compared with later ones.
@@ -58,21 +58,26 @@
 
 // compute detects whether the service is in shortage and computes the shares. It
 // returns the change of the shortage, or nil if there is none.
-func (s *service) compute(name string, now time.Time) *Change {
+func (a *Allocator) compute(name string, s *service, now time.Time) *Change {
 	elapsed := now.Sub(s.computedAt)
 	s.computedAt = now
-	s.recent.decay(now)
 	s.local.decay(now)
+	load, known, accountsKnown := a.load(name, s, now)
 	refusedFraction := 0.0
-	if s.recent.admitted > 0 {
-		refusedFraction = s.recent.refused / s.recent.admitted
+	if load.admitted > 0 {
+		refusedFraction = load.refused / load.admitted
 	}
 	if refusedFraction > steadyRefusedFraction {
 		s.lossAt = now
 	}
 	wasShort := s.short
 	if !s.short {
-		if now.Sub(s.startedAt) < warmUpTime || refusedFraction < shortageRefusedFraction || s.recent.refused*s.local.requests < minRefusedRequests*s.local.offered {
+		if !known || now.Sub(s.startedAt) < warmUpTime || refusedFraction < shortageRefusedFraction ||
+			load.refusals < minRefusedRequests || load.refused*s.local.requests < minRefusedRequests*s.local.offered {
+			return nil
+		}
+		s.shortAt = now
+		if !accountsKnown {
 			return nil
 		}
 		s.short = true
@@ -102,7 +107,11 @@
 		capacity = max(capacity, s.peakServed)
 	}
 	switch {
-	case lossFree && s.recent.offered/detectionTime.Seconds() <= capacity/sumTime.Seconds():
+	case !known || !accountsKnown:
+		// No shares follow from the figures of a few gateways.
+		s.short = false
+		capacity = offered
+	case lossFree && load.offered/detectionTime.Seconds() <= capacity/sumTime.Seconds():
 		s.short = false
 		capacity = offered
 	case served < outageServedFraction*offered:
--- a/internal/limits/clshare/shares_test.go
+++ b/internal/limits/clshare/shares_test.go
@@ -227,3 +227,34 @@
 	require.Greater(t, float64(admittedIn[11]), 0.95*0.9*minCapacityFraction*0.97*10_000)
 	require.InEpsilon(t, admittedIn[3], admittedIn[11], 0.03)
 }
+
+// Guards against a shortage from the reports of a few gateways while the others that are
+// heard don't report, and against state of services that aren't configured.
+func TestFewReportsMakeNoShortage(t *testing.T) {
+	for _, silent := range []int{1, 20} {
+		a := &Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+		a.SetWeights(map[string]float64{"hot": 1, "low": 1, "mid": 1})
+		a.SetServices([]string{"s", "idle"})
+		now := time.Unix(1000, 0)
+		for i := range 10_000 {
+			now = now.Add(time.Millisecond)
+			a.Admit(offer(i), now)
+			if i%200 != 0 {
+				continue
+			}
+			for g := range silent {
+				a.RecordPeer(fmt.Sprint("silent ", g), 1, nil, now)
+			}
+			for g := range 4 {
+				totals := []Totals{{Service: "s", Offered: float64(i), Admitted: float64(i), Refused: float64(i) / 2, Accounts: []AccountTotals{{Account: "hot", Offered: [Classes]float64{float64(i)}, Served: float64(i) / 2}}}}
+				totals = append(totals, Totals{Service: "idle", Accounts: totals[0].Accounts}, Totals{Service: "unknown", Accounts: totals[0].Accounts})
+				a.RecordPeer(fmt.Sprint("faulty ", g), 1, totals, now)
+			}
+		}
+		require.Equal(t, silent == 1, a.services["s"].short, "%d silent gateways", silent)
+		require.Len(t, a.Totals(now), 2, "the idle service is reported, too")
+		require.NotContains(t, a.services, "unknown")
+		a.SetServices([]string{"idle"})
+		require.NotContains(t, a.services, "s")
+	}
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -108,7 +108,7 @@
 		// A configuration that was received from another gateway has no indexes.
 		c.Value.BuildIndexes()
 		n.applyQuotas(c.Value, len(n.registeredGateways()))
-		n.shareAllocator.SetWeights(c.Value.ShareWeights())
+		n.applyShareConfig(c.Value)
 		n.fleet.SetCatalog(c.Value)
 		n.gateway.SetCatalog(c.Value)
 		n.Logger.Info("configuration in force", zap.Uint64("config_version", c.Value.Version), zap.Int("routes", len(c.Value.Routes)),
--- a/internal/serving/clnode/shares.go
+++ b/internal/serving/clnode/shares.go
@@ -8,10 +8,17 @@
 
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
 
+// applyShareConfig passes the accounts' weights and the services to the allocator.
+func (n *Node) applyShareConfig(c *clcatalog.Catalog) {
+	n.shareAllocator.SetWeights(c.ShareWeights())
+	n.shareAllocator.SetServices(lo.Map(c.Services, func(s clcatalog.Service, _ int) string { return s.Name }))
+}
+
 // fillServiceCosts adds the costs of the services in shortage to a digest.
 func (n *Node) fillServiceCosts(d *clgossip.Digest, now time.Time) {
 	for _, t := range n.shareAllocator.Totals(now) {
