Limit the effect of a request with a large cost

One refused request with a large stated cost began a shortage, because refusals were compared by cost only, and any stated cost was accepted.

--- a/internal/limits/clshare/shares_test.go
+++ b/internal/limits/clshare/shares_test.go
@@ -258,3 +258,29 @@
 		require.NotContains(t, a.services, "s")
 	}
 }
+
+// Guards against one refused request with a large cost that makes a shortage, and
+// against totals beyond the integers that a float64 and the wire hold exactly.
+func TestLargeCosts(t *testing.T) {
+	a := &Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+	a.SetWeights(map[string]float64{"hot": 1, "low": 1, "mid": 1})
+	now := time.Unix(1000, 0)
+	admit := func() {
+		for i := range 10_000 {
+			now = now.Add(time.Millisecond)
+			require.False(t, a.Admit(offer(i), now).Refused)
+		}
+	}
+	admit()
+	for range 2 {
+		large := offer(3)
+		large.Cost = 1 << 52
+		require.False(t, a.Admit(large, now).Refused)
+		a.RecordRefusal(large, true, now)
+		admit()
+	}
+	require.False(t, a.services["s"].short)
+	require.Empty(t, a.Totals(now.Add(time.Minute)))
+	a.RecordRefusal(offer(3), true, now)
+	require.LessOrEqual(t, a.Totals(now)[0].Offered, 10_000.0, "the totals have started anew")
+}
--- a/internal/serving/clgateway/share.go
+++ b/internal/serving/clgateway/share.go
@@ -21,6 +21,10 @@
 	costRefused = "refused"
 )
 
+// maxShareCost limits the cost of one request, in tokens, since callers may state any
+// number: the largest prompt has 54,600 tokens, and the rest is for the output.
+const maxShareCost = 65_536
+
 // shortageReasons are the reasons for refusals that mean that no endpoint could begin
 // the request in time, although there are endpoints for it. An endpoint is also blocked
 // after it could not be reached; if that concerns all endpoints, clshare takes it for an
@@ -53,7 +57,8 @@
 }
 
 // shareCost returns the cost of a request for the share of its account: 1 at a plain
-// service, and otherwise its tokens, also if the account's quota counts requests.
+// service, and otherwise its tokens, also if the account's quota counts requests, but at
+// most maxShareCost.
 func shareCost(s *clcatalog.Service, a *clcatalog.Account, tokens float64) float64 {
 	if s == nil || s.Engine == nil {
 		return 1
@@ -61,7 +66,7 @@
 	if a.InTokens {
 		tokens = a.Cost(tokens)
 	}
-	return max(1, tokens)
+	return min(max(1, tokens), maxShareCost)
 }
 
 // unsharedTokens returns the size of the last part of a prompt, which other requests
--- a/internal/serving/clgateway/share_test.go
+++ b/internal/serving/clgateway/share_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -106,13 +107,16 @@
 	}
 }
 
-// Guards against costs in other units than those of the other requests for a service.
+// Guards against costs in other units than those of the other requests for a service, and
+// against any cost that a caller likes to state.
 func TestShareCost(t *testing.T) {
 	engine, plain := &clcatalog.Service{Engine: &clcatalog.Engine{}}, &clcatalog.Service{}
 	inTokens, inRequests := &clcatalog.Account{InTokens: true, PlainTokens: 50}, &clcatalog.Account{}
 	require.Equal(t, 900.0, shareCost(engine, inTokens, 900))
 	require.Equal(t, 900.0, shareCost(engine, inRequests, 900))
 	require.Equal(t, 50.0, shareCost(engine, inTokens, 0))
+	require.Equal(t, float64(maxShareCost), shareCost(engine, inTokens, math.MaxInt))
+	require.Equal(t, 1.0, shareCost(engine, inRequests, -5))
 	require.Equal(t, 1.0, shareCost(engine, inRequests, 0))
 	require.Equal(t, 1.0, shareCost(plain, inTokens, 900))
 	require.Equal(t, 1.0, shareCost(nil, inTokens, 900))
--- a/internal/serving/clnode/shares.go
+++ b/internal/serving/clnode/shares.go
@@ -13,6 +13,9 @@
 	"go.uber.org/zap"
 )
 
+// maxWireCost is the highest cost in a digest. The allocator's totals start anew there.
+const maxWireCost = 1 << 53
+
 // applyShareConfig passes the accounts' weights and the services to the allocator.
 func (n *Node) applyShareConfig(c *clcatalog.Catalog) {
 	n.shareAllocator.SetWeights(c.ShareWeights())
@@ -23,13 +26,13 @@
 func (n *Node) fillServiceCosts(d *clgossip.Digest, now time.Time) {
 	for _, t := range n.shareAllocator.Totals(now) {
 		d.ServiceCosts = append(d.ServiceCosts, &clgossip.ServiceCost{
-			Service: t.Service, Offered: uint64(math.Round(t.Offered)), Admitted: uint64(math.Round(t.Admitted)), Refused: uint64(math.Round(t.Refused)),
+			Service: t.Service, Offered: wireCost(t.Offered), Admitted: wireCost(t.Admitted), Refused: wireCost(t.Refused),
 			Accounts: lo.Map(t.Accounts, func(a clshare.AccountTotals, _ int) *clgossip.AccountCost {
-				c := &clgossip.AccountCost{Account: a.Account, Served: uint64(math.Round(a.Served))}
+				c := &clgossip.AccountCost{Account: a.Account, Served: wireCost(a.Served)}
 				for class, cost := range a.Offered {
 					if cost > 0 {
 						c.Offered = append(c.Offered, make([]uint64, class-len(c.Offered))...)
-						c.Offered = append(c.Offered, uint64(math.Round(cost)))
+						c.Offered = append(c.Offered, wireCost(cost))
 					}
 				}
 				return c
@@ -38,6 +41,14 @@
 	}
 }
 
+// wireCost returns the cost as an integer, and 0 for what is no number.
+func wireCost(cost float64) uint64 {
+	if !(cost > 0) {
+		return 0
+	}
+	return uint64(math.Round(min(cost, maxWireCost)))
+}
+
 // applyServiceCosts passes the costs in a digest from another gateway to the allocator.
 func (n *Node) applyServiceCosts(d *clgossip.Digest, now time.Time) {
 	if d.GetLeaving() {
--- a/internal/serving/clnode/shares_test.go
+++ b/internal/serving/clnode/shares_test.go
@@ -3,6 +3,7 @@
 package clnode
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -53,3 +54,11 @@
 	n.fillServiceCosts(empty, now.Add(time.Minute))
 	require.Empty(t, empty.GetServiceCosts())
 }
+
+// Guards against costs whose conversion is undefined, and differs between processors.
+func TestWireCost(t *testing.T) {
+	for cost, want := range map[float64]uint64{0: 0, -3: 0, 1.5: 2, 1e30: maxWireCost, math.Inf(1): maxWireCost, math.Inf(-1): 0} {
+		require.Equal(t, want, wireCost(cost), "%g", cost)
+	}
+	require.Zero(t, wireCost(math.NaN()))
+}
