Decide by shares before the quota is charged

At a gateway that reaches only a part of the others, the quota charges a multiple of the cost and refunds the cost, so that each request which the share refused used up quota. The share is now decided first, without counting; the request is counted once the quota admits it. A request that the quota refuses is no longer offered cost. An account above both gets over_share instead of over_quota.

--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -43,8 +43,8 @@
 		// quota refuses the request.
 		cost float64
 		// shareRequest is what the account's share of the service is counted by; its
-		// cost is 0 if the request is not counted. shareDecision is set if the request
-		// was refused because of the share.
+		// cost is 0 if the request is not counted. shareDecision tells whether the
+		// request was refused because of the share.
 		shareRequest  clshare.Request
 		shareDecision clshare.Decision
 		// fingerprint is the same for repetitions of the request by the caller.
@@ -122,8 +122,8 @@
 // its cost to the account's quota. It returns nil if the request is admitted, and
 // an error response if there is no configuration or no route for the request, if its
 // API key or its body is not accepted, if the shutdown could cut it off, if it would
-// crash an endpoint, if the quota is exhausted, or if the account has used up its share of
-// a service in shortage.
+// crash an endpoint, if the account has used up its share of a service in shortage, or if
+// the quota is exhausted.
 func (g *Gateway) admit(c *call) *errorResponse {
 	cat := g.catalog.Load()
 	if cat == nil {
@@ -157,15 +157,18 @@
 		return &errorResponse{http.StatusServiceUnavailable, string(reason), crashRetryAfter}
 	}
 	tokens := float64(c.reqInfo.PromptTokens + c.reqInfo.MaxOutputTokens)
+	// The quota is not charged for a request that the share refuses: at a gateway that
+	// reaches only a part of the others, a refund returns less than was charged.
+	if errResp := g.decideShare(c, cat, tokens); errResp != nil {
+		return errResp
+	}
 	if c.account != nil {
 		c.cost = c.account.Cost(tokens)
 		if admitted, wait := g.Quotas.Admit(c.account.Name, c.cost, clclock.Now()); !admitted {
 			return &errorResponse{http.StatusTooManyRequests, "over_quota", wait}
 		}
 	}
-	if errResp := g.admitToShare(c, cat, tokens); errResp != nil {
-		return errResp
-	}
+	g.countShare(c)
 	g.Recorder.RequestAdmitted(c.service)
 	return nil
 }
--- a/internal/serving/clgateway/share.go
+++ b/internal/serving/clgateway/share.go
@@ -33,10 +33,10 @@
 	clfleet.ReasonNoTimeLeft, clfleet.ReasonFull, clfleet.ReasonBlocked, clfleet.ReasonCold, clfleet.ReasonReturning,
 }
 
-// admitToShare counts a request toward its account's share of the service. If the share
-// is used up, it refunds the quota and returns an error response. Requests without an
-// account have no share and are not counted.
-func (g *Gateway) admitToShare(c *call, cat *clcatalog.Catalog, tokens float64) *errorResponse {
+// decideShare decides whether a request is within its account's share of the service. It
+// counts nothing, since the quota may still refuse the request, and returns an error
+// response if the share is used up. Requests without an account have no share.
+func (g *Gateway) decideShare(c *call, cat *clcatalog.Catalog, tokens float64) *errorResponse {
 	if g.Shares == nil || c.account == nil || !g.Shares.Enabled() {
 		return nil
 	}
@@ -44,16 +44,23 @@
 		Service: c.service, Route: c.route.Name, Account: c.account.Name, Priority: c.route.RequestPriority(c.account),
 		Timeout: c.reqInfo.Timeout, TimeLeft: time.Until(c.deadline), Cost: shareCost(cat.Service(c.service), c.account, tokens),
 	}
-	g.countCost(c, costOffered)
-	d := g.Shares.Admit(c.shareRequest, clclock.Now())
-	if !d.Refused {
+	c.shareDecision = g.Shares.Decide(c.shareRequest, clclock.Now())
+	if !c.shareDecision.Refused {
 		return nil
 	}
-	c.shareDecision = d
-	g.Quotas.Refund(c.account.Name, c.cost)
+	g.countShare(c)
 	g.countCost(c, costRefused)
 	g.Fleet.RecordRefused(c.service, unsharedTokens(c.reqInfo))
-	return &errorResponse{http.StatusServiceUnavailable, "over_share", d.RetryAfter}
+	return &errorResponse{http.StatusServiceUnavailable, "over_share", c.shareDecision.RetryAfter}
+}
+
+// countShare counts a request toward its account's share, as decideShare has decided.
+func (g *Gateway) countShare(c *call) {
+	if c.shareRequest.Cost == 0 {
+		return
+	}
+	g.Shares.Count(c.shareRequest, c.shareDecision, clclock.Now())
+	g.countCost(c, costOffered)
 }
 
 // shareCost returns the cost of a request for the share of its account: 1 at a plain
--- a/internal/serving/clgateway/share_test.go
+++ b/internal/serving/clgateway/share_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
@@ -79,6 +80,42 @@
 	}
 }
 
+// Guards against requests that are refused by shares and charged to the quota of a gateway
+// that reaches only a part of the others, for which a refund returns less than was charged,
+// and against requests that the quota refuses and that count as offered.
+func TestQuotaIsNotChargedForShares(t *testing.T) {
+	const reachable, burst = 0.25, 400.0
+	env := newTestEnv(t, respond(signedOK+"Content-Length: 0\r\n\r\n", true))
+	env.gateway.Shares = &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+	env.gateway.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+	offerLoad(env.gateway.Shares, true)
+	env.gateway.Quotas = &clquota.Limiter{}
+	env.gateway.Quotas.SetReachableShare(reachable)
+	// A new bucket is not full; the lower burst cuts it to its limit.
+	env.gateway.Quotas.SetLimit("acme", 1e-6, 10*burst, clclock.Now())
+	env.gateway.Quotas.SetLimit("acme", 1e-6, burst, clclock.Now())
+	statuses := map[int]int{}
+	send := func() {
+		resp, err := http.DefaultClient.Do(env.request("/get/", "k", "x"))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		statuses[resp.StatusCode]++
+	}
+	for range 40 {
+		send()
+	}
+	require.Equal(t, 40, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], "%v", statuses)
+	require.GreaterOrEqual(t, statuses[http.StatusServiceUnavailable], 5)
+	admitted, _ := env.gateway.Quotas.Admit("acme", burst*reachable-float64(statuses[http.StatusOK])-0.5, clclock.Now())
+	require.True(t, admitted, "all but the cost of the admitted requests is left")
+	offered := env.gateway.Shares.Totals(clclock.Now())[0].Offered
+	for statuses[http.StatusTooManyRequests] < 5 {
+		send()
+	}
+	counted := statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable] - 40
+	require.Equal(t, offered+float64(counted), env.gateway.Shares.Totals(clclock.Now())[0].Offered)
+}
+
 // Guards against refusals of endpoints that are not taken for a shortage, or refusals
 // for other reasons that are.
 func TestRefusalsOfEndpointsMakeAShortage(t *testing.T) {
