Count only refusals for lack of capacity toward a shortage

A refusal counted as one of a shortage once any endpoint had stated that it had not run the request, whatever the final reason: also if the endpoint left or wanted quiet, the retry budget was used up, or the caller was gone. The reason now decides. Without one, and if all endpoints were tried, it is what the latest endpoint stated. A blocked endpoint counts if it has shed a request, not if it could not be reached.

TestRefusalsThatAreNoShortage fails with the former rule (first at "leaving"); TestBlockedAfterShed covers the reason "blocked".

--- a/internal/routing/clfleet/fleet_test.go
+++ b/internal/routing/clfleet/fleet_test.go
@@ -380,3 +380,25 @@
 	}
 	require.EqualValues(t, 1, f.Demand()["llm"].Requests)
 }
+
+// Guards against an endpoint that can't be reached and is taken for one that has shed a
+// request, from which a shortage of capacity is concluded.
+func TestBlockedAfterShed(t *testing.T) {
+	f := newFleet(1, engineEndpoint("a1", "a", "v1"))
+	r := Request{ID: "r", Service: "llm", TimeLeft: time.Second}
+	for i, tc := range []struct {
+		outcome   Outcome
+		afterShed bool
+	}{{OutcomeShed, true}, {OutcomeUnreachable, false}, {OutcomeShed, false}, {OutcomeAnswered, false}, {OutcomeShed, true}} {
+		now := testStart.Add(time.Duration(i+1) * time.Minute)
+		c, _ := f.Pick(r, now)
+		f.Begin(c, r, now)
+		f.Finish(c, tc.outcome, now)
+		if c, refusal := f.Pick(r, now); c == nil {
+			require.Equal(t, ReasonBlocked, refusal.Reason)
+			require.Equal(t, tc.afterShed, refusal.AfterShed, "attempt %d", i)
+		} else {
+			require.Equal(t, OutcomeAnswered, tc.outcome)
+		}
+	}
+}
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -90,6 +90,9 @@
 		// Reason is the filter that excluded the endpoint examined last, or
 		// ReasonNoEndpoint or ReasonNoTimeLeft.
 		Reason Reason
+		// AfterShed is set if Reason is ReasonBlocked because the endpoint has shed a
+		// request, and has not been unreachable since its latest complete answer.
+		AfterShed bool
 		// RetryAfter is the time after which the caller may retry.
 		RetryAfter time.Duration
 		// Excluded holds the number of endpoints that each filter has excluded.
@@ -272,7 +275,7 @@
 	for _, e := range s.endpoints {
 		if reason := filter.excludedBy(e); reason != "" {
 			refusal.Excluded[reason]++
-			refusal.Reason = reason
+			refusal.Reason, refusal.AfterShed = reason, reason == ReasonBlocked && e.unreachableCount == 0
 			continue
 		}
 		eligible = append(eligible, e)
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -157,6 +157,7 @@
 			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reasonCopiesOutdated, RetryAfter: outdatedRetryAfter})
 			return
 		}
+		c.shed = false
 		last = g.runAttempt(ctx, c, choice, req, &p, sendBefore)
 		if last.done {
 			return
@@ -308,6 +309,7 @@
 		}
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
 		result.notRun, a.statedNotRun = true, true
+		a.shed = !a.respInfo.Leaving && a.respInfo.QuietFor == 0
 		return result
 	case promisesNotRun(resp.Status):
 		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded with status %d without stating that it did not run the request", resp.Status))
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -62,6 +62,9 @@
 		// statedNotRun is set once an endpoint has stated that it did not run the
 		// request.
 		statedNotRun bool
+		// shed is set if the endpoint of the latest attempt has stated that it did not
+		// run the request, and not that it leaves or wants quiet.
+		shed bool
 		// tried holds the IDs of the endpoints of earlier attempts.
 		tried []string
 		// heldFailure is the latest of the failures that were held back, or nil.
--- a/internal/serving/clgateway/share.go
+++ b/internal/serving/clgateway/share.go
@@ -26,12 +26,8 @@
 const maxShareCost = 65_536
 
 // shortageReasons are the reasons for refusals that mean that no endpoint could begin
-// the request in time, although there are endpoints for it. An endpoint is also blocked
-// after it could not be reached; if that concerns all endpoints, clshare takes it for an
-// outage.
-var shortageReasons = []clfleet.Reason{
-	clfleet.ReasonNoTimeLeft, clfleet.ReasonFull, clfleet.ReasonBlocked, clfleet.ReasonCold, clfleet.ReasonReturning,
-}
+// the request in time, although there are endpoints for it.
+var shortageReasons = []clfleet.Reason{clfleet.ReasonNoTimeLeft, clfleet.ReasonFull, clfleet.ReasonCold, clfleet.ReasonReturning}
 
 // decideShare decides whether a request is within its account's share of the service. It
 // counts nothing, since the quota may still refuse the request, and returns an error
@@ -93,7 +89,7 @@
 	if g.Shares == nil || c.shareRequest.Cost == 0 {
 		return 0
 	}
-	shortage := c.statedNotRun || refusal != nil && slices.Contains(shortageReasons, refusal.Reason)
+	shortage := isShortage(c, refusal) && !callerGone(c.r)
 	r := c.shareRequest
 	r.TimeLeft = time.Until(c.deadline)
 	if shortage {
@@ -102,6 +98,19 @@
 	return g.Shares.RecordRefusal(r, shortage, clclock.Now())
 }
 
+// isShortage reports whether a request has not run because no endpoint could begin it in
+// time. refusal is why no further attempt was made, or nil. An endpoint that could not be
+// reached, or that leaves or wants quiet, says nothing of the capacity.
+func isShortage(c *call, refusal *clfleet.Refusal) bool {
+	switch {
+	case refusal == nil || refusal.Reason == clfleet.ReasonTried:
+		return c.shed
+	case refusal.Reason == clfleet.ReasonBlocked:
+		return refusal.AfterShed
+	}
+	return slices.Contains(shortageReasons, refusal.Reason)
+}
+
 // countCost adds the cost of a request to the metric, if the request is counted toward
 // its account's share.
 func (g *Gateway) countCost(c *call, outcome string) {
--- a/internal/serving/clgateway/share_test.go
+++ b/internal/serving/clgateway/share_test.go
@@ -3,18 +3,22 @@
 package clgateway
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/stretchr/testify/require"
 )
 
@@ -144,6 +148,63 @@
 	}
 }
 
+// Guards against refusals that don't depend on the capacity and that make a shortage: of
+// endpoints that leave, want quiet or can't be reached, of the gateway itself, and of
+// requests whose callers are gone; and against refusals after a shed that make none.
+func TestRefusalsThatAreNoShortage(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Full\r\nX-Seal: s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+	for _, tc := range []struct {
+		name   string
+		script script
+		short  bool
+	}{
+		{"leaving", respond(notRun+"X-Leaving: 1\r\n\r\n", true), false},
+		{"quiet", respond(notRun+"X-Quiet: 500\r\n\r\n", true), false},
+		{"full", respond(notRun+"\r\n", true), true},
+	} {
+		env := newTestEnv(t, tc.script, tc.script)
+		env.gateway.Shares = &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+		env.gateway.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+		for range 5 {
+			resp, err := http.DefaultClient.Do(env.request("/get/", "f", "x"))
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		}
+		require.Equal(t, tc.short, len(env.gateway.Shares.Totals(clclock.Now())) == 1, tc.name)
+	}
+	for _, tc := range []struct {
+		shed     bool
+		refusal  *clfleet.Refusal
+		shortage bool
+	}{
+		{true, nil, true},
+		{false, nil, false},
+		{true, &clfleet.Refusal{Reason: clfleet.ReasonTried}, true},
+		{true, &clfleet.Refusal{Reason: reasonRetryBudget}, false},
+		{true, &clfleet.Refusal{Reason: reasonConfigUnconfirmed}, false},
+		{true, &clfleet.Refusal{Reason: clfleet.ReasonLeaving}, false},
+		{true, &clfleet.Refusal{Reason: clfleet.ReasonBlocked}, false},
+		{false, &clfleet.Refusal{Reason: clfleet.ReasonBlocked, AfterShed: true}, true},
+		{false, &clfleet.Refusal{Reason: clfleet.ReasonNoTimeLeft}, true},
+	} {
+		require.Equal(t, tc.shortage, isShortage(&call{shed: tc.shed}, tc.refusal), "%+v", tc)
+	}
+	for _, gone := range []bool{false, true} {
+		g := &Gateway{Shares: &clshare.Allocator{}, collectors: newCollectors(clobserve.NewMetrics())}
+		g.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &call{r: httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil), shed: true, shareRequest: clshare.Request{Service: "s", Account: "acme", Cost: 1}}
+		g.countShare(c)
+		if gone {
+			cancel()
+		}
+		g.recordShareRefusal(c, nil)
+		require.Equal(t, gone, g.Shares.Totals(clclock.Now()) == nil, "caller gone: %t", gone)
+		cancel()
+	}
+}
+
 // Guards against costs in other units than those of the other requests for a service, and
 // against any cost that a caller likes to state.
 func TestShareCost(t *testing.T) {
