Take requests without an answer out of the served cost

A request that ended with 502 or 504 stayed in the served cost, from which the capacity is measured. It is taken out without counting a refusal.

A caller that stated a timeout above the route's made those of all others look like returning callers; the smaller of the two is learned now. A refused caller without time left got a Retry-After of 0; the shortest is 100 ms.

TestNoAnswerAndLongTimeouts fails without either of the first two changes, TestShortage without the third.

--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -160,6 +160,9 @@
 	// maxRetryAfter limits the time after which a refused caller may come back, so
 	// that callers with much time left return while it still helps them.
 	maxRetryAfter = 4 * time.Second
+	// minRetryAfter is the shortest time, also for callers whose time has run out: they
+	// are not to come back at once.
+	minRetryAfter = 100 * time.Millisecond
 	// retryTimeFraction is the fraction of their time left up to which callers
 	// honour a Retry-After.
 	retryTimeFraction = 1.0 / 3
@@ -333,7 +336,7 @@
 // caller still honours.
 func (a *Allocator) retryAfter(timeLeft time.Duration) time.Duration {
 	longest := min(maxRetryAfter, time.Duration(retryTimeFraction*float64(timeLeft)))
-	return time.Duration((minRetrySpread + (1-minRetrySpread)*a.Rand.Float64()) * float64(max(0, longest)))
+	return max(minRetryAfter, time.Duration((minRetrySpread+(1-minRetrySpread)*a.Rand.Float64())*float64(longest)))
 }
 
 // service returns the state of the named service.
--- a/internal/limits/clshare/shares_test.go
+++ b/internal/limits/clshare/shares_test.go
@@ -124,6 +124,9 @@
 func TestShortage(t *testing.T) {
 	a, now := shortAllocator()
 	require.Positive(t, a.RecordRefusal(offer(3), true, now), "the caller of an endpoint's refusal is to come back later, too")
+	late := offer(3)
+	late.TimeLeft = -time.Second
+	require.Equal(t, minRetryAfter, a.RecordRefusal(late, true, now), "a caller without time left is not to come back at once")
 	require.Zero(t, a.RecordRefusal(offer(3), false, now))
 	var changes []Change
 	a.OnChange = func(c Change) { changes = append(changes, c) }
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -234,8 +234,10 @@
 		errResp.retryAfter = max(errResp.retryAfter, earliestRetry)
 		g.sendError(c, errResp)
 	case time.Now().Before(c.deadline):
+		g.recordNoAnswer(c)
 		g.sendError(c, &errorResponse{http.StatusBadGateway, "endpoint_failed", 0})
 	default:
+		g.recordNoAnswer(c)
 		g.sendError(c, &errorResponse{http.StatusGatewayTimeout, "timeout", 0})
 	}
 }
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -59,6 +59,9 @@
 		// mayHaveRun is set once an attempt ends without proof that the request
 		// was not run.
 		mayHaveRun bool
+		// timeout is the time limit: that of the route, or a shorter one that the caller
+		// states.
+		timeout time.Duration
 		// statedNotRun is set once an endpoint has stated that it did not run the
 		// request.
 		statedNotRun bool
@@ -136,14 +139,14 @@
 	if c.route == nil {
 		return g.staleConfigOr(&errorResponse{http.StatusNotFound, "no_route", 0})
 	}
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultRouteTimeout
+	c.timeout = c.route.Timeout
+	if c.timeout <= 0 {
+		c.timeout = defaultRouteTimeout
 	}
 	if c.reqInfo.Timeout > 0 {
-		timeout = min(timeout, c.reqInfo.Timeout)
+		c.timeout = min(c.timeout, c.reqInfo.Timeout)
 	}
-	c.deadline = c.arrived.Add(timeout)
+	c.deadline = c.arrived.Add(c.timeout)
 	if errResp := g.authenticate(c, cat); errResp != nil {
 		return errResp
 	}
--- a/internal/serving/clgateway/share.go
+++ b/internal/serving/clgateway/share.go
@@ -38,7 +38,9 @@
 	}
 	c.shareRequest = clshare.Request{
 		Service: c.service, Route: c.route.Name, Account: c.account.Name, Priority: c.route.RequestPriority(c.account),
-		Timeout: c.reqInfo.Timeout, TimeLeft: time.Until(c.deadline), Cost: shareCost(cat.Service(c.service), c.account, tokens),
+		// A stated timeout above the route's is without effect, and would make those of
+		// all others look like returning callers.
+		Timeout: min(c.reqInfo.Timeout, c.timeout), TimeLeft: time.Until(c.deadline), Cost: shareCost(cat.Service(c.service), c.account, tokens),
 	}
 	c.shareDecision = g.Shares.Decide(c.shareRequest, clclock.Now())
 	if !c.shareDecision.Refused {
@@ -98,6 +100,14 @@
 	return g.Shares.RecordRefusal(r, shortage, clclock.Now())
 }
 
+// recordNoAnswer records that a request which was counted toward its account's share may
+// have run, but got no answer, so that its cost is not taken for served.
+func (g *Gateway) recordNoAnswer(c *call) {
+	if g.Shares != nil && c.shareRequest.Cost > 0 {
+		g.Shares.RecordRefusal(c.shareRequest, false, clclock.Now())
+	}
+}
+
 // isShortage reports whether a request has not run because no endpoint could begin it in
 // time. refusal is why no further attempt was made, or nil. An endpoint that could not be
 // reached, or that leaves or wants quiet, says nothing of the capacity.
--- a/internal/serving/clgateway/share_test.go
+++ b/internal/serving/clgateway/share_test.go
@@ -205,6 +205,36 @@
 	}
 }
 
+// Guards against requests without an answer that are taken for served, and against one
+// caller that states a long timeout, after which all others count as returning ones.
+func TestNoAnswerAndLongTimeouts(t *testing.T) {
+	env := newTestEnv(t, respond("HTTP/1.1 200 OK\r\n", false))
+	env.gateway.Shares = &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}
+	env.gateway.Shares.SetWeights(map[string]float64{"acme": 1, "free": 1})
+	send := func(timeout time.Duration, status int) {
+		r := env.request("/book/", "f", "x")
+		r.Header.Set("X-Deadline", strconv.FormatInt(timeout.Milliseconds(), 10))
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, status, resp.StatusCode)
+	}
+	for range 20 {
+		send(time.Hour, http.StatusBadGateway)
+	}
+	for range 20 {
+		send(2*time.Second, http.StatusBadGateway)
+	}
+	env.gateway.Shares.RecordRefusal(clshare.Request{Service: "s", Account: "free", Cost: 1}, true, clclock.Now())
+	totals := env.gateway.Shares.Totals(clclock.Now())[0]
+	require.Equal(t, 40.0, totals.Offered)
+	require.Zero(t, totals.Admitted)
+	require.Zero(t, totals.Accounts[0].Served)
+	for class, offered := range totals.Accounts[0].Offered {
+		require.True(t, offered == 0 || class%2 == 1, "class %d is that of returning callers", class)
+	}
+}
+
 // Guards against costs in other units than those of the other requests for a service, and
 // against any cost that a caller likes to state.
 func TestShareCost(t *testing.T) {
