Add a margin before an account counts as above its share

The sums of an account with few requests exceed its share by chance, so that accounts at or below their shares were refused. An account is now refused from two standard deviations of its recent offered cost above its share on. Shortages end after 0.7 s without noticeable refusals instead of 1 s.

TestPatterns had a bound on refusals after the load that was fitted to one seed. It plays three seeds, adds a pattern of mixed costs, bounds each account below its share instead of only their sum, and allows shares to refuse 1 in 100 of the requests after the load. TestMargin covers the margin itself.

--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -110,6 +110,11 @@
 		// offered and served are this gateway's totals.
 		offered [Classes]float64
 		served  float64
+		// squares and counted are this gateway's sums of the squares of the costs and of
+		// the costs, which give the size of the account's requests.
+		squares, counted float64
+		// margin is the part of offeredSum that may be due to chance.
+		margin float64
 		// offeredSum is the sum of recent.offered at the latest computation, and share is
 		// the account's share, both in cost per sumTime. weightFraction is the account's
 		// part of the capacity that is left by the accounts before it. granted is the
@@ -275,6 +280,8 @@
 	acct.recent.decay(now)
 	acct.recent.offered[d.class] += r.Cost
 	acct.offered[d.class] += r.Cost
+	acct.squares += r.Cost * r.Cost
+	acct.counted += r.Cost
 	if d.Refused {
 		return
 	}
@@ -292,6 +299,7 @@
 	s.offered, s.admitted, s.refused = 0, 0, 0
 	for _, acct := range s.accounts {
 		acct.offered, acct.served = [Classes]float64{}, 0
+		acct.squares, acct.counted = 0, 0
 	}
 }
 
--- a/internal/limits/clshare/pattern_test.go
+++ b/internal/limits/clshare/pattern_test.go
@@ -35,11 +35,13 @@
 	}
 
 	// result counts the callers of the hot time, by account, and those of them that
-	// were served. requestsLate counts the requests from settleTime after the hot time,
+	// were served. overShare counts the requests that were refused by shares in that
+	// time. requestsLate counts the requests from settleTime after the hot time,
 	// and refusedLate those of them that were refused by shares. requests and refused
 	// are those of the whole time.
 	result struct {
 		callers, served           []float64
+		overShare                 []float64
 		requestsLate, refusedLate int
 		requests, refused         int
 		servedCost                float64
@@ -70,6 +72,8 @@
 }
 
 const (
+	// patternSeeds is the number of seeds with which each pattern is played.
+	patternSeeds      = 3
 	patternTime       = 45 * time.Second
 	settleTime        = 4 * time.Second
 	callerTimeout     = 3 * time.Second
@@ -110,7 +114,7 @@
 			heap.Push(events, event{at: at, gateway: rng.IntN(p.gateways), account: i, timeLeft: callerTimeout, priority: 2 * rng.IntN(2), cost: cost})
 		}
 	}
-	out := result{callers: make([]float64, len(p.usual)), served: make([]float64, len(p.usual))}
+	out := result{callers: make([]float64, len(p.usual)), served: make([]float64, len(p.usual)), overShare: make([]float64, len(p.usual))}
 	queue, last := 0.0, time.Duration(0) // the queue in seconds of work
 	for events.Len() > 0 {
 		e := heap.Pop(events).(event)
@@ -142,6 +146,9 @@
 		if d.Refused {
 			out.refused++
 			out.refusedLate += late
+			if counted {
+				out.overShare[e.account]++
+			}
 		}
 		if !d.Refused && (queue > maxQueueTime.Seconds() || e.gateway < p.faulty) {
 			d = Decision{Refused: true, RetryAfter: max(allocators[e.gateway].RecordRefusal(r, true, now), time.Duration(rng.Float64()*float64(maxPlainRetryTime)))}
@@ -173,10 +180,22 @@
 	return served / callers
 }
 
+// lowestServedFraction returns the lowest served fraction of the callers of an account
+// that is not hot.
+func (r result) lowestServedFraction(p pattern) float64 {
+	lowest := 1.0
+	for i := range r.callers {
+		if p.hot[i] <= 1 {
+			lowest = min(lowest, r.served[i]/r.callers[i])
+		}
+	}
+	return lowest
+}
+
 // Guards against a hot account, or several competing ones, that take the capacity from
-// accounts below their shares, against capacity that is left unused in a shortage, and
-// against a shortage that outlasts the load. What those accounts get without shares is
-// the load's own check.
+// accounts below their shares, also from a small one, against capacity that is left unused
+// in a shortage, and against a shortage that outlasts the load. What those accounts get
+// without shares is the load's own check.
 func TestPatterns(t *testing.T) {
 	usual := []float64{120, 90, 70, 60, 50, 40, 30, 25, 20, 15, 12, 10, 8, 6, 4, 3}
 	hotAccount := []float64{7.5, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
@@ -184,26 +203,29 @@
 	for _, tc := range []struct {
 		pattern
 		// before is the largest served fraction of the other accounts without shares,
-		// and after the smallest one with shares.
-		before, after float64
-		// late limits the refusals by shares from settleTime after the load, of about
-		// 6,000 requests. Other seeds than the fixed one gave up to 36.
-		late int
+		// and after the smallest one with shares. lowest is the smallest one of a
+		// single account, which has 45 callers at least.
+		before, after, lowest float64
 	}{
-		{pattern{"hot_account", usual, hotAccount, 750, 70, 0, 0, false}, 0.65, 0.97, 0},
-		{pattern{"hot_account, digests lost", usual, hotAccount, 750, 70, 0.3, 0, false}, 0.65, 0.97, 0},
-		{pattern{"hot_account, no digests", usual, hotAccount, 750, 70, 1, 0, false}, 0.65, 0.92, 30},
-		{pattern{"hot_account, one gateway", usual, hotAccount, 750, 1, 0, 0, false}, 0.65, 0.94, 0},
-		{pattern{"competing_accounts", usual, competingAccounts, 750, 132, 0, 0, false}, 0.75, 0.96, 0},
+		{pattern{"hot_account", usual, hotAccount, 750, 70, 0, 0, false}, 0.65, 0.97, 0.9},
+		{pattern{"hot_account, mixed costs", usual, hotAccount, 1800, 70, 0, 0, true}, 0.65, 0.97, 0.9},
+		{pattern{"hot_account, digests lost", usual, hotAccount, 750, 70, 0.3, 0, false}, 0.65, 0.97, 0.9},
+		{pattern{"hot_account, no digests", usual, hotAccount, 750, 70, 1, 0, false}, 0.65, 0.92, 0.85},
+		{pattern{"hot_account, one gateway", usual, hotAccount, 750, 1, 0, 0, false}, 0.65, 0.94, 0.9},
+		{pattern{"competing_accounts", usual, competingAccounts, 750, 132, 0, 0, false}, 0.75, 0.96, 0.9},
 	} {
-		before, after := play(tc.pattern, false, 1), play(tc.pattern, true, 1)
-		t.Logf("%s, %d gateways: other accounts %.3f before, %.3f after; hot ones %.3f, %.3f; served in all %.0f, %.0f; refused after the load %d", tc.name, tc.gateways,
-			before.servedFraction(tc.pattern, false), after.servedFraction(tc.pattern, false), before.servedFraction(tc.pattern, true), after.servedFraction(tc.pattern, true),
-			lo.Sum(before.served), lo.Sum(after.served), after.refusedLate)
-		require.Less(t, before.servedFraction(tc.pattern, false), tc.before, tc.name)
-		require.Greater(t, after.servedFraction(tc.pattern, false), tc.after, tc.name)
-		require.Greater(t, lo.Sum(after.served), 0.98*lo.Sum(before.served), tc.name)
-		require.LessOrEqual(t, after.refusedLate, tc.late, tc.name)
+		for seed := range uint64(patternSeeds) {
+			before, after := play(tc.pattern, false, seed+1), play(tc.pattern, true, seed+1)
+			t.Logf("%s, %d gateways, seed %d: other accounts %.3f before, %.3f after, the lowest %.3f, refused by shares %v; hot ones %.3f, %.3f; served cost in all %.0f, %.0f; refused after the load %d of %d", tc.name, tc.gateways, seed+1,
+				before.servedFraction(tc.pattern, false), after.servedFraction(tc.pattern, false), after.lowestServedFraction(tc.pattern), after.overShare[1:], before.servedFraction(tc.pattern, true), after.servedFraction(tc.pattern, true),
+				before.servedCost, after.servedCost, after.refusedLate, after.requestsLate)
+			require.Less(t, before.servedFraction(tc.pattern, false), tc.before, tc.name)
+			require.Greater(t, after.servedFraction(tc.pattern, false), tc.after, tc.name)
+			require.Greater(t, after.lowestServedFraction(tc.pattern), tc.lowest, tc.name)
+			require.Greater(t, after.servedCost, 0.98*before.servedCost, tc.name)
+			// From settleTime after the load, shares refuse at most 1 in 100 requests.
+			require.LessOrEqual(t, 100*after.refusedLate, after.requestsLate, tc.name)
+		}
 	}
 }
 
--- a/internal/limits/clshare/shares.go
+++ b/internal/limits/clshare/shares.go
@@ -37,8 +37,9 @@
 	headroomPerSecond = 0.08
 	maxHeadroom       = 0.5
 	// minLossFreeTime is the time without noticeable refusals before a shortage ends,
-	// and before the headroom grows.
-	minLossFreeTime = time.Second
+	// and before the headroom grows. With 1 s, shares refused up to 1.1 in 100 requests
+	// more than 4 s after the load of TestPatterns.
+	minLossFreeTime = 700 * time.Millisecond
 	// minCapacityFraction limits the capacity from below, as a fraction of the highest
 	// served cost of the shortage. Some refusals don't depend on the load, and each of
 	// them would otherwise reduce the capacity further. While the endpoints refuse more
@@ -52,6 +53,9 @@
 	// can't be measured, and a capacity of almost 0 would refuse almost all requests
 	// after its end.
 	outageServedFraction = 0.05
+	// marginDeviations is how many standard deviations of its offered cost an account
+	// must be above its share to be refused: accounts at or below it exceed it by chance.
+	marginDeviations = 2
 	// maxLoggedShares limits the shares in a Change.
 	maxLoggedShares = 16
 )
@@ -91,6 +95,7 @@
 		for _, cost := range acct.recent.offered {
 			acct.offeredSum += cost
 		}
+		acct.margin = acct.chanceMargin()
 		offered += acct.offeredSum
 		served += acct.recent.served
 		s.order = append(s.order, acct)
@@ -138,6 +143,16 @@
 	return min(maxHeadroom, minHeadroom+headroomPerSecond*max(0, now.Sub(s.lossAt)-minLossFreeTime).Seconds())
 }
 
+// chanceMargin returns marginDeviations standard deviations of the account's offeredSum.
+// A sum with the time constant T over requests that arrive at random at the rate r has
+// the mean r*T*E(cost) and the variance r*T/2*E(cost^2).
+func (a *account) chanceMargin() float64 {
+	if a.counted == 0 {
+		return 0
+	}
+	return marginDeviations * math.Sqrt(a.offeredSum*a.squares/a.counted/2)
+}
+
 // divide sets the shares of the accounts by weighted max-min fairness, and the
 // fractions that are granted within each account. It sorts the accounts.
 func divide(accounts []*account, capacity float64) {
@@ -150,7 +165,7 @@
 	}
 	for _, acct := range accounts {
 		acct.share = max(0, capacity) * acct.weightFraction
-		if acct.offeredSum <= acct.share {
+		if acct.offeredSum <= acct.share+acct.margin {
 			for c := range acct.granted {
 				acct.granted[c] = 1
 			}
--- a/internal/limits/clshare/shares_test.go
+++ b/internal/limits/clshare/shares_test.go
@@ -62,6 +62,26 @@
 	})
 }
 
+// Guards against an account that is refused although it exceeds its share only by
+// chance, a margin that does not grow with the size of the requests, and one that lets an
+// account take much more than its share.
+func TestMargin(t *testing.T) {
+	for _, tc := range []struct {
+		cost, offered, margin float64
+	}{{1, 200, 20}, {8, 200, 20 * math.Sqrt(8)}, {1, 20_000, 200}} {
+		small := &account{offeredSum: tc.offered, squares: 5 * tc.cost * tc.cost, counted: 5 * tc.cost, weight: 1}
+		small.recent.offered[1] = tc.offered
+		small.margin = small.chanceMargin()
+		require.InEpsilon(t, tc.margin, small.margin, 1e-9)
+		large := &account{offeredSum: 1e6, weight: 1}
+		divide([]*account{small, large}, 2*(tc.offered-0.9*tc.margin))
+		require.Equal(t, 1.0, small.granted[1])
+		divide([]*account{small, large}, 2*(tc.offered-1.1*tc.margin))
+		require.InEpsilon(t, tc.offered-1.1*tc.margin, small.granted[1]*tc.offered, 1e-9)
+	}
+	require.Zero(t, (&account{offeredSum: 5}).chanceMargin())
+}
+
 // Guards against refusals without a shortage: whatever accounts offer, nothing is
 // refused while the endpoints refuse less than a shortage needs.
 func TestNothingIsRefusedWithoutShortage(t *testing.T) {
