--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -252,7 +252,7 @@
 		if c.Removed {
 			delete(n.gatewayEntries, c.Name)
 			delete(n.silenceStart, c.Name)
-			n.shareAllocator.ForgetPeer(c.Name)
+			n.gateway.Shares.ForgetPeer(c.Name)
 		} else {
 			n.gatewayEntries[c.Name] = c.Value
 		}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -26,7 +26,6 @@
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clretry"
-	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -81,7 +80,6 @@
 		fleet             *clfleet.Fleet
 		quotaLimiter      *clquota.Limiter
 		retryBudget       *clretry.Budget
-		shareAllocator    *clshare.Allocator
 		crashTracker      *clcrash.Tracker
 		blockKeeper       *blockKeeper
 		rolloutController *clmove.Controller
@@ -237,7 +235,6 @@
 		now: n.clock.Now, logger: component("crash"),
 	}
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
-	n.shareAllocator = &clshare.Allocator{Rand: rand.New(rand.NewPCG(bootID, rand.Uint64())), OnChange: n.logShortage}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
 	n.usageCounter = &clduty.UsageCounter{WindowLength: settings.UsageWindow}
 	n.rejectedEntries = map[string]string{}
@@ -256,7 +253,7 @@
 		Logger: component("duty"),
 	}
 	n.gateway = &clgateway.Gateway{
-		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker, Shares: n.shareAllocator,
+		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker, Shares: n.newShareAllocator(bootID),
 		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
 	}
--- a/internal/serving/clnode/shares.go
+++ b/internal/serving/clnode/shares.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
@@ -16,15 +17,20 @@
 // maxWireCost is the highest cost in a digest. The allocator's totals start anew there.
 const maxWireCost = 1 << 53
 
+// newShareAllocator returns the allocator of the gateway.
+func (n *Node) newShareAllocator(seed uint64) *clshare.Allocator {
+	return &clshare.Allocator{Rand: rand.New(rand.NewPCG(seed, rand.Uint64())), OnChange: n.logShortage}
+}
+
 // applyShareConfig passes the accounts' weights and the services to the allocator.
 func (n *Node) applyShareConfig(c *clcatalog.Catalog) {
-	n.shareAllocator.SetWeights(c.ShareWeights())
-	n.shareAllocator.SetServices(lo.Map(c.Services, func(s clcatalog.Service, _ int) string { return s.Name }))
+	n.gateway.Shares.SetWeights(c.ShareWeights())
+	n.gateway.Shares.SetServices(lo.Map(c.Services, func(s clcatalog.Service, _ int) string { return s.Name }))
 }
 
 // fillServiceCosts adds the costs of the services in shortage to a digest.
 func (n *Node) fillServiceCosts(d *clgossip.Digest, now time.Time) {
-	for _, t := range n.shareAllocator.Totals(now) {
+	for _, t := range n.gateway.Shares.Totals(now) {
 		d.ServiceCosts = append(d.ServiceCosts, &clgossip.ServiceCost{
 			Service: t.Service, Offered: wireCost(t.Offered), Admitted: wireCost(t.Admitted), Refused: wireCost(t.Refused),
 			Accounts: lo.Map(t.Accounts, func(a clshare.AccountTotals, _ int) *clgossip.AccountCost {
@@ -52,10 +58,10 @@
 // applyServiceCosts passes the costs in a digest from another gateway to the allocator.
 func (n *Node) applyServiceCosts(d *clgossip.Digest, now time.Time) {
 	if d.GetLeaving() {
-		n.shareAllocator.ForgetPeer(d.GetName())
+		n.gateway.Shares.ForgetPeer(d.GetName())
 		return
 	}
-	n.shareAllocator.RecordPeer(d.GetName(), d.GetBoot(), lo.Map(d.GetServiceCosts(), func(s *clgossip.ServiceCost, _ int) clshare.Totals {
+	n.gateway.Shares.RecordPeer(d.GetName(), d.GetBoot(), lo.Map(d.GetServiceCosts(), func(s *clgossip.ServiceCost, _ int) clshare.Totals {
 		return clshare.Totals{
 			Service: s.GetService(), Offered: float64(s.GetOffered()), Admitted: float64(s.GetAdmitted()), Refused: float64(s.GetRefused()),
 			Accounts: lo.Map(s.GetAccounts(), func(c *clgossip.AccountCost, _ int) clshare.AccountTotals {
