Measure decisions with the reports of all gateways

The benchmark's peers did not count in the decisions that it measured, and its shortage ended. Both last for the whole benchmark now. Sums that decay for long become 0: the smallest floating-point numbers, at which they stayed, made a computation with 132 gateways take 46 us.

--- a/internal/limits/clshare/allocator.go
+++ b/internal/limits/clshare/allocator.go
@@ -159,6 +159,8 @@
 	// maxTotal is the highest offered cost that a gateway counts before its totals start
 	// anew. Up to it, every integer is exact as a float64.
 	maxTotal = 1 << 53
+	// negligibleSum is far below the cost of any request.
+	negligibleSum = 1e-9
 	// detectionTime is the time constant of the costs by which a shortage is
 	// detected. It is about the interval between two digests of a gateway.
 	detectionTime = time.Second
@@ -386,9 +388,9 @@
 // decay decays the sums up to now.
 func (s *accountSums) decay(now time.Time) {
 	if f := decayFactor(&s.at, now, sumTime); f != 1 {
-		s.served *= f
+		s.served = decayed(s.served, f)
 		for c := range s.offered {
-			s.offered[c] *= f
+			s.offered[c] = decayed(s.offered[c], f)
 		}
 	}
 }
@@ -396,10 +398,19 @@
 // decay decays the sums up to now.
 func (s *serviceSums) decay(now time.Time) {
 	f := decayFactor(&s.at, now, detectionTime)
-	s.offered *= f
-	s.admitted *= f
-	s.refused *= f
-	s.refusals *= f
+	s.offered = decayed(s.offered, f)
+	s.admitted = decayed(s.admitted, f)
+	s.refused = decayed(s.refused, f)
+	s.refusals = decayed(s.refusals, f)
+}
+
+// decayed returns the decayed sum, or 0 if it is negligible: processors take many times
+// longer for the smallest numbers, at which a sum would stay.
+func decayed(sum, factor float64) float64 {
+	if sum *= factor; sum < negligibleSum {
+		return 0
+	}
+	return sum
 }
 
 // add adds other sums of the same time.
--- a/internal/limits/clshare/bench_test.go
+++ b/internal/limits/clshare/bench_test.go
@@ -32,12 +32,12 @@
 	a.services["s"].computedAt = time.Time{}
 	a.Admit(benchRequest(0, accounts), now)
 	for round := range 2 {
-		now = now.Add(100 * time.Millisecond)
+		now = now.Add(coverTime)
 		for p := range 132 {
 			a.RecordPeer(fmt.Sprint("gateway-", p), 1, benchTotals(round, accounts), now)
 		}
 	}
-	if s := a.services["s"]; !s.short {
+	if _, known, accountsKnown := a.load("s", a.services["s"], now); !a.services["s"].short || !known || !accountsKnown {
 		panic("no shortage")
 	}
 	return a, now
@@ -62,6 +62,10 @@
 			b.Run(fmt.Sprintf("accounts=%d/compute=%t", accounts, compute), func(b *testing.B) {
 				a, now := benchAllocator(accounts)
 				r := benchRequest(0, accounts)
+				s, forever := a.services["s"], now.Add(10_000*time.Hour)
+				for _, p := range a.peers {
+					p.at, p.services["s"].at, p.services["s"].accountsAt = forever, forever, forever
+				}
 				b.ReportAllocs()
 				for b.Loop() {
 					if now = now.Add(time.Millisecond); compute {
@@ -70,6 +74,8 @@
 					if !a.Admit(r, now).Refused {
 						a.RecordRefusal(r, true, now)
 					}
+					// The shortage is to last for the whole benchmark.
+					s.short, s.lossAt = true, now
 				}
 			})
 		}
--- a/internal/limits/clshare/pattern_test.go
+++ b/internal/limits/clshare/pattern_test.go
@@ -140,16 +140,7 @@
 		}
 		r := Request{Service: "s", Route: "r", Account: fmt.Sprint("a", e.account), Priority: e.priority, Timeout: e.timeLeft, TimeLeft: e.timeLeft, Cost: e.cost}
 		d := allocators[e.gateway].Admit(r, now)
-		late := lo.Ternary(e.at >= hotTo+settleTime, 1, 0)
-		out.requests++
-		out.requestsLate += late
-		if d.Refused {
-			out.refused++
-			out.refusedLate += late
-			if counted {
-				out.overShare[e.account]++
-			}
-		}
+		out.countDecision(e, d, counted)
 		if !d.Refused && (queue > maxQueueTime.Seconds() || e.gateway < p.faulty) {
 			d = Decision{Refused: true, RetryAfter: max(allocators[e.gateway].RecordRefusal(r, true, now), time.Duration(rng.Float64()*float64(maxPlainRetryTime)))}
 		}
@@ -167,6 +158,22 @@
 	return out
 }
 
+// countDecision counts a request and the decision for it. counted is set during the hot
+// time.
+func (r *result) countDecision(e event, d Decision, counted bool) {
+	late := lo.Ternary(e.at >= 2*patternTime/3+settleTime, 1, 0)
+	r.requests++
+	r.requestsLate += late
+	if !d.Refused {
+		return
+	}
+	r.refused++
+	r.refusedLate += late
+	if counted {
+		r.overShare[e.account]++
+	}
+}
+
 // servedFraction returns the served fraction of the callers of the accounts that are
 // hot or not.
 func (r result) servedFraction(p pattern, hot bool) float64 {
