--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -107,7 +107,7 @@
 	for _, e := range s.endpoints {
 		if reason := filter.excludedBy(e); reason != "" {
 			refusal.Excluded[reason]++
-			refusal.Reason = reason
+			refusal.Reason, refusal.AfterShed = reason, reason == ReasonBlocked && e.unreachableCount == 0
 			continue
 		}
 		eligible = append(eligible, e)
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -157,6 +157,7 @@
 			g.failRequest(c, &p, last, &clfleet.Refusal{Reason: reasonCopiesOutdated, RetryAfter: outdatedRetryAfter})
 			return
 		}
+		c.shed = false
 		last = g.runAttempt(ctx, c, choice, req, &p, sendBefore)
 		if last.done {
 			return
@@ -224,15 +225,19 @@
 		if c.account != nil {
 			g.Quotas.Refund(c.account.Name, c.cost)
 		}
+		earliestRetry := g.recordShareRefusal(c, refusal)
 		errResp := &errorResponse{http.StatusServiceUnavailable, "not_run", notRunRetryAfter}
 		if refusal != nil {
 			errResp.reason, errResp.retryAfter = string(refusal.Reason), refusal.RetryAfter
 			g.Logger.Debug("no further attempt", zap.String("request", c.reqInfo.ID), zap.Any("excluded", refusal.Excluded))
 		}
+		errResp.retryAfter = max(errResp.retryAfter, earliestRetry)
 		g.sendError(c, errResp)
 	case time.Now().Before(c.deadline):
+		g.recordNoAnswer(c)
 		g.sendError(c, &errorResponse{http.StatusBadGateway, "endpoint_failed", 0})
 	default:
+		g.recordNoAnswer(c)
 		g.sendError(c, &errorResponse{http.StatusGatewayTimeout, "timeout", 0})
 	}
 }
@@ -306,6 +311,7 @@
 		}
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
 		result.notRun, a.statedNotRun = true, true
+		a.shed = !a.respInfo.Leaving && a.respInfo.QuietFor == 0
 		return result
 	case promisesNotRun(resp.Status):
 		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded with status %d without stating that it did not run the request", resp.Status))
@@ -412,6 +418,7 @@
 	if !a.startRecorded {
 		a.startRecorded = true
 		g.Recorder.RequestStarted(accountName(a.account))
+		g.countCost(a.call, costServed)
 		g.collectors.firstEvent.WithLabelValues(string(a.route.Kind)).Observe(time.Since(a.arrived).Seconds())
 	}
 }
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clquota"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clshare"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
@@ -44,6 +45,11 @@
 		cost float64
 		// quota is the decision of the account's quota, if there has been one.
 		quota clquota.Decision
+		// shareRequest is what the account's share of the service is counted by; its
+		// cost is 0 if the request is not counted. shareDecision tells whether the
+		// request was refused because of the share.
+		shareRequest  clshare.Request
+		shareDecision clshare.Decision
 		// fingerprint is the same for repetitions of the request by the caller.
 		fingerprint uint64
 		// traits are what the request may have in common with others that crash
@@ -56,9 +62,15 @@
 		// mayHaveRun is set once an attempt ends without proof that the request
 		// was not run.
 		mayHaveRun bool
+		// timeout is the time limit: that of the route, or a shorter one that the caller
+		// states.
+		timeout time.Duration
 		// statedNotRun is set once an endpoint has stated that it did not run the
 		// request.
 		statedNotRun bool
+		// shed is set if the endpoint of the latest attempt has stated that it did not
+		// run the request, and not that it leaves or wants quiet.
+		shed bool
 		// tried holds the IDs of the endpoints of earlier attempts.
 		tried []string
 		// heldFailure is the latest of the failures that were held back, or nil.
@@ -119,7 +131,8 @@
 // its cost to the account's quota. It returns nil if the request is admitted, and
 // an error response if there is no configuration or no route for the request, if its
 // API key or its body is not accepted, if the shutdown could cut it off, if it would
-// crash an endpoint, or if the quota is exhausted.
+// crash an endpoint, if the account has used up its share of a service in shortage, or if
+// the quota is exhausted.
 func (g *Gateway) admit(c *call) *errorResponse {
 	cat := g.catalog.Load()
 	if cat == nil {
@@ -129,14 +142,14 @@
 	if c.route == nil {
 		return g.staleConfigOr(&errorResponse{http.StatusNotFound, "no_route", 0})
 	}
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultRouteTimeout
+	c.timeout = c.route.Timeout
+	if c.timeout <= 0 {
+		c.timeout = defaultRouteTimeout
 	}
 	if c.reqInfo.Timeout > 0 {
-		timeout = min(timeout, c.reqInfo.Timeout)
+		c.timeout = min(c.timeout, c.reqInfo.Timeout)
 	}
-	c.deadline = c.arrived.Add(timeout)
+	c.deadline = c.arrived.Add(c.timeout)
 	if errResp := g.authenticate(c, cat); errResp != nil {
 		return errResp
 	}
@@ -153,6 +166,11 @@
 		return &errorResponse{http.StatusServiceUnavailable, string(reason), crashRetryAfter}
 	}
 	tokens := float64(c.reqInfo.PromptTokens + c.reqInfo.MaxOutputTokens)
+	// The quota is not charged for a request that the share refuses: at a gateway that
+	// reaches only a part of the others, a refund returns less than was charged.
+	if errResp := g.decideShare(c, cat, tokens); errResp != nil {
+		return errResp
+	}
 	if c.account != nil {
 		c.cost = c.account.Cost(tokens)
 		if c.quota = g.Quotas.Decide(c.account.Name, c.cost, clclock.Now()); !c.quota.Admitted {
@@ -160,6 +178,7 @@
 			return &errorResponse{http.StatusTooManyRequests, "over_quota", c.quota.RetryAfter}
 		}
 	}
+	g.countShare(c)
 	g.Recorder.RequestAdmitted(c.service)
 	return nil
 }
@@ -240,7 +259,7 @@
 		fields = append(fields, zap.String("quota_basis", string(c.quota.Basis)), zap.Float64("quota_level", c.quota.Level),
 			zap.Float64("quota_needed", c.quota.Needed), zap.Float64("quota_unreported", c.quota.Unreported))
 	}
-	g.Logger.Info("refused", fields...)
+	g.Logger.Info("refused", append(fields, c.shareFields()...)...)
 	g.recordPromise(errResp.status, c.basis(errResp.status))
 	c.w.WriteHeader(errResp.status)
 	if _, err := c.w.Write([]byte(`{"title":"` + errResp.reason + `","status":` + strconv.Itoa(errResp.status) + "}\n")); err != nil {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -259,7 +259,7 @@
 		Logger: component("duty"),
 	}
 	n.gateway = &clgateway.Gateway{
-		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker,
+		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker, Shares: n.newShareAllocator(bootID),
 		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Identify: n.IdentifyEndpoint, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
 	}
