--- a/internal/routing/clfleet/request.go
+++ b/internal/routing/clfleet/request.go
@@ -93,6 +93,9 @@
 		// Reason is the filter that excluded the endpoint examined last, or
 		// ReasonNoEndpoint or ReasonNoTimeLeft.
 		Reason Reason
+		// AfterShed is set if Reason is ReasonBlocked because the endpoint has shed a
+		// request, and has not been unreachable since its latest complete answer.
+		AfterShed bool
 		// RetryAfter is the time after which the caller may retry.
 		RetryAfter time.Duration
 		// Excluded holds the number of endpoints that each filter has excluded.
