--- a/cmd/chestnutlead/gateway.go
+++ b/cmd/chestnutlead/gateway.go
@@ -31,12 +31,14 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` in the platform's format", Value: cladapter.SettingsPath()},
 			&cli.StringFlag{Name: "log-level", Usage: "`LEVEL` debug, info, warn or error", Value: "info"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
+			&cli.BoolFlag{Name: "fair-shares", Usage: "divide the capacity of a service in shortage among the client accounts by their quotas"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			s, err := cladapter.LoadSettings(cmd.String("settings"))
 			if err != nil || cmd.Bool("check") {
 				return err
 			}
+			s.FairShares = cmd.Bool("fair-shares")
 			return runGateway(ctx, s, cmd.String("settings"), cmd.String("log-level"))
 		},
 	}
--- a/internal/serving/clnode/settings.go
+++ b/internal/serving/clnode/settings.go
@@ -69,6 +69,10 @@
 	// exceed a quota: by a fraction of the quota, plus an absolute amount.
 	QuotaOvershoot, QuotaSlack float64
 
+	// FairShares divides the capacity of a service in shortage among the accounts by
+	// their quotas, if these differ. It is read at the start only.
+	FairShares bool
+
 	// TrialShare and TrialFloor limit the requests that a bad version may receive
 	// during its rollout: to a fraction of the service's requests, plus an
 	// absolute number.
--- a/internal/serving/clnode/shares.go
+++ b/internal/serving/clnode/shares.go
@@ -22,8 +22,12 @@
 	return &clshare.Allocator{Rand: rand.New(rand.NewPCG(seed, rand.Uint64())), OnChange: n.logShortage}
 }
 
-// applyShareConfig passes the accounts' weights and the services to the allocator.
+// applyShareConfig passes the accounts' weights and the services to the allocator, if the
+// settings ask for shares.
 func (n *Node) applyShareConfig(c *clcatalog.Catalog) {
+	if !n.Settings.FairShares {
+		return
+	}
 	n.gateway.Shares.SetWeights(c.ShareWeights())
 	n.gateway.Shares.SetServices(lo.Map(c.Services, func(s clcatalog.Service, _ int) string { return s.Name }))
 }
--- a/internal/serving/clnode/shares_test.go
+++ b/internal/serving/clnode/shares_test.go
@@ -19,6 +19,7 @@
 // against costs that the wire changes or attributes to another class or account.
 func TestServiceCostsInDigests(t *testing.T) {
 	n, now := newTestNode(), time.Unix(1000, 0)
+	n.Settings.FairShares = true
 	play := func() *clgossip.Digest {
 		for i := range 1000 {
 			now = now.Add(10 * time.Millisecond)
