--- a/internal/routing/clfleet/stated.go
+++ b/internal/routing/clfleet/stated.go
@@ -45,8 +45,8 @@
 const (
 	// paceLifetime is the age at which a stated pace says nothing more: endpoints that
 	// share their machines change it about every 0.6 s. Until then, its weight falls
-	// linearly, as the probability that it still holds. With 600 ms, the 95th
-	// percentile of the pattern busy_plain was 151 ms, with 400 ms 143 ms.
+	// linearly, as the probability that it still holds. Shorter than that, since all
+	// gateways act on it: docs/design/cost-of-requests.md has the figures.
 	paceLifetime = 400 * time.Millisecond
 	// maxSharedAge is the age up to which statements are passed on to the other
 	// gateways. Without passing them on, the 95th percentile of the pattern
