Fit outputs to hints by a line

A ratio to the hint believes a hint that is off at random as much as an exact one: with hints off by sigma 1.5, predictions were off by as much.

--- a/internal/routing/clcost/model.go
+++ b/internal/routing/clcost/model.go
@@ -11,11 +11,13 @@
 	// Model is what is known of the requests of one route. Its size does not depend on
 	// the number of requests. The zero value holds the priors.
 	Model struct {
-		// prompt is the ratio of observed to predicted prompt time, hinted the stream
-		// time for each hinted token, and capped the stream time for each token of the
-		// stated maximum, for requests without a hint. work is the ratio of the work at
-		// plain endpoints to that of the service's requests.
-		prompt, hinted, capped, work logMean
+		// prompt is the ratio of observed to predicted prompt time, capped the stream
+		// time for each token of the stated maximum, for requests without a hint, and
+		// work the ratio of the work at plain endpoints to that of the service's
+		// requests.
+		prompt, capped, work logMean
+		// hinted is the stream time by the hinted tokens.
+		hinted logLine
 	}
 
 	// Request is what a caller states of a request.
@@ -60,7 +62,7 @@
 	cappedFraction = 0.25
 	priorSigma     = 0.5
 	// unstatedTokens is the output that is assumed if a caller states nothing.
-	unstatedTokens = 200
+	unstatedTokens = 200.0
 	// maxLogRatio limits one observation, to a factor of about 150.
 	maxLogRatio = 5.0
 )
@@ -88,8 +90,15 @@
 
 // Stream returns the time from the first event to the end of the output.
 func (m *Model) Stream(r Request, now time.Time) Span {
-	estimate, tokens, _ := m.stream(r)
-	mean, sigma := estimate.at(now)
+	if r.OutputHint > 0 {
+		mean, sigma := m.hinted.at(math.Log(r.hint()), now)
+		return Span{Median: tokenSeconds * math.Exp(mean), Sigma: sigma}
+	}
+	tokens := unstatedTokens
+	if r.MaxOutput > 0 {
+		tokens = cappedFraction * float64(r.MaxOutput)
+	}
+	mean, sigma := m.capped.at(now)
 	return Span{Median: tokens * tokenSeconds * math.Exp(mean), Sigma: sigma}
 }
 
@@ -103,9 +112,21 @@
 
 // RecordStream records the stream time of a request that was answered in whole.
 func (m *Model) RecordStream(r Request, observed time.Duration, now time.Time) {
-	if estimate, tokens, stated := m.stream(r); stated && observed > 0 {
-		estimate.add(math.Log(observed.Seconds()/(tokens*tokenSeconds)), now)
+	switch {
+	case observed <= 0:
+	case r.OutputHint > 0:
+		m.hinted.add(math.Log(r.hint()), math.Log(observed.Seconds()/tokenSeconds), now)
+	case r.MaxOutput > 0:
+		m.capped.add(math.Log(observed.Seconds()/(cappedFraction*float64(r.MaxOutput)*tokenSeconds)), now)
+	}
+}
+
+// hint returns the hinted tokens, of which there are at most MaxOutput.
+func (r Request) hint() float64 {
+	if r.MaxOutput > 0 {
+		return float64(min(r.OutputHint, r.MaxOutput))
 	}
+	return float64(r.OutputHint)
 }
 
 // RecordWork records the work of a request that was answered in whole by a plain
@@ -125,20 +146,6 @@
 	return r.PromptTokens + output
 }
 
-// stream returns the estimate that applies to the request, and the tokens to which it
-// is a ratio. stated is false if the request states no tokens.
-func (m *Model) stream(r Request) (estimate *logMean, tokens float64, stated bool) {
-	switch {
-	case r.OutputHint > 0 && r.MaxOutput > 0:
-		return &m.hinted, float64(min(r.OutputHint, r.MaxOutput)), true
-	case r.OutputHint > 0:
-		return &m.hinted, float64(r.OutputHint), true
-	case r.MaxOutput > 0:
-		return &m.capped, cappedFraction * float64(r.MaxOutput), true
-	}
-	return &m.capped, unstatedTokens, false
-}
-
 // Mean returns the mean of the distribution.
 func (s Span) Mean() float64 { return s.Median * math.Exp(s.Sigma*s.Sigma/2) }
 
@@ -146,7 +153,7 @@
 func (e *logMean) at(now time.Time) (mean, sigma float64) {
 	decay := 1.0
 	if age := now.Sub(e.updatedAt); e.weight > 0 && age > 0 {
-		decay = math.Exp2(-age.Seconds() / halfLife.Seconds())
+		decay = decayed(age)
 	}
 	weight := priorWeight + decay*e.weight
 	mean = decay * e.sum / weight
@@ -162,10 +169,7 @@
 	}
 	x = min(maxLogRatio, max(-maxLogRatio, x))
 	if age := now.Sub(e.updatedAt); age > 0 {
-		decay := 0.0
-		if !e.updatedAt.IsZero() {
-			decay = math.Exp2(-age.Seconds() / halfLife.Seconds())
-		}
+		decay := decayed(age)
 		e.weight, e.sum, e.squares = decay*e.weight, decay*e.sum, decay*e.squares
 		e.updatedAt = now
 	}
--- a/internal/routing/clcost/model_test.go
+++ b/internal/routing/clcost/model_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// Guards against hints that are far off at random and are believed as much as exact ones:
+// outputs vary by a factor of 8, and hints by another one of 4.
+func TestStreamWithUncertainHints(t *testing.T) {
+	for _, tc := range []struct{ spread, most float64 }{{0, 0.1}, {0.5, 0.45}, {1.5, 0.75}} {
+		var m Model
+		rnd, now := rand.New(rand.NewPCG(1, 1)), start
+		squares := 0.0
+		for i := range 600 {
+			tokens := 400 * math.Exp(0.7*rnd.NormFloat64())
+			r := Request{OutputHint: int(4 * tokens * math.Exp(tc.spread*rnd.NormFloat64()))}
+			if i >= 300 {
+				off := math.Log(m.Stream(r, now).Median / (tokens * tokenSeconds))
+				squares += off * off / 300
+			}
+			now = now.Add(200 * time.Millisecond)
+			m.RecordStream(r, time.Duration(tokens*tokenSeconds*float64(time.Second)), now)
+		}
+		require.Less(t, math.Sqrt(squares), tc.most, "hints off by %v", tc.spread)
+		require.InDelta(t, math.Sqrt(squares), m.Stream(Request{OutputHint: 1600}, now).Sigma, 0.15)
+	}
+}
+
 // Guards against values that spoil a model for good, and against one that grows with the
 // number of requests beyond 8 KB.
 func TestWildObservations(t *testing.T) {
