--- a/internal/routing/clfleet/cost.go
+++ b/internal/routing/clfleet/cost.go
@@ -91,7 +91,8 @@
 // The choice among endpoints trusts the reported load less the older it may be: with 132
 // gateways, whose digests are up to 0.88 s old, full trust raised the 95th percentile of
 // the pattern same_old_news from 663 to 862 ms. Whether a request is refused depends on
-// the load in full: otherwise, the 95th percentile of queues in a burst is too long.
+// the load in full: with the trusted part only, 0.646 of the requests of the pattern
+// burst_many were on time in place of 0.701.
 func (f *Fleet) costSeconds(s *service, cfg *clcatalog.Service, e *endpoint, r Request, load Load, slowdown float64, c *Choice, now time.Time) float64 {
 	q := r.cost
 	c.cost = q
