Don't refuse requests that an idle engine could take

Found by a review; each has a test that failed before. - The score trusts old load less than a refusal does, so that a busy affinity endpoint could be chosen and refused beside an idle one. Only prompts of at least 1,500 tokens at endpoints with free slots show it now, without the slowdown by the batch, and the factor is limited to 0.5 to 3. - A large prompt was refused at an engine that ran one small request, and stated lengths without bounds made engines look full. - One endpoint that states a pace no longer decides for its service. The limit of refusals now counts the square of the prompt and the pace as the expected time does.

--- a/internal/routing/clfleet/cost.go
+++ b/internal/routing/clfleet/cost.go
@@ -3,7 +3,6 @@
 package clfleet
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -16,8 +15,9 @@
 	costs struct {
 		// routes holds a model for each route, by its name.
 		routes map[string]*clcost.Model
-		// lifetime is the smoothed time for which a request occupies a slot; 0 if unknown.
-		lifetime time.Duration
+		// seconds and squares are the smoothed times for which requests occupy slots, and
+		// their squares; 0 if unknown.
+		seconds, squares float64
 	}
 
 	// requestCost is the likely cost of a request at any endpoint.
@@ -45,13 +45,16 @@
 	// In the pattern short_memory, 0.919 of the requests were on time with 1, 0.938 with
 	// 0.8 and 0.947 with 0.7, with 1.0, 1.3 and 1.7 % refused.
 	usableMemoryShare = 0.8
+	// minPromptFactor and maxPromptFactor limit the learnt factor of prompt times, so that
+	// delays with other causes do not lead to refusals at idle endpoints.
+	minPromptFactor, maxPromptFactor = 0.5, 3
 	// maxCalibrationWait is the largest expected wait, as a fraction of the prompt time,
 	// with which the time to the first event shows the prompt time.
 	maxCalibrationWait = 0.1
 )
 
 // costOf returns the likely cost of a request, by the model of its route.
-func (s *service) costOf(r Request, now time.Time) *requestCost {
+func (s *service) costOf(cfg *clcatalog.Service, r Request, now time.Time) *requestCost {
 	if s.costs.routes == nil {
 		s.costs.routes = make(map[string]*clcost.Model)
 	}
@@ -71,9 +74,12 @@
 	for _, p := range r.Parts {
 		q.request.PromptTokens += float64(p.Tokens)
 	}
-	q.promptFactor, q.workFactor = m.PromptFactor(now), m.WorkFactor(now)
+	q.promptFactor, q.workFactor = min(maxPromptFactor, max(minPromptFactor, m.PromptFactor(now))), m.WorkFactor(now)
 	q.stream = time.Duration(m.Stream(q.request, now).Mean() * float64(time.Second))
-	q.memory = math.Floor(m.MemoryTokens(q.request, now))
+	if cfg.Engine != nil {
+		// No request can have more than an engine's memory, whatever its caller states.
+		q.memory = math.Floor(min(m.MemoryTokens(q.request, now), float64(cfg.Engine.CacheTokens)))
+	}
 	return q
 }
 
@@ -99,10 +105,14 @@
 	c.UncachedTokens = e.uncachedTokens(r.Parts, now)
 	trust := f.loadTrust()
 	prompt := q.promptSeconds(c.UncachedTokens, s.prefillRate) * slowdown
-	ahead := load.Pending.aheadOf(r.Priority) / s.prefillRate * q.promptFactor * slowdown
+	ahead := load.Pending.aheadOf(r.Priority) / s.prefillRate * slowdown
 	crowding := fullBatchSlowdown * float64(load.Running) / float64(max(1, e.Slots))
 	fixed := baseFirstEventLatency.Seconds() * slowdown
-	fixed += cmp.Or(s.costs.lifetime, typicalSlotTime).Seconds() * q.excess(cfg, e, load)
+	c.idleLatency = duration(fixed + prompt)
+	excess := q.excess(cfg, e, load)
+	fixed += s.costs.lifetime() * excess
+	c.showsPromptTime = excess == 0 && c.UncachedTokens >= minPrefillSampleTokens && ahead <= maxCalibrationWait*prompt
+	c.crowding = 1 + crowding
 	c.PromptWork, c.WorkAhead, c.StreamTime = duration(prompt), duration(ahead), q.stream
 	c.Harm = duration(pauseWeight * trust * float64(load.Running) * prompt)
 	c.trusted = duration((fixed + (trust*ahead+prompt)*(1+trust*crowding)) * e.latencyFactor)
@@ -114,8 +124,13 @@
 func (q *requestCost) excess(cfg *clcatalog.Service, e *endpoint, load Load) float64 {
 	slots := max(1, e.Slots)
 	excess := max(0, float64(load.Running-slots+1)/float64(slots))
-	if usable := float64(cfg.Engine.CacheTokens) * usableMemoryShare; usable > 0 && load.Memory > 0 {
-		excess = max(excess, (load.Memory+q.memory-usable)/load.Memory)
+	usable := float64(cfg.Engine.CacheTokens) * usableMemoryShare
+	if q.memory > usable {
+		// A request that needs most of the memory can only have all that is left.
+		usable = float64(cfg.Engine.CacheTokens)
+	}
+	if usable > 0 && load.Memory > 0 {
+		excess = max(excess, min(1, (load.Memory+q.memory-usable)/load.Memory))
 	}
 	return excess
 }
@@ -149,14 +164,14 @@
 		return
 	}
 	stream := now.Sub(c.begunAt) - c.firstEventAfter
-	q.model.RecordStream(q.request, stream, now)
-	if c.WorkAhead.Seconds() <= maxCalibrationWait*c.PromptWork.Seconds() {
+	q.model.RecordStream(q.request, time.Duration(float64(stream)/pace), now)
+	if c.showsPromptTime {
 		r := q.request
 		r.UncachedTokens = c.UncachedTokens
-		observed := (c.firstEventAfter - baseFirstEventLatency).Seconds() / pace
+		observed := (c.firstEventAfter - baseFirstEventLatency).Seconds() / pace / c.crowding
 		q.model.RecordPrompt(r, s.prefillRate, time.Duration(observed*float64(time.Second)), now)
 	}
-	smooth(&s.costs.lifetime, now.Sub(c.begunAt))
+	s.costs.recordLifetime(now.Sub(c.begunAt).Seconds())
 	c.predicted, c.observed = c.ExpectedLatency+c.StreamTime, now.Sub(c.begunAt)
 }
 
@@ -164,10 +179,20 @@
 // has ended with a whole answer; 0 if the choice did not depend on costs.
 func (c *Choice) Work() (predicted, observed time.Duration) { return c.predicted, c.observed }
 
-// smooth adds an observation to a smoothed time, of which the first one is the begin.
-func smooth(mean *time.Duration, d time.Duration) {
-	if *mean == 0 {
-		*mean = d
+// lifetime returns how long the requests that occupy an endpoint's slots take, in seconds.
+// Long ones occupy slots for longer than their share of the requests.
+func (k *costs) lifetime() float64 {
+	if k.seconds == 0 {
+		return typicalSlotTime.Seconds()
+	}
+	return k.squares / k.seconds
+}
+
+// recordLifetime adds a time in seconds, of which typicalSlotTime is the begin.
+func (k *costs) recordLifetime(seconds float64) {
+	if k.seconds == 0 {
+		k.seconds, k.squares = typicalSlotTime.Seconds(), typicalSlotTime.Seconds()*typicalSlotTime.Seconds()
 	}
-	*mean += time.Duration(smoothingWeight * float64(d-*mean))
+	k.seconds += smoothingWeight * (seconds - k.seconds)
+	k.squares += smoothingWeight * (seconds*seconds - k.squares)
 }
--- a/internal/routing/clfleet/cost_test.go
+++ b/internal/routing/clfleet/cost_test.go
@@ -119,3 +119,81 @@
 	}
 	require.LessOrEqual(t, len(f.service("llm").costs.routes), maxRoutes+1)
 }
+
+// Guards against refusals while an idle endpoint could take the request: the score
+// trusts old load less, but the endpoint that it prefers may be too slow in full.
+func TestIdleEndpointBesideFullOne(t *testing.T) {
+	f := newCostFleet(880 * time.Millisecond)
+	r := llmRequest("r")
+	c, _ := f.Pick(r, testStart)
+	for range 3 {
+		f.Begin(c, r, testStart)
+		f.Finish(c, OutcomeAnswered, testStart)
+	}
+	f.SetPeerLoad("g", []EndpointLoad{{EndpointHash: c.endpoint.hash, Load: Load{Running: 9, Pending: PendingTokens{220_000}}}})
+	next, refusal := f.Pick(r, testStart)
+	require.Nil(t, refusal)
+	require.NotEqual(t, c.Endpoint, next.Endpoint)
+}
+
+// Guards against waits for slots or for other prompts that are learnt as the time of a
+// prompt, and against prompts that are too small to show it.
+func TestWaitsAreNotPromptTime(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		running int
+		tokens  int
+		learnt  bool
+	}{
+		{"idle", 0, 4000, true}, {"full", 64, 4000, false}, {"small", 0, 1000, false},
+	} {
+		f := newCostFleet(0)
+		for _, e := range f.endpoints {
+			f.SetPeerLoad(e.ID, []EndpointLoad{{EndpointHash: e.hash, Load: Load{Running: tc.running}}})
+		}
+		r := ownRequest(tc.tokens)
+		for i := range 30 {
+			r.Parts[0].ID = uint64(i)
+			c, _ := f.Pick(r, testStart)
+			f.Begin(c, r, testStart)
+			f.RecordFirstEvent(c, 2*time.Second)
+			f.Finish(c, OutcomeAnswered, testStart.Add(3*time.Second))
+		}
+		factor := f.service("llm").costOf(f.serviceConfig("llm"), r, testStart).promptFactor
+		require.Equal(t, tc.learnt, factor > 1, tc.name)
+		require.LessOrEqual(t, factor, 3.0, tc.name)
+	}
+}
+
+// Guards against refusals of large requests at engines that could run them, and against
+// stated lengths without bounds that make engines look full for good.
+func TestMemoryOfLargeRequests(t *testing.T) {
+	f := newCostFleet(0)
+	for _, e := range f.endpoints {
+		f.SetPeerLoad(e.ID, []EndpointLoad{{EndpointHash: e.hash, Load: Load{Running: 1, Memory: 500}}})
+	}
+	r := ownRequest(85_000)
+	r.TargetLatency = time.Second
+	c, refusal := f.Pick(r, testStart)
+	require.Nil(t, refusal)
+	r.OutputTokens = 1 << 62
+	c, refusal = f.Pick(r, testStart)
+	require.Nil(t, refusal)
+	f.Begin(c, r, testStart)
+	require.LessOrEqual(t, c.endpoint.memory, 100_000.0)
+	f.Finish(c, OutcomeAnswered, testStart)
+	require.Zero(t, c.endpoint.memory)
+}
+
+// Guards against a service that is chosen by cost because of a single endpoint.
+func TestMostEndpointsStateAPace(t *testing.T) {
+	f := newPlainFleet(3)
+	require.False(t, f.StatesPace("api"))
+	now := testStart.Add(time.Second)
+	for i, id := range []string{"p0", "p1", "p2"} {
+		f.hear(f.endpoints[id], StatedLoad{Slots: 6, Pace: float64(min(i, 1))}, now, true)
+	}
+	require.True(t, f.StatesPace("api"))
+	f.hear(f.endpoints["p2"], StatedLoad{Slots: 6}, now, true)
+	require.False(t, f.StatesPace("api"))
+}
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -158,6 +158,10 @@
 	if c.cost != nil {
 		e.memory -= c.cost.memory
 	}
+	if e.running == 0 {
+		// Leaves no rest of a sum of large numbers.
+		e.memory = 0
+	}
 	if i := slices.Index(e.own, c); i >= 0 {
 		last := len(e.own) - 1
 		e.own[i], e.own[last] = e.own[last], nil
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -60,7 +60,7 @@
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter}
 	}
 	if costAware {
-		r.cost = s.costOf(r, now)
+		r.cost = s.costOf(cfg, r, now)
 	}
 	onSplitVersion := s.assignsSplitVersion(r.ID)
 	best, refusal := f.bestChoice(s, cfg, r, onSplitVersion, now)
@@ -193,8 +193,8 @@
 // within affinityTargetShare of the target.
 func (f *Fleet) lowestScore(s *service, cfg *clcatalog.Service, r Request, endpoints []*endpoint, affinityPair [2]*endpoint, affinityBonus time.Duration, now time.Time) *Choice {
 	// A choice by value is not allocated for each endpoint.
-	var best Choice
-	bestScore := time.Duration(math.MaxInt64)
+	var best, soonest Choice
+	bestScore, soonestScore := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, e := range endpoints {
 		c := f.estimate(s, cfg, e, r, now)
 		score := f.baseScore(s, cfg, &c, now)
@@ -215,10 +215,18 @@
 		if score < bestScore {
 			best, bestScore = c, score
 		}
+		if full := score - c.scoredLatency() + c.ExpectedLatency; r.cost != nil && full < soonestScore {
+			soonest, soonestScore = c, full
+		}
 	}
 	if best.endpoint == nil {
 		return nil
 	}
+	if r.cost != nil && best.ExpectedLatency > f.latencyLimit(cfg, r, &best) {
+		// The score trusts old load less than a refusal does; an endpoint that is in time
+		// by the load in full must not be passed over for one that is not.
+		best = soonest
+	}
 	return &best
 }
 
--- a/internal/routing/clfleet/request.go
+++ b/internal/routing/clfleet/request.go
@@ -98,10 +98,14 @@
 		// full. cost is the likely cost of the request, or nil. firstAttempt is set for its
 		// first attempt; firstEventAfter is the time from the begin of the attempt to its
 		// first event, or 0; predicted and observed are what Work returns.
-		trusted             time.Duration
-		cost                *requestCost
-		firstAttempt        bool
-		firstEventAfter     time.Duration
+		trusted         time.Duration
+		cost            *requestCost
+		firstAttempt    bool
+		firstEventAfter time.Duration
+		// showsPromptTime is set if the time to the first event is not expected to contain
+		// a wait, and crowding is the factor by which the batch is expected to slow it.
+		showsPromptTime     bool
+		crowding            float64
 		predicted, observed time.Duration
 		// statedPace is the pace that the endpoint has stated in its response to the
 		// attempt; 0 if it has stated none.
--- a/internal/routing/clfleet/score.go
+++ b/internal/routing/clfleet/score.go
@@ -97,7 +97,9 @@
 		}
 	}
 	c.ExpectedLatency = time.Duration(expectedSeconds * e.latencyFactor * float64(time.Second))
-	c.idleLatency = time.Duration((baseFirstEventLatency.Seconds() + c.UncachedTokens/s.prefillRate) * float64(time.Second))
+	if c.idleLatency == 0 {
+		c.idleLatency = time.Duration((baseFirstEventLatency.Seconds() + c.UncachedTokens/s.prefillRate) * float64(time.Second))
+	}
 	return c
 }
 
--- a/internal/routing/clfleet/stated.go
+++ b/internal/routing/clfleet/stated.go
@@ -103,13 +103,25 @@
 	return out
 }
 
-// StatesPace reports whether endpoints of a service have stated a pace since this
-// gateway started.
+// StatesPace reports whether most of the endpoints of a service that have stated anything
+// of their load since their start state a pace.
 func (f *Fleet) StatesPace(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.services[service]
-	return s != nil && s.meanPace > 0
+	if s == nil || s.meanPace == 0 {
+		return false
+	}
+	heard, paced := 0, 0
+	for _, e := range s.endpoints {
+		if !e.heard.at.IsZero() {
+			heard++
+		}
+		if e.statesPace() {
+			paced++
+		}
+	}
+	return 2*paced > heard
 }
 
 // hear takes over a statement unless a later one is known. f.mu must be held.
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -4,6 +4,7 @@
 package clnode
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -265,7 +266,7 @@
 		d.Spending = append(d.Spending, &clgossip.Spending{Account: account, Cost: cost})
 	}
 	for _, load := range n.fleet.LocalLoad() {
-		d.Busy = append(d.Busy, &clgossip.Busy{Endpoint: load.EndpointHash, Running: uint32(load.Running), PendingTokens: load.Pending.Encode(), MemoryTokens: uint32(max(0, load.Memory))})
+		d.Busy = append(d.Busy, &clgossip.Busy{Endpoint: load.EndpointHash, Running: uint32(load.Running), PendingTokens: load.Pending.Encode(), MemoryTokens: uint32(min(math.MaxUint32, max(0, load.Memory)))})
 	}
 	d.Statements = encodeStatements(n.fleet.Statements(time.Now()))
 	for windowNumber, counts := range n.usageCounter.LocalCounts() {
