Count this gateway's own prompts in full in the choice by cost

The choice discounted all pending prompts by the age of digests, also those that this gateway has sent itself and knows.

--- a/internal/routing/clfleet/cost.go
+++ b/internal/routing/clfleet/cost.go
@@ -106,6 +106,8 @@
 	trust := f.loadTrust()
 	prompt := q.promptSeconds(c.UncachedTokens, s.prefillRate) * slowdown
 	ahead := load.Pending.aheadOf(r.Priority) / s.prefillRate * slowdown
+	// What this gateway has sent itself is known, and counts in full.
+	own := e.pending.aheadOf(r.Priority) / s.prefillRate * slowdown
 	crowding := fullBatchSlowdown * float64(load.Running) / float64(max(1, e.Slots))
 	fixed := baseFirstEventLatency.Seconds() * slowdown
 	c.idleLatency = duration(fixed + prompt)
@@ -115,7 +117,7 @@
 	c.crowding = 1 + crowding
 	c.PromptWork, c.WorkAhead, c.StreamTime = duration(prompt), duration(ahead), q.stream
 	c.Harm = duration(pauseWeight * trust * float64(load.Running) * prompt)
-	c.trusted = duration((fixed + (trust*ahead+prompt)*(1+trust*crowding)) * e.latencyFactor)
+	c.trusted = duration((fixed + (own+trust*(ahead-own)+prompt)*(1+trust*crowding)) * e.latencyFactor)
 	return fixed + (ahead+prompt)*(1+crowding)
 }
 
