--- a/internal/routing/clfleet/cost_test.go
+++ b/internal/routing/clfleet/cost_test.go
@@ -174,10 +174,10 @@
 	}
 	r := ownRequest(85_000)
 	r.TargetLatency = time.Second
-	c, refusal := f.Pick(r, testStart)
+	_, refusal := f.Pick(r, testStart)
 	require.Nil(t, refusal)
 	r.OutputTokens = 1 << 62
-	c, refusal = f.Pick(r, testStart)
+	c, refusal := f.Pick(r, testStart)
 	require.Nil(t, refusal)
 	f.Begin(c, r, testStart)
 	require.LessOrEqual(t, c.endpoint.memory, 100_000.0)
