--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -21,6 +21,9 @@
 		DataCentre string
 		// Rand is used only while mu is held, so it needs no lock of its own.
 		Rand *rand.Rand
+		// CostAware reports whether endpoints of a service are chosen by the likely cost
+		// of requests; nil means that none are. It is called while mu is not held.
+		CostAware func(service string) bool
 
 		// mu protects the fields below, and the services and endpoints. It must be
 		// held when an unexported method is called.
@@ -72,6 +75,9 @@
 		// for each slot that endpoints state; 0 means that nothing is known.
 		plainWork          time.Duration
 		meanPace, meanFill float64
+		// costs holds what is known of the costs of requests, if the choice depends on
+		// them.
+		costs costs
 		// synced is set once the endpoints registered at the start are known.
 		synced bool
 		// demand is the total demand for the service that this gateway has
@@ -102,6 +108,9 @@
 		// have had no first event yet.
 		running int
 		pending PendingTokens
+		// memory is the sum of the tokens for which this gateway's running attempts
+		// probably need memory.
+		memory float64
 		// conns is the number of connections that this gateway's running attempts
 		// use at the endpoint, one for each attempt.
 		conns int
@@ -136,10 +145,10 @@
 		// statement is what the endpoint has said of itself, or nil.
 		statement *statement
 		// heard is the load that the endpoint has last stated, addedAt the time of its
-		// first entry, and begun the begin of each of this gateway's running attempts.
+		// first entry, and own are this gateway's running attempts.
 		heard   heardLoad
 		addedAt time.Time
-		begun   []time.Time
+		own     []*Choice
 	}
 
 	// Load is the load of one or more gateways' requests on an endpoint.
@@ -149,6 +158,9 @@
 		// Pending holds the uncached prompt tokens of the running requests that
 		// have had no first event yet.
 		Pending PendingTokens
+		// Memory is the number of tokens for which the running requests probably need
+		// memory, in whole tokens; 0 for services that are not chosen by cost.
+		Memory float64
 	}
 
 	// PendingTokens holds the uncached prompt tokens of the running requests that
@@ -365,6 +377,7 @@
 // load which is added and then subtracted leaves nothing.
 func (l *Load) add(other Load, times int) {
 	l.Running += times * other.Running
+	l.Memory += float64(times) * other.Memory
 	for priority, tokens := range other.Pending {
 		l.Pending[priority] += float64(times) * tokens
 	}
@@ -378,7 +391,7 @@
 	var out []EndpointLoad
 	for _, e := range f.endpoints {
 		if e.running > 0 {
-			out = append(out, EndpointLoad{EndpointHash: e.hash, Load: Load{Running: e.running, Pending: e.pending}})
+			out = append(out, EndpointLoad{EndpointHash: e.hash, Load: Load{Running: e.running, Pending: e.pending, Memory: e.memory}})
 		}
 	}
 	return out
@@ -456,7 +469,7 @@
 // most of the reported prompts have already been processed, so only a fraction of
 // the reported pending tokens counts. f.mu must be held.
 func (f *Fleet) totalLoad(e *endpoint) Load {
-	load := Load{Running: e.running, Pending: e.pending}
+	load := Load{Running: e.running, Pending: e.pending, Memory: e.memory + e.peerLoad.Memory}
 	pendingFraction := 1.0
 	if f.digestInterval > typicalPrefillTime {
 		pendingFraction = typicalPrefillTime.Seconds() / f.digestInterval.Seconds()
--- a/internal/routing/clfleet/pick.go
+++ b/internal/routing/clfleet/pick.go
@@ -52,12 +52,16 @@
 // bonus for affinity endpoints. The caller must call Begin with the choice before
 // it sends anything.
 func (f *Fleet) Pick(r Request, now time.Time) (*Choice, *Refusal) {
+	costAware := f.CostAware != nil && f.CostAware(r.Service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, cfg := f.service(r.Service), f.serviceConfig(r.Service)
 	if cfg == nil {
 		return nil, &Refusal{Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter}
 	}
+	if costAware {
+		r.cost = s.costOf(cfg, r, now)
+	}
 	onSplitVersion := s.assignsSplitVersion(r.ID)
 	best, refusal := f.bestChoice(s, cfg, r, onSplitVersion, now)
 	if best == nil && onSplitVersion {
@@ -192,13 +196,14 @@
 // request has a target latency, this applies only if the first event is expected
 // within affinityTargetShare of the target.
 func (f *Fleet) lowestScore(s *service, cfg *clcatalog.Service, r Request, endpoints []*endpoint, affinityPair [2]*endpoint, affinityBonus time.Duration, now time.Time) *Choice {
-	var best *Choice
-	bestScore := time.Duration(math.MaxInt64)
+	// A choice by value is not allocated for each endpoint.
+	var best, soonest Choice
+	bestScore, soonestScore := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, e := range endpoints {
 		c := f.estimate(s, cfg, e, r, now)
-		score := f.baseScore(s, cfg, c, now)
+		score := f.baseScore(s, cfg, &c, now)
 		c.AffinityRank = slices.Index(affinityPair[:], e) + 1
-		if r.TargetLatency <= 0 || c.ExpectedLatency < time.Duration(affinityTargetShare*float64(r.TargetLatency)) {
+		if r.TargetLatency <= 0 || c.scoredLatency() < time.Duration(affinityTargetShare*float64(r.TargetLatency)) {
 			switch c.AffinityRank {
 			case 1:
 				score -= affinityBonus
@@ -214,8 +219,19 @@
 		if score < bestScore {
 			best, bestScore = c, score
 		}
+		if full := score - c.scoredLatency() + c.ExpectedLatency; r.cost != nil && full < soonestScore {
+			soonest, soonestScore = c, full
+		}
+	}
+	if best.endpoint == nil {
+		return nil
+	}
+	if r.cost != nil && best.ExpectedLatency > f.latencyLimit(cfg, r, &best) {
+		// The score trusts old load less than a refusal does; an endpoint that is in time
+		// by the load in full must not be passed over for one that is not.
+		best = soonest
 	}
-	return best
+	return &best
 }
 
 // assignsSplitVersion reports whether a request belongs to the share of the split
--- a/internal/routing/clfleet/stated.go
+++ b/internal/routing/clfleet/stated.go
@@ -3,6 +3,7 @@
 package clfleet
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -44,8 +45,8 @@
 const (
 	// paceLifetime is the age at which a stated pace says nothing more: endpoints that
 	// share their machines change it about every 0.6 s. Until then, its weight falls
-	// linearly, as the probability that it still holds. With 600 ms, the 95th
-	// percentile of the pattern busy_plain was 151 ms, with 400 ms 143 ms.
+	// linearly, as the probability that it still holds. Shorter than that, since all
+	// gateways act on it: docs/design/cost-of-requests.md has the figures.
 	paceLifetime = 400 * time.Millisecond
 	// maxSharedAge is the age up to which statements are passed on to the other
 	// gateways. Without passing them on, the 95th percentile of the pattern
@@ -98,22 +99,45 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []EndpointStatement
-	for _, e := range f.endpoints {
-		if age := now.Sub(e.heard.at); e.heard.own && e.heard.Pace > 0 && age <= maxSharedAge {
-			out = append(out, EndpointStatement{EndpointHash: e.hash, Age: max(0, age), StatedLoad: e.heard.StatedLoad})
+	for _, s := range f.services {
+		for _, e := range s.endpoints {
+			if age := now.Sub(e.heard.at); e.heard.own && e.heard.Pace > 0 && age <= maxSharedAge {
+				out = append(out, EndpointStatement{EndpointHash: e.hash, Age: max(0, age), StatedLoad: e.heard.StatedLoad})
+			}
 		}
 	}
 	return out
 }
 
+// StatesPace reports whether most of the endpoints of a service that have stated anything
+// of their load since their start state a pace.
+func (f *Fleet) StatesPace(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[service]
+	if s == nil || s.meanPace == 0 {
+		return false
+	}
+	heard, paced := 0, 0
+	for _, e := range s.endpoints {
+		if !e.heard.at.IsZero() {
+			heard++
+		}
+		if e.statesPace() {
+			paced++
+		}
+	}
+	return 2*paced > heard
+}
+
 // hear takes over a statement unless a later one is known. f.mu must be held.
 func (f *Fleet) hear(e *endpoint, load StatedLoad, at time.Time, own bool) {
 	if at.Before(e.heard.at) || at.Add(maxClockSkew).Before(e.addedAt) {
 		return
 	}
 	e.heard = heardLoad{StatedLoad: load, at: at, own: own}
-	for _, begun := range e.begun {
-		if begun.After(at) {
+	for _, c := range e.own {
+		if c.begunAt.After(at) {
 			e.heard.sentSince++
 		}
 	}
@@ -169,15 +193,14 @@
 	return usual + weight*(stated-usual) + float64(e.heard.sentSince)
 }
 
+// usualWork returns the work of a request at a plain endpoint whose pace is 1.
+func (s *service) usualWork() time.Duration { return cmp.Or(s.plainWork, defaultPlainLatency) }
+
 // plainSeconds returns the expected latency of a plain endpoint that states its load,
-// and the number of requests expected there. The digests' numbers of running requests
+// for a request that takes work seconds at a pace of 1, and the number of requests expected there. The digests' numbers of running requests
 // are not used: they are older than the requests are long, and all gateways would send
 // to the endpoint that was idle then.
-func (s *service) plainSeconds(e *endpoint, pace float64, now time.Time) (seconds, requests float64) {
-	work := s.plainWork.Seconds()
-	if work == 0 {
-		work = defaultPlainLatency.Seconds()
-	}
+func (s *service) plainSeconds(e *endpoint, work, pace float64, now time.Time) (seconds, requests float64) {
 	work *= pace
 	slots := float64(max(1, e.heard.Slots))
 	requests = e.expectedRequests(s.meanFill*slots, work, now)
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -29,6 +29,8 @@
 	// ends counts the responses that ended with their connection, by what the endpoint
 	// said of itself afterwards.
 	ends *prometheus.CounterVec
+	// work sums the predicted and the observed times of answered attempts at endpoints.
+	work *prometheus.CounterVec
 }
 
 // firstEventBuckets are the upper bounds, in seconds, of the buckets of firstEvent.
@@ -59,5 +61,7 @@
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
 		ends: m.Counter(clobserve.Name{Component: "gateway", What: "unframed_ends", Unit: "total"},
 			"Responses that ended with their connection, by service and result: whole (the same start of the endpoint still lives), other_start, unknown (it can't be told). Only whole ones are passed on as complete.", "service", "result"),
+		work: m.Counter(clobserve.Name{Component: "gateway", What: "work", Unit: "seconds"},
+			"Time of answered attempts at endpoints that were chosen by cost, by route: predicted at the choice, and observed.", "route", "basis"),
 	}
 }
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -232,6 +232,9 @@
 	n.clock = &clclock.MedianClock{}
 	n.readiness = clobserve.NewReadiness(conditionConfig, conditionEndpoints)
 	n.fleet = &clfleet.Fleet{DataCentre: settings.DataCentre, Rand: rand.New(rand.NewPCG(bootID, rand.Uint64()))}
+	if settings.CostAware {
+		n.fleet.CostAware = n.fleet.StatesPace
+	}
 	n.quotaLimiter = &clquota.Limiter{
 		BootTime: bootID, Tolerance: clquota.Tolerance{Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack},
 	}
--- a/internal/serving/clnode/settings.go
+++ b/internal/serving/clnode/settings.go
@@ -69,6 +69,9 @@
 	// exceed a quota: by a fraction of the quota, plus an absolute amount.
 	QuotaOvershoot, QuotaSlack float64
 
+	// CostAware chooses the endpoints of services whose endpoints state a pace by the
+	// likely cost of requests. It is read at the start only.
+	CostAware bool
 	// FairShares divides the capacity of a service in shortage among the accounts by
 	// their quotas, if these differ. It is read at the start only.
 	FairShares bool
--- a/internal/testing/clpattern/play.go
+++ b/internal/testing/clpattern/play.go
@@ -36,6 +36,9 @@
 		// Pause is how long the reading of other prompts has held up the stream of a
 		// request, on average.
 		Pause time.Duration
+		// Preempted is how often a request had to give way for lack of memory, on
+		// average.
+		Preempted float64
 	}
 
 	// play is a pattern in progress.
@@ -63,6 +66,8 @@
 	Fleet Policy = "fleet"
 	// Stated is the gateways' own choice with what the endpoints state of their load.
 	Stated Policy = "stated"
+	// CostAware is Stated with the choice by the likely cost of requests.
+	CostAware Policy = "cost_aware"
 	// Random and RoundRobin know nothing of the endpoints.
 	Random     Policy = "random"
 	RoundRobin Policy = "round_robin"
@@ -121,7 +126,7 @@
 
 func (w *play) build(seed uint64) {
 	slots := cmp.Or(w.pattern.Slots, slotsPerEngine)
-	config := clcatalog.Service{Name: service, MaxConns: 570, Engine: &clcatalog.Engine{Slots: slots}}
+	config := clcatalog.Service{Name: service, MaxConns: 570, Engine: &clcatalog.Engine{Slots: slots, CacheTokens: w.pattern.Memory}}
 	if w.pattern.Plain {
 		config.Engine = nil
 	}
@@ -133,12 +138,19 @@
 	}
 	for i := range w.pattern.Engines {
 		e := newEngine(fmt.Sprint("engine-", i), slots)
+		e.memory = float64(w.pattern.Memory)
+		if e.memory > 0 {
+			e.cache.capacity = w.pattern.Memory
+		}
 		e.plain, e.quadratic = w.pattern.Plain, w.pattern.Quadratic
 		w.engines = append(w.engines, e)
 		w.byID[e.id] = e
 	}
 	for i, name := range names {
 		f := &clfleet.Fleet{DataCentre: w.dataCentre(i), Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		if w.policy == CostAware {
+			f.CostAware = func(string) bool { return true }
+		}
 		f.SetCatalog(catalog)
 		f.SetDigestInterval(w.pattern.digestInterval())
 		f.SetGateways(name, slices.Delete(slices.Clone(names), i, i+1))
@@ -188,7 +200,7 @@
 	}
 	f := w.fleets[w.rnd.IntN(len(w.fleets))]
 	j := &job{request: r, tokens: r.tokens}
-	j.ended = func(time.Time) { w.ended++; w.paused += j.paused }
+	j.ended = func(time.Time) { w.ended++; w.paused += j.paused; w.outcome.Preempted += float64(j.preempted) }
 	j.started = func(at time.Time) { w.began(r, at.Sub(now), late) }
 	var e *engine
 	switch w.policy {
@@ -197,8 +209,11 @@
 	case RoundRobin:
 		w.next++
 		e = w.engines[w.next%len(w.engines)]
-	case Fleet, Stated:
-		req := clfleet.Request{ID: r.id, Service: service, Parts: r.parts, TimeLeft: patience, TargetLatency: r.kind.Target, Priority: r.kind.Priority}
+	case Fleet, Stated, CostAware:
+		req := clfleet.Request{
+			ID: r.id, Service: service, Parts: r.parts, TimeLeft: patience, TargetLatency: r.kind.Target, Priority: r.kind.Priority,
+			Route: r.kind.Name, OutputTokens: r.hint, MaxOutputTokens: int(maxOutputFactor * r.kind.OutputTokens),
+		}
 		c, refused := f.Pick(req, now)
 		if refused != nil {
 			w.outcome.Refused++
@@ -247,6 +262,7 @@
 	if len(w.waits) > 0 {
 		o.P50, o.P95 = w.waits[len(w.waits)/2], w.waits[len(w.waits)*95/100]
 	}
+	o.Preempted /= n
 	o.Pause = w.paused / time.Duration(max(1, w.ended))
 	return o
 }
