--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,9 @@
 	@cat KNOWN-RED.txt
 	-go test -count=1 -run '^($(KNOWN_RED))$$' ./... | grep -v 'no tests to run\|no test files'
 endif
-	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $$(go list ./... | grep -v '/clharness$$')
+	go test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $$(go list ./... | grep -v '/clharness$$\|/clflood$$')
 	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./clharness
+	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./internal/testing/clflood
 
 fuzz: ## Fuzzes what is decoded from outside, for half a minute; finds go to testdata/fuzz and are tests from then on.
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform/cladapter
