--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -84,7 +84,7 @@
 
 // testEnv runs a gateway and the endpoints behind it.
 type testEnv struct {
-	t        *testing.T
+	t        testing.TB
 	gateway  *Gateway
 	baseURL  string
 	recorder *testRecorder
@@ -113,7 +113,7 @@
 
 // newTestEnv starts one endpoint for each script, and one gateway in front of all the
 // endpoints.
-func newTestEnv(t *testing.T, endpoints ...script) *testEnv {
+func newTestEnv(t testing.TB, endpoints ...script) *testEnv {
 	t.Helper()
 	env := &testEnv{t: t, recorder: &testRecorder{}, configFresh: true, stopped: make(chan error, 1)}
 	fleet := &clfleet.Fleet{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
@@ -269,6 +269,15 @@
 	env.gateway.SetCatalog(changed)
 }
 
+// changeLimits puts a configuration in force in which the limits are changed.
+func (env *testEnv) changeLimits(change func(l *clcatalog.Limits)) {
+	old := env.gateway.Catalog()
+	changed := &clcatalog.Catalog{Version: old.Version + 1, Limits: old.Limits, Services: old.Services, Accounts: old.Accounts, Routes: old.Routes}
+	change(&changed.Limits)
+	changed.BuildIndexes()
+	env.gateway.SetCatalog(changed)
+}
+
 // request returns a POST request to the gateway. It carries the API key unless the key
 // is empty.
 func (env *testEnv) request(path, key, body string) *http.Request {
