--- /dev/null
+++ b/internal/limits/clmemory/transfers.go
@@ -0,0 +1,138 @@
+// This file defines which of the unfinished transfers gives its memory back.
+
+package clmemory
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+type (
+	// Transfer is a body that is still arriving. Stop must be set; it makes the transfer
+	// end soon, must not block, and is called at most once.
+	Transfer struct {
+		Stop func()
+
+		// rate is the recent rate in bytes per second as of the time at.
+		rate float64
+		at   time.Time
+		held int64
+		// index is the position in Transfers.list.
+		index   int
+		stopped bool
+	}
+
+	// Transfers holds the unfinished transfers of a process. The zero value is ready to
+	// use; its methods may be called concurrently.
+	Transfers struct {
+		mu   sync.Mutex
+		list []*Transfer
+		// pending is the memory of the transfers that were stopped and have not ended.
+		pending int64
+	}
+)
+
+const (
+	// rateDecay is the time in which the weight of arrived bytes falls to 1/e. It spans
+	// several retransmissions of a lost packet over the links between callers and
+	// gateways, so that a single loss does not make a transfer the slowest.
+	rateDecay = 1.0
+	// initialRate, in bytes per second, is the rate with which a transfer begins, so that
+	// one that has just begun is kept before one that has stalled. It is the rate of a
+	// link of 10 Mbit/s.
+	initialRate = 1.25e6
+)
+
+// Begin adds a transfer.
+func (t *Transfers) Begin(x *Transfer, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.rate, x.at, x.index = initialRate, now, len(t.list)
+	t.list = append(t.list, x)
+}
+
+// Progress records n bytes that have arrived, and the memory that the transfer holds.
+// It reports whether the transfer may continue.
+func (t *Transfers) Progress(x *Transfer, n int, held int64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.rate = x.rateAt(now) + float64(n)/rateDecay
+	x.at = now
+	if x.stopped {
+		t.pending += held - x.held
+	}
+	x.held = held
+	return !x.stopped
+}
+
+// End removes a transfer. Stop is not called after End has returned. It returns whether
+// the transfer was stopped.
+func (t *Transfers) End(x *Transfer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last := len(t.list) - 1
+	t.list[x.index] = t.list[last]
+	t.list[x.index].index = x.index
+	t.list[last] = nil
+	t.list = t.list[:last]
+	if x.stopped {
+		t.pending -= x.held
+	}
+	return x.stopped
+}
+
+// Reclaim stops the slowest transfers until the memory that will be released is at least
+// need bytes, and reports whether any memory will be released. A transfer that asks for
+// itself does not stop those that are faster; asker is nil if another part of the process
+// asks.
+func (t *Transfers) Reclaim(asker *Transfer, need int64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if asker != nil && asker.stopped {
+		return false
+	}
+	for t.pending < need {
+		x := t.slowest(now, 1)
+		if x == nil || x == asker || asker != nil && x.rateAt(now) > asker.rateAt(now) {
+			break
+		}
+		t.stop(x)
+	}
+	return t.pending > 0
+}
+
+// StopSlowest stops the slowest transfer and reports whether there was one.
+func (t *Transfers) StopSlowest(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.slowest(now, 0)
+	if x == nil {
+		return false
+	}
+	t.stop(x)
+	return true
+}
+
+// slowest returns the slowest transfer that is not stopped and holds at least minHeld
+// bytes, or nil.
+func (t *Transfers) slowest(now time.Time, minHeld int64) *Transfer {
+	var out *Transfer
+	for _, x := range t.list {
+		if !x.stopped && x.held >= minHeld && (out == nil || x.rateAt(now) < out.rateAt(now)) {
+			out = x
+		}
+	}
+	return out
+}
+
+func (t *Transfers) stop(x *Transfer) {
+	x.stopped = true
+	t.pending += x.held
+	x.Stop()
+}
+
+// rateAt returns the rate as it has decayed until now.
+func (x *Transfer) rateAt(now time.Time) float64 {
+	return x.rate * math.Exp(-max(0, now.Sub(x.at).Seconds())/rateDecay)
+}
