Limit what callers make a gateway hold

Cause: request bodies were read with io.ReadAll up to max_body_bytes each, for as long as their route's timeout, and nothing bounded their sum, nor that of buffered responses, unfinished events and connections. Heads had fixed limits of 64 KiB and 10 s. The rest of a body that was refused unread, and the write of an error response or of the end of a stream, had no time limit at all.

Change: - Bodies reserve memory of clmemory.Budget as they arrive, in pooled buffers. If it is short, the slowest unfinished bodies give way with 503 memory_short and Connection: close. Bodies above 64 KiB must bring 4 KiB/s. - A response for which there is no memory is relayed as it arrives; a stream waits for memory for a large event, and is cut after 6 s. - Heads are limited by the configuration in force (max_header_bytes and header_timeout_ms times 1.5). - Connections are limited by limits.max_fds and by memory. The one that was idle for longest gives way first. - Error responses and ends of streams have deadlines. - Metrics for bytes held, connections and closed connections; one log line for each cause in 10 s.

--- a/cmd/chestnutlead/gateway.go
+++ b/cmd/chestnutlead/gateway.go
@@ -10,16 +10,13 @@
 	"syscall"
 
 	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clmemory"
 	"github.com/chestnutlead/chestnutlead/internal/serving/clnode"
 	"github.com/chestnutlead/chestnutlead/platform/cladapter"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 )
 
-// heapShare is the part of the process's memory at which the garbage collector
-// works harder; the rest is for stacks, buffers of sockets and the runtime.
-const heapShare = 0.6
-
 // gatewayCommand returns the subcommand `gateway`.
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
@@ -45,7 +42,7 @@
 // runGateway serves until ctx ends and the process has drained.
 func runGateway(ctx context.Context, s clnode.Settings, path, level string) error {
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapShare))
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * clmemory.HeapFraction))
 	}
 	protectDaemon()
 	out := clobserve.NewAsyncWriter(os.Stdout)
--- a/internal/model/clcatalog/catalog.go
+++ b/internal/model/clcatalog/catalog.go
@@ -139,12 +139,11 @@
 
 	// Limits contains the limits on callers' requests and connections.
 	Limits struct {
-		// HeaderBytes and BodyBytes limit the size of a request's header and body; a
-		// BodyBytes of 0 means no limit. The gateway applies a fixed, larger limit
-		// instead of HeaderBytes.
+		// HeaderBytes and BodyBytes limit the size of a request's header and body; 0
+		// means a default. The gateway tolerates somewhat larger headers.
 		HeaderBytes, BodyBytes int
-		// HeaderTimeout limits the time in which a request's header must arrive. The
-		// gateway applies a fixed, longer limit instead.
+		// HeaderTimeout limits the time in which a request's header must arrive; 0 means
+		// a default. The gateway tolerates a somewhat longer time.
 		HeaderTimeout time.Duration
 		// IdleTimeout is how long a caller's idle connection is kept open.
 		IdleTimeout time.Duration
--- a/internal/operator/clexplain/explain.go
+++ b/internal/operator/clexplain/explain.go
@@ -71,6 +71,8 @@
 	"version":                   "only endpoints that run a version on trial were left",
 	"body_too_large":            "the body exceeded the configured limit",
 	"body_incomplete":           "the caller did not send the whole body in time",
+	"body_too_slow":             "the caller sent a large body at less than 4 KiB/s, or stalled within it for 5 s",
+	"memory_short":              "the memory for callers was full, and this body was the slowest; see docs/OPERATIONS.md, the door is under attack",
 }
 
 // ReadHistory collects the lines about a request from several logs, sorts them by
--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clmemory"
 	"github.com/chestnutlead/chestnutlead/internal/routing/clfleet"
 	"github.com/chestnutlead/chestnutlead/internal/serving/clstream"
 	"github.com/go-faster/errors"
@@ -24,6 +25,19 @@
 	// firstBodyBytes is the size of the buffer for a body that is not a stream, which
 	// grows with the body.
 	firstBodyBytes = 1 << 10
+	// freeResponseBytes is the size up to which responses and incomplete events are not
+	// counted apart from the connection. Most of them are smaller.
+	freeResponseBytes = 16 << 10
+	// eventStepBytes is the step in which memory for an incomplete event is reserved, and
+	// eventCopies how often it may be in memory while its buffer grows.
+	eventStepBytes = 128 << 10
+	eventCopies    = 2
+	// eventMemoryTimeout is how long a stream waits for memory. Within that time, streams
+	// of callers that don't read have been aborted (callerWriteTimeout).
+	eventMemoryTimeout = callerWriteTimeout + time.Second
+	// eventPollInterval is the time between two attempts to reserve memory for an event.
+	// Many streams may wait for seconds, so it is longer than memoryPollInterval.
+	eventPollInterval = 20 * time.Millisecond
 	// callerWriteTimeout is the maximum time for writing events to the caller.
 	// The stream of a caller that leaves events unread for longer is aborted.
 	callerWriteTimeout = 5 * time.Second
@@ -38,10 +52,11 @@
 // relayResponse reads a response that is not a stream and sends it to the caller.
 // A response with a failure status is kept in heldFailure instead if a retry may
 // still replace it and the body does not exceed maxBufferedBytes. The part of a body
-// that exceeds maxBufferedBytes is copied as it arrives, until the request's deadline.
+// that exceeds maxBufferedBytes, or for which there is no memory, is copied as it arrives,
+// until the request's deadline.
 func (g *Gateway) relayResponse(ctx context.Context, a *attempt, p *responseProgress) attemptResult {
-	body, err := g.readBuffered(a)
-	if err == nil && len(body) <= maxBufferedBytes {
+	body, whole, err := g.readBuffered(a)
+	if err == nil && whole {
 		err = g.checkEnd(a)
 	}
 	if err != nil {
@@ -49,21 +64,21 @@
 	}
 	failed := a.response.Status >= http.StatusInternalServerError
 	g.recordSample(a, failed)
-	if failed && a.mayReplaceFailure() && len(body) <= maxBufferedBytes {
+	if failed && a.mayReplaceFailure() && whole {
 		a.heldFailure = &heldFailure{attempt: a, body: body}
 		return attemptResult{outcome: clfleet.OutcomeFailed, err: errors.Errorf("endpoint responded with status %d", a.response.Status)}
 	}
 	g.recordStart(a)
-	if !failed && len(body) <= maxBufferedBytes {
+	if !failed && whole {
 		g.recordSound(a, true)
 	}
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	a.writeHeader()
 	p.started, p.final = true, true
 	err = g.writeBody(a, body)
-	if err == nil && len(body) > maxBufferedBytes {
+	if err == nil && !whole {
 		var readErr error
 		if readErr, err = g.copyRest(a); readErr != nil {
 			return g.failAttempt(ctx, a, readErr)
@@ -80,30 +95,60 @@
 	return attemptResult{outcome: clfleet.OutcomeAnswered, done: true}
 }
 
-// readBuffered reads the body of a response up to maxBufferedBytes and one byte more. A
-// body that arrives so slowly that another attempt would no longer have the time to
-// replace it counts as silent, if there can be another attempt.
-func (g *Gateway) readBuffered(a *attempt) ([]byte, error) {
-	body := make([]byte, 0, firstBodyBytes)
+// readBuffered reads the body of a response up to maxBufferedBytes and one byte more, or
+// as much as there is memory for, and reports whether that is the whole body. A body that
+// arrives so slowly that another attempt would no longer have the time to replace it
+// counts as silent, if there can be another attempt.
+func (g *Gateway) readBuffered(a *attempt) (body []byte, whole bool, err error) {
+	body = make([]byte, 0, firstBodyBytes)
 	limited := io.LimitReader(a.response.Body, maxBufferedBytes+1)
 	giveUpAt := a.startedAt.Add(time.Duration(bodyFraction * float64(a.deadline.Sub(a.startedAt))))
 	for {
-		body = slices.Grow(body, 1)
+		if body, whole = g.growResponse(a, body); !whole {
+			return body, false, nil
+		}
 		n, err := limited.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case err == io.EOF:
-			return body, nil
+			return body, len(body) <= maxBufferedBytes, nil
 		case err != nil:
-			return nil, err
+			return nil, false, err
 		case time.Now().After(giveUpAt) && g.giveUpFor(a):
 			_ = a.response.Body.Close()
-			return nil, &clendpoint.Error{Kind: clendpoint.KindSilent, Err: errors.New("response arrives too slowly")}
+			return nil, false, &clendpoint.Error{Kind: clendpoint.KindSilent, Err: errors.New("response arrives too slowly")}
 		}
 	}
 }
 
-// copyRest copies the rest of a response that exceeds maxBufferedBytes to the caller. It
+// growResponse makes room for at least one more byte of a response. It reports whether
+// there is memory for it. Up to freeResponseBytes are part of connectionBytes.
+func (g *Gateway) growResponse(a *attempt, body []byte) ([]byte, bool) {
+	switch {
+	case len(body) > maxBufferedBytes:
+		return body, false
+	case len(body) < cap(body):
+		return body, true
+	}
+	size := int64(min(2*cap(body), maxBufferedBytes+1))
+	if size <= freeResponseBytes {
+		return slices.Grow(body, cap(body)), true
+	}
+	if !g.reserveResponse(clmemory.Responses, size) {
+		g.recordShortage("response_not_buffered")
+		return body, false
+	}
+	bigger := make([]byte, len(body), size)
+	copy(bigger, body)
+	if cap(body) > freeResponseBytes {
+		g.memory.budget.Add(clmemory.Responses, -int64(cap(body)))
+		a.held.responseBytes -= int64(cap(body))
+	}
+	a.held.responseBytes += size
+	return bigger, true
+}
+
+// copyRest copies the rest of a response that was not buffered whole to the caller. It
 // returns the error of the endpoint and that of the caller, of which at least one is
 // nil.
 func (g *Gateway) copyRest(a *attempt) (readErr, writeErr error) {
@@ -172,6 +217,12 @@
 	// progressAt is when the last event with data arrived, or the beginning.
 	progressAt, patience := time.Now(), g.timeouts(a, time.Until(a.deadline)).BetweenReads
 	for {
+		if !g.growEvent(ctx, a, len(s.Remaining())+readBufferSize) {
+			_ = a.response.Body.Close()
+			// A stream that continues elsewhere would need the same memory.
+			p.final = true
+			return attemptResult{outcome: clfleet.OutcomeAbandoned, err: errors.New("no memory for an event")}
+		}
 		n, err := a.response.Body.Read(buf)
 		s.Write(buf[:n])
 		written, progressed, writeErr := g.relayEvents(a, p, &s, rc)
@@ -215,6 +266,32 @@
 	}
 }
 
+// growEvent reserves memory for an incomplete event of up to size bytes, or releases what
+// is no longer needed. If there is none, it waits, which delays the endpoint; it reports
+// false if there is none for eventMemoryTimeout.
+func (g *Gateway) growEvent(ctx context.Context, a *attempt, size int) bool {
+	needed := int64(0)
+	if size > readBufferSize+freeResponseBytes {
+		needed = int64((eventCopies*size + eventStepBytes - 1) / eventStepBytes * eventStepBytes)
+	}
+	more := needed - a.held.eventBytes
+	if more <= 0 {
+		if more < 0 {
+			g.memory.budget.Add(clmemory.Events, more)
+			a.held.eventBytes = needed
+		}
+		return true
+	}
+	for end := time.Now().Add(eventMemoryTimeout); !g.reserveResponse(clmemory.Events, more); time.Sleep(eventPollInterval) {
+		if ctx.Err() != nil || time.Now().After(end) {
+			g.recordShortage("stream_cut")
+			return false
+		}
+	}
+	a.held.eventBytes = needed
+	return true
+}
+
 // relayEvents writes the complete events in s to the caller and returns the number
 // of events written, and whether one of them had data. It skips events whose ID is not
 // above that of the last event sent, which a resumed stream may repeat.
@@ -253,16 +330,17 @@
 }
 
 // finishStream ends a stream that the endpoint has completed. It sends the header
-// if there was no event to relay, and clears the write deadline that relayEvents has
-// set, which would otherwise apply to later requests on the same connection. events
-// is the number of events that this attempt has relayed.
+// if there was no event to relay, and extends the write deadline that relayEvents has
+// set, so that the end of the stream can't wait for the caller without limit. net/http
+// clears the deadline before the next request. events is the number of events that this
+// attempt has relayed.
 func (g *Gateway) finishStream(a *attempt, p *responseProgress, events int) attemptResult {
 	if !p.started {
 		a.writeHeader()
 		p.started = true
 	}
-	if err := http.NewResponseController(a.w).SetWriteDeadline(time.Time{}); err != nil {
-		g.Logger.Debug("clearing the write deadline failed", zap.Error(err))
+	if err := http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+		g.Logger.Debug("setting the write deadline failed", zap.Error(err))
 	}
 	g.recordSound(a, true)
 	g.recordCompletion(a, events)
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -153,7 +152,11 @@
 		// GracePeriod is the time within which the process must exit after the
 		// start of the shutdown.
 		GracePeriod time.Duration
-		Logger      *zap.Logger
+		// MemoryBytes is the memory limit of the process, and MaxDescriptors its limit of
+		// file descriptors; 0 means that they are not known.
+		MemoryBytes    int64
+		MaxDescriptors int
+		Logger         *zap.Logger
 		// Metrics is the registry for the gateway's metrics.
 		Metrics *clobserve.Metrics
 
@@ -164,7 +167,9 @@
 		// listener is nil until Listen is called.
 		listener   net.Listener
 		collectors *collectors
-		idle       idleTimers
+		memory     memory
+		conns      callerConns
+		limitLog   limitLog
 	}
 
 	// shutdownSchedule holds the times of the steps of a shutdown.
@@ -174,29 +179,9 @@
 		// it closes all remaining connections, even if requests are in progress.
 		acceptLongRequestsUntil, closeAt time.Time
 	}
-
-	// idleTimers holds a timer for each idle connection. When the timer fires, the
-	// connection is closed.
-	idleTimers struct {
-		mu     sync.Mutex
-		timers map[net.Conn]*time.Timer
-	}
 )
 
 const (
-	// headerTimeout is the maximum time for reading a request's header, and
-	// maxHeaderBytes the maximum size of the header. Both are fixed for the
-	// lifetime of the server, and were chosen to lie above the limits that
-	// configurations set. The gateway does not apply the limits of the
-	// configuration (clcatalog.Limits.HeaderTimeout and HeaderBytes).
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
-	// defaultIdleTimeout is used while no configuration is in force, or if the
-	// one in force sets no idle timeout.
-	defaultIdleTimeout = 15 * time.Second
-	// idleTimeoutSlack is added to the idle timeout, so that the gateway does
-	// not close a connection that a caller may still use.
-	idleTimeoutSlack = 500 * time.Millisecond
 	// exitMargin is the part of the grace period that remains for the process
 	// to exit by itself after the last connections are closed.
 	exitMargin = 400 * time.Millisecond
@@ -243,12 +228,12 @@
 			return err
 		}
 	}
+	g.setMemory()
 	srv := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.connState, ErrorLog: zap.NewStdLog(g.Logger),
+		Handler: http.HandlerFunc(g.serve), MaxHeaderBytes: serverMaxHeaderBytes, ConnState: g.conns.setState, ErrorLog: zap.NewStdLog(g.Logger),
 	}
 	serveErr := make(chan error, 1)
-	go g.serveListener(srv, g.listener, serveErr)
+	go g.serveListener(srv, callerListener{Listener: g.listener, conns: &g.conns}, serveErr)
 	select {
 	case err := <-serveErr:
 		return errors.Wrap(err, "serve HTTP for callers")
@@ -295,28 +280,3 @@
 func (s *shutdownSchedule) refuses(arrived, deadline time.Time) bool {
 	return s != nil && arrived.After(s.acceptLongRequestsUntil) && deadline.After(s.closeAt)
 }
-
-// connState is the server's ConnState hook. It closes connections that stay idle
-// for longer than the idle timeout of the configuration that is in force when they
-// become idle. http.Server.IdleTimeout can't be used, since it can't be changed
-// while the server runs.
-func (g *Gateway) connState(c net.Conn, s http.ConnState) {
-	g.idle.mu.Lock()
-	defer g.idle.mu.Unlock()
-	if t := g.idle.timers[c]; t != nil {
-		t.Stop()
-		delete(g.idle.timers, c)
-	}
-	if s != http.StateIdle {
-		return
-	}
-	if g.idle.timers == nil {
-		g.idle.timers = make(map[net.Conn]*time.Timer)
-	}
-	limit := defaultIdleTimeout
-	if cat := g.catalog.Load(); cat != nil && cat.Limits.IdleTimeout > 0 {
-		limit = cat.Limits.IdleTimeout
-	}
-	// Close fails only if the server has closed the connection in the meantime.
-	g.idle.timers[c] = time.AfterFunc(limit+idleTimeoutSlack, func() { _ = c.Close() })
-}
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/internal/limits/clmemory"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -21,6 +22,8 @@
 	statements *prometheus.CounterVec
 	// crashes counts the attempts that ended because their endpoint crashed.
 	crashes *prometheus.CounterVec
+	// closed counts the connections of callers that were closed because of a limit.
+	closed *prometheus.CounterVec
 }
 
 // firstEventBuckets are the upper bounds, in seconds, of the buckets of firstEvent.
@@ -45,5 +48,24 @@
 			"Responses in which endpoints said that they leave (once for each) or want no requests for some time, by service.", "service", "statement"),
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
+		closed: m.Counter(clobserve.Name{Component: "gateway", What: "closed_connections", Unit: "total"},
+			"Connections of callers that were closed because of a limit, by reason.", "reason"),
 	}
 }
+
+// observeMemory registers the metrics of the memory that is held for peers and of the
+// connections of callers.
+func (*collectors) observeMemory(m *clobserve.Metrics, budget *clmemory.Budget, conns *callerConns) {
+	for _, k := range []clmemory.Kind{clmemory.Connections, clmemory.Bodies, clmemory.Responses, clmemory.Events} {
+		m.GaugeFunc(clobserve.Name{Component: "gateway", What: "held_" + k.String(), Unit: "bytes"},
+			"Memory that is reserved for "+k.String()+".", func() float64 { return float64(budget.Held(k)) })
+	}
+	m.GaugeFunc(clobserve.Name{Component: "gateway", What: "held_limit", Unit: "bytes"},
+		"Memory that may be reserved for callers and endpoints.", func() float64 { return float64(budget.Limit) })
+	for s := range connStates {
+		m.GaugeFunc(clobserve.Name{Component: "gateway", What: "connections_" + s.String(), Unit: "count"},
+			"Connections of callers in the state "+s.String()+".", func() float64 { return float64(conns.count(s)) })
+	}
+	m.GaugeFunc(clobserve.Name{Component: "gateway", What: "connections_limit", Unit: "count"},
+		"Largest number of connections of callers.", func() float64 { return float64(conns.limit) })
+}
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,7 +34,9 @@
 		// service is the name of the service that runs the request.
 		service string
 		body    []byte
-		arrived time.Time
+		// bodyRead is set once the whole body has been read.
+		bodyRead bool
+		arrived  time.Time
 		// deadline is the time by which the response must be complete.
 		deadline time.Time
 		// cost is the amount to charge to the account's quota. It stays set if the
@@ -60,6 +61,8 @@
 		tried []string
 		// heldFailure is the latest of the failures that were held back, or nil.
 		heldFailure *heldFailure
+		// held is what the call holds of the memory budget.
+		held heldMemory
 	}
 
 	// heldFailure is an endpoint's response with a failure status that is not sent
@@ -92,6 +95,9 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies if the configuration does not.
 	defaultMaxBodyBytes = 32 << 20
+	// unreadBodyTimeout limits the time for reading the rest of a body that is not used, so
+	// that the connection can be used again. If it is too short, the connection is closed.
+	unreadBodyTimeout = time.Second
 	// defaultRouteTimeout is the timeout of requests to routes that set none.
 	defaultRouteTimeout = 30 * time.Second
 )
@@ -103,6 +109,7 @@
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.releaseMemory(g)
 	if errResp := g.admit(c); errResp != nil {
 		g.sendError(c, errResp)
 		return
@@ -184,35 +191,6 @@
 	return g.staleConfigOr(nil)
 }
 
-// readBody reads the request body. It returns an error response if the body is larger
-// than the configured limit, or not complete before the request's deadline.
-func (g *Gateway) readBody(c *call, cat *clcatalog.Catalog) *errorResponse {
-	limit := int64(cat.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		return &errorResponse{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-	}
-	body := io.LimitReader(c.r.Body, limit+1)
-	rc := http.NewResponseController(c.w)
-	if err := rc.SetReadDeadline(c.deadline); err != nil {
-		g.Logger.Debug("setting the read deadline failed", zap.Error(err))
-	}
-	b, err := io.ReadAll(body)
-	if err != nil {
-		return &errorResponse{http.StatusRequestTimeout, "body_incomplete", 0}
-	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		g.Logger.Debug("clearing the read deadline failed", zap.Error(err))
-	}
-	if int64(len(b)) > limit {
-		return &errorResponse{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-	}
-	c.body = b
-	return nil
-}
-
 // sendError sends errResp to the caller, and logs and counts it.
 func (g *Gateway) sendError(c *call, errResp *errorResponse) {
 	kind := ""
@@ -231,12 +209,27 @@
 		zap.Duration("retry_after", errResp.retryAfter), zap.String("account", accountName(c.account)), zap.String("route", routeName(c.route)),
 		zap.Uint64("config_version", version), zap.Duration("after", time.Since(c.arrived)), zap.Int("sends", c.sends), zap.String("basis", c.basis(errResp.status)))
 	g.recordPromise(errResp.status, c.basis(errResp.status))
+	g.limitErrorResponse(c)
 	c.w.WriteHeader(errResp.status)
 	if _, err := c.w.Write([]byte(`{"title":"` + errResp.reason + `","status":` + strconv.Itoa(errResp.status) + "}\n")); err != nil {
 		g.Logger.Debug("writing the error response to the caller failed", zap.String("request", c.reqInfo.ID), zap.Error(err))
 	}
 }
 
+// limitErrorResponse limits the time for writing an error response, and for reading the
+// part of the body that the gateway has not read: net/http reads up to 256 KiB of it before
+// it sends the response, and would wait for them without limit.
+func (g *Gateway) limitErrorResponse(c *call) {
+	rc := http.NewResponseController(c.w)
+	err := rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if c.r.ContentLength != 0 && !c.bodyRead {
+		err = errors.Join(err, rc.SetReadDeadline(time.Now().Add(unreadBodyTimeout)))
+	}
+	if err != nil {
+		g.Logger.Debug("setting the deadlines of an error response failed", zap.Error(err))
+	}
+}
+
 // pickEndpoint chooses the endpoint of the next attempt. If no endpoint can be used,
 // the choice is nil and the refusal says why. In both cases it also returns the
 // request that it passed to the fleet.
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -114,6 +114,12 @@
 // newTestEnv starts one endpoint for each script, and one gateway in front of all the
 // endpoints.
 func newTestEnv(t testing.TB, endpoints ...script) *testEnv {
+	t.Helper()
+	return newLimitedEnv(t, 0, 0, endpoints...)
+}
+
+// newLimitedEnv is like newTestEnv, with limits for the gateway's process.
+func newLimitedEnv(t testing.TB, memoryBytes int64, maxDescriptors int, endpoints ...script) *testEnv {
 	t.Helper()
 	env := &testEnv{t: t, recorder: &testRecorder{}, configFresh: true, stopped: make(chan error, 1)}
 	fleet := &clfleet.Fleet{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
@@ -148,6 +154,7 @@
 	env.gateway = &Gateway{
 		Address: addr, Headers: testCodec{}, Fleet: fleet, Quotas: quotas, RetryBudget: retries, Crashes: &clcrash.Tracker{},
 		Client: &clendpoint.HTTP{}, Recorder: env.recorder, ShutdownDelay: 300 * time.Millisecond, GracePeriod: 3 * time.Second,
+		MemoryBytes: memoryBytes, MaxDescriptors: maxDescriptors,
 		ConfigFresh: func() (bool, time.Duration) {
 			env.mu.Lock()
 			defer env.mu.Unlock()
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -255,7 +255,8 @@
 	n.gateway = &clgateway.Gateway{
 		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker,
 		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
-		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace, Logger: component("gateway"), Metrics: n.Metrics,
+		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace,
+		MemoryBytes: settings.MemoryBytes, MaxDescriptors: settings.MaxDescriptors, Logger: component("gateway"), Metrics: n.Metrics,
 	}
 	n.partitionDetector.changeDeadline = settings.ChangeDeadline
 	n.buildMirrors(component("mirror"))
--- a/internal/serving/clnode/settings.go
+++ b/internal/serving/clnode/settings.go
@@ -37,6 +37,9 @@
 
 	// MemoryBytes is the memory limit of the process; 0 means that it is unknown.
 	MemoryBytes int64
+	// MaxDescriptors is the limit of the process's open file descriptors; 0 means that it
+	// is unknown.
+	MaxDescriptors int
 	// Grace is the maximum time from the request to stop until the process ends.
 	Grace time.Duration
 	// Revocation is the maximum time for which an API key is still accepted after
