Test the other listeners of a gateway process under floods

120 connections each to the addresses for readiness checks, other gateways and metrics, with the bounds of TestFloods.

The metrics server reads bodies of up to 4 MiB, and the other two take heads of up to 1 MiB.

--- a/internal/testing/clflood/flood_linux_test.go
+++ b/internal/testing/clflood/flood_linux_test.go
@@ -46,6 +46,8 @@
 	// the time in which the gateway must serve an ordinary request.
 	sendTimeout, patience = 20 * time.Second, 30 * time.Second
 	apiKey                = "key-1"
+	// metricsPort is that of all gateways.
+	metricsPort = 9464
 )
 
 // target is a gateway process with the platform around it.
@@ -53,6 +55,8 @@
 	t       *testing.T
 	process *clharness.Process
 	address netip.AddrPort
+	// others are the addresses on which the process listens for other peers than callers.
+	others  map[string]netip.AddrPort
 	peakFDs atomic.Int64
 	number  atomic.Int64
 }
@@ -140,7 +144,9 @@
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	p, err := clharness.StartProcess(dir, "gateway", build(t), "gateway", "--settings", file)
 	require.NoError(t, err)
-	g := &target{t: t, process: p, address: settings.Callers}
+	g := &target{t: t, process: p, address: settings.Callers, others: map[string]netip.AddrPort{
+		"readiness": settings.Readiness, "peers": netip.AddrPortFrom(ip, settings.PeerPort), "metrics": netip.AddrPortFrom(ip, metricsPort),
+	}}
 	t.Cleanup(func() {
 		p.Kill()
 		for _, s := range []*httptest.Server{endpointServer, cloudServer, storeServer} {
@@ -224,16 +230,18 @@
 	g.t.Helper()
 	var err error
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		begin := time.Now()
 		if err = g.ask(size); err == nil {
 			return
 		}
+		g.t.Logf("%s, after %s: %v", what, time.Since(begin).Round(time.Millisecond), err)
 	}
 	require.NoError(g.t, err, what)
 }
 
 // flood opens n connections at the same time and runs send on each. It returns the
 // connections, which stay open.
-func (g *target) flood(n int, send func(c net.Conn, i int)) []net.Conn {
+func (g *target) flood(address netip.AddrPort, n int, send func(c net.Conn, i int)) []net.Conn {
 	var (
 		mu    sync.Mutex
 		conns []net.Conn
@@ -241,7 +249,7 @@
 	)
 	for i := range n {
 		wg.Go(func() {
-			c, err := net.DialTimeout("tcp", g.address.String(), sendTimeout)
+			c, err := net.DialTimeout("tcp", address.String(), sendTimeout)
 			if err != nil {
 				return
 			}
@@ -346,18 +354,54 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := start(t)
-			conns := g.flood(tc.conns, tc.send)
+			conns := g.flood(g.address, tc.conns, tc.send)
 			g.served("an ordinary request beside the flood", 2<<10)
 			require.NoError(t, g.sampleFDs())
 			for _, c := range conns {
 				_ = c.Close()
 			}
 			g.served("the largest request after the flood", maxBodyBytes)
-			require.True(t, g.process.Running(), "the process has ended")
-			peak := g.peakMemory()
-			t.Logf("peak memory %.1f MiB, peak descriptors %d", float64(peak)/1024, g.peakFDs.Load())
-			require.Less(t, peak, memoryMB<<10, "peak memory in KiB")
-			require.Less(t, g.peakFDs.Load(), int64(maxFDs), "open descriptors")
+			g.checkLimits()
 		})
 	}
 }
+
+// checkLimits checks that the process lives and has kept to its limits.
+func (g *target) checkLimits() {
+	g.t.Helper()
+	require.True(g.t, g.process.Running(), "the process has ended")
+	peak := g.peakMemory()
+	g.t.Logf("peak memory %.1f MiB, peak descriptors %d", float64(peak)/1024, g.peakFDs.Load())
+	require.Less(g.t, peak, memoryMB<<10, "peak memory in KiB")
+	require.Less(g.t, g.peakFDs.Load(), int64(maxFDs), "open descriptors")
+}
+
+// Guards against the same floods at the addresses for readiness checks, other gateways and
+// metrics.
+func TestFloodsOfOtherListeners(t *testing.T) {
+	for _, listener := range []string{"readiness", "peers", "metrics"} {
+		for _, tc := range []struct {
+			name string
+			send func(net.Conn, int)
+		}{
+			{"heads without end", func(c net.Conn, _ int) {
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n")
+				repeat(c, lines("X-Filler: 0123456789abcdef\r\n"), endlessBytes)
+			}},
+			{"empty lines without end", func(c net.Conn, _ int) { repeat(c, lines("\r\n"), endlessBytes) }},
+			{"bodies whole", wholeBody("", maxBodyBytes)},
+			{"bodies in chunks of 64 KiB", chunkedBody("", 64<<10)},
+		} {
+			t.Run(listener+", "+tc.name, func(t *testing.T) {
+				g := start(t)
+				conns := g.flood(g.others[listener], floodConns, tc.send)
+				g.served("an ordinary request beside the flood", 2<<10)
+				require.NoError(t, g.sampleFDs())
+				for _, c := range conns {
+					_ = c.Close()
+				}
+				g.checkLimits()
+			})
+		}
+	}
+}
