Let refused callers read the response to an unfinished body

Cause: closing a connection with unread data resets it, so that a caller who was refused with 503 memory_short while sending saw a broken connection in place of the response (seen in TestFloods). The refusal also came at once if only responses held the memory.

Change: a connection with such a refusal is half-closed and lingers for 0.5 s; it gives way first at the limit of connections. A body waits up to 0.5 s for memory of any request.

`go test -race -run 'TestHeadLimits|TestStalled|TestMinimum|TestRefusalDoes| TestConnectionLimit|TestResponseWithout|TestAdmission|TestDrain' ./internal/serving/clgateway` passes.

--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -59,8 +59,9 @@
 	// be worth cutting off.
 	bodyWindow     = 5 * time.Second
 	minWindowBytes = 20 << 10
-	// reclaimTimeout is how long a request waits for memory that other transfers are about
-	// to release. They release it as soon as their goroutines run.
+	// reclaimTimeout is how long a request waits for memory. Transfers that are stopped
+	// release theirs as soon as their goroutines run, and ordinary requests last about as
+	// long as this.
 	reclaimTimeout = 500 * time.Millisecond
 	// memoryPollInterval is the time between two attempts to reserve memory. It is short
 	// beside the transfer of a body of 1 MiB, and long beside the cost of an attempt with
@@ -111,6 +112,9 @@
 	}
 	c.releaseBody(g)
 	c.w.Header().Set("Connection", "close")
+	if conn, ok := c.r.Context().Value(connKey{}).(*callerConn); ok {
+		conn.linger.Store(true)
+	}
 	switch {
 	case stopped || errors.Is(err, errNoMemory):
 		g.recordShortage("body_refused")
@@ -215,7 +219,7 @@
 }
 
 // reserve reserves memory for the body. If the budget is short, it stops slower transfers
-// and waits for their memory.
+// and waits for their memory or that of other requests, unless it is stopped itself.
 func (r *bodyReader) reserve(size int64, small bool) bool {
 	m := &r.g.memory
 	if m.budget.Reserve(clmemory.Bodies, size, r.c.held.bodyBytes, small) {
@@ -223,10 +227,10 @@
 	}
 	for end := time.Now().Add(reclaimTimeout); ; time.Sleep(memoryPollInterval) {
 		now := time.Now()
-		if now.After(end) || !m.bodies.Reclaim(&r.Transfer, size, now) {
-			// Memory may have been released since the last attempt.
-			return m.budget.Reserve(clmemory.Bodies, size, r.c.held.bodyBytes, small)
+		if now.After(end) || !m.bodies.Progress(&r.Transfer, 0, r.c.held.bodyBytes, now) {
+			return false
 		}
+		m.bodies.Reclaim(&r.Transfer, size, now)
 		if m.budget.Reserve(clmemory.Bodies, size, r.c.held.bodyBytes, small) {
 			return true
 		}
--- a/internal/serving/clgateway/conns.go
+++ b/internal/serving/clgateway/conns.go
@@ -3,6 +3,7 @@
 package clgateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,9 @@
 		net.Conn
 		conns *callerConns
 		state atomic.Int32
+		// linger delays closing, so that a caller that is still sending a body can read
+		// why it was refused. Closing at once would discard the response.
+		linger atomic.Bool
 		// headBytes is the number of bytes read since the previous request. Only the
 		// goroutine that reads uses it.
 		headBytes int
@@ -59,6 +63,9 @@
 		expiresAt time.Time
 		removed   bool
 	}
+
+	// connKey is the key of the callerConn in the context of a request.
+	connKey struct{}
 )
 
 // States of connections.
@@ -71,11 +78,13 @@
 	connHead
 	// connActive has a request that is read or served.
 	connActive
+	// connClosing has been refused and is closed soon.
+	connClosing
 	connStates
 )
 
 // String returns the name of the state in metrics.
-func (s connState) String() string { return [...]string{"new", "idle", "head", "active"}[s] }
+func (s connState) String() string { return [...]string{"new", "idle", "head", "active", "closing"}[s] }
 
 const (
 	// defaultHeaderTimeout and defaultHeaderBytes limit request heads while no
@@ -111,6 +120,9 @@
 	descriptorsPerRequest = 2
 	// minConnections lets a gateway with very few descriptors serve at all.
 	minConnections = 16
+	// lingerTimeout is how long a refused caller that is still sending may read the
+	// response. It is the time that net/http uses for the same purpose.
+	lingerTimeout = 500 * time.Millisecond
 	// limitLogInterval is the time between two log lines about the same cause, so that an
 	// attack does not displace other lines.
 	limitLogInterval = 10 * time.Second
@@ -186,13 +198,18 @@
 	return c
 }
 
+// withConn puts a connection into the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // oldest returns the connection that has been without a request for longest; those that
 // have begun a head come last. It returns nil if all have requests.
 func (cs *callerConns) oldest() *callerConn {
 	var idle, head *callerConn
 	for c := range cs.conns {
 		switch connState(c.state.Load()) {
-		case connNew, connIdle:
+		case connNew, connIdle, connClosing:
 			if idle == nil || c.since.Before(idle.since) {
 				idle = c
 			}
@@ -307,6 +324,10 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.linger.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+		c.enter(connClosing, lingerTimeout)
+		return nil
+	}
 	c.conns.mu.Lock()
 	c.conns.remove(c)
 	c.conns.mu.Unlock()
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -230,7 +230,8 @@
 	}
 	g.setMemory()
 	srv := &http.Server{
-		Handler: http.HandlerFunc(g.serve), MaxHeaderBytes: serverMaxHeaderBytes, ConnState: g.conns.setState, ErrorLog: zap.NewStdLog(g.Logger),
+		Handler: http.HandlerFunc(g.serve), MaxHeaderBytes: serverMaxHeaderBytes, ConnState: g.conns.setState, ConnContext: withConn,
+		ErrorLog: zap.NewStdLog(g.Logger),
 	}
 	serveErr := make(chan error, 1)
 	go g.serveListener(srv, callerListener{Listener: g.listener, conns: &g.conns}, serveErr)
