--- a/internal/testing/clflood/flood_linux_test.go
+++ b/internal/testing/clflood/flood_linux_test.go
@@ -391,6 +391,10 @@
 			{"empty lines without end", func(c net.Conn, _ int) { repeat(c, lines("\r\n"), endlessBytes) }},
 			{"bodies whole", wholeBody("", maxBodyBytes)},
 			{"bodies in chunks of 64 KiB", chunkedBody("", 64<<10)},
+			{"bodies that announce a message of 15 MiB", func(c net.Conn, i int) {
+				_, _ = io.WriteString(c, head("/", "", i)+fmt.Sprintf("Content-Length: %d\r\n\r\n\xfd\xf0\x00\x00", 16<<20))
+				repeat(c, make([]byte, 64<<10), 15<<20)
+			}},
 		} {
 			t.Run(listener+", "+tc.name, func(t *testing.T) {
 				g := start(t)
