Limit heads and bodies at the other listeners of a gateway

Cause: the metrics server read bodies of up to 4 MiB on each connection, the address for other gateways decoded gob messages of the length that they announce (up to 16 MiB), and both it and the readiness checks took heads of up to 1 MiB.

Change: bodies at the metrics server are limited to 4 KiB. Requests of followers are limited to 64 KiB and must hold the messages that they announce before they are decoded. Heads are limited to 8 KiB (other gateways) and 4 KiB (readiness), and readiness checks have a read and an idle timeout.

--- a/clobserve/server.go
+++ b/clobserve/server.go
@@ -36,8 +36,11 @@
 )
 
 const (
-	readTimeout     = 5 * time.Second
-	idleTimeout     = time.Minute
+	readTimeout = 5 * time.Second
+	idleTimeout = time.Minute
+	// maxBodyBytes limits the bodies of requests, which no path uses. The default of fiber,
+	// 4 MiB for each connection, would let peers fill the memory.
+	maxBodyBytes    = 4 << 10
 	shutdownTimeout = 2 * time.Second
 )
 
@@ -79,7 +82,7 @@
 func (s *Server) run(app *fiber.App, served chan<- error) { served <- app.Listener(s.ln) }
 
 func (s *Server) app() *fiber.App {
-	app := fiber.New(fiber.Config{DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout})
+	app := fiber.New(fiber.Config{DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, BodyLimit: maxBodyBytes})
 	handler := promhttp.HandlerFor(s.Metrics.Registry, promhttp.HandlerOpts{Registry: s.Metrics.Registry})
 	app.Get("/metrics", adaptor.HTTPHandler(handler))
 	app.Get("/livez", s.livez)
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -98,8 +98,14 @@
 	// long before. feedIdleTimeout is longer than the pauses of a follower.
 	feedWriteTimeout = 3 * time.Second
 	feedIdleTimeout  = 5 * time.Second
-	// maxFeedBytes limits the size of an encoded feedRequest and of a feedAnswer.
-	maxFeedBytes = 16 << 20
+	// feedHeaderBytes limits the header of a request, so that connections can't fill the
+	// memory. Requests of followers have some hundred bytes; the default of net/http is
+	// 1 MiB.
+	feedHeaderBytes = 8 << 10
+	// maxFeedBytes limits the size of an encoded feedAnswer, and maxRequestBytes that of a
+	// feedRequest, which has some hundred bytes.
+	maxFeedBytes    = 16 << 20
+	maxRequestBytes = 64 << 10
 )
 
 // Add registers a mirror. It must be called before Run.
@@ -131,6 +137,7 @@
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(r.handleFeed), ReadTimeout: feedTimeoutMargin, WriteTimeout: feedWriteTimeout, IdleTimeout: feedIdleTimeout,
+		MaxHeaderBytes: feedHeaderBytes,
 	}
 	var g errgroup.Group
 	for _, m := range r.mirrors {
@@ -379,11 +386,43 @@
 	return answer, nil
 }
 
+// checkMessages returns an error if a gob message is longer than the rest of the body. The
+// decoder would allocate the length that the message announces, up to 10 MiB.
+func checkMessages(body []byte) error {
+	for len(body) > 0 {
+		// A length below 128 is one byte; a longer one is the negated number of its bytes,
+		// and the bytes in big-endian order.
+		length, size := uint64(body[0]), 1
+		if length >= 128 {
+			size -= int(int8(body[0]))
+			if size > len(body) || size > 9 {
+				return errors.New("length of a message is not whole")
+			}
+			length = 0
+			for _, b := range body[1:size] {
+				length = length<<8 | uint64(b)
+			}
+		}
+		if length > uint64(len(body)-size) {
+			return errors.Errorf("message of %d bytes is not whole", length)
+		}
+		body = body[size+int(length):]
+	}
+	return nil
+}
+
 // handleFeed serves a follower's request for changes. It holds the request until
 // there are changes or the request's Wait, at most feedHoldDuration, has passed.
 func (r *Replicator) handleFeed(w http.ResponseWriter, httpRequest *http.Request) {
 	var request feedRequest
-	if err := gob.NewDecoder(io.LimitReader(httpRequest.Body, maxFeedBytes)).Decode(&request); err != nil {
+	body, err := io.ReadAll(io.LimitReader(httpRequest.Body, maxRequestBytes))
+	if err == nil {
+		err = checkMessages(body)
+	}
+	if err == nil {
+		err = gob.NewDecoder(bytes.NewReader(body)).Decode(&request)
+	}
+	if err != nil {
 		http.Error(w, "request body is not a valid list of mirror positions", http.StatusBadRequest)
 		return
 	}
--- a/internal/serving/clnode/readiness.go
+++ b/internal/serving/clnode/readiness.go
@@ -14,8 +14,16 @@
 	"github.com/go-faster/errors"
 )
 
-// readinessHeaderTimeout limits the time to read the header of a readiness check.
-const readinessHeaderTimeout = 2 * time.Second
+const (
+	// readinessReadTimeout limits the time to read a readiness check, which usually is a
+	// single packet.
+	readinessReadTimeout = 2 * time.Second
+	// readinessIdleTimeout is many times the interval between two checks of the ingress.
+	readinessIdleTimeout = 30 * time.Second
+	// readinessHeaderBytes limits the header of a check, so that connections can't fill the
+	// memory. net/http adds 4 KiB; its default is 1 MiB.
+	readinessHeaderBytes = 4 << 10
+)
 
 // serveReadiness answers readiness checks on addr until ctx ends. The answer on any
 // path is 200 while all conditions of r are met, and otherwise 503 with the
@@ -25,7 +33,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on the readiness address; it needs a free port")
 	}
-	srv := &http.Server{ReadHeaderTimeout: readinessHeaderTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv := &http.Server{ReadTimeout: readinessReadTimeout, IdleTimeout: readinessIdleTimeout, MaxHeaderBytes: readinessHeaderBytes, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if reasons := r.Reasons(); len(reasons) > 0 {
 			http.Error(w, strings.Join(reasons, "\n"), http.StatusServiceUnavailable)
 			return
