Spare small unfinished bodies when memory is reclaimed

Cause: a stream or response that waited for memory stopped the slowest unfinished body, also one of an ordinary request that holds a few KiB. A body that ended at the moment at which it was stopped went on with a cancelled context.

Change: bodies that hold at most 16 KiB are not stopped for their memory; the part of the budget for small reservations has room for them on all connections. A body that was stopped is refused also if it has just ended.

--- a/internal/limits/clmemory/budget_test.go
+++ b/internal/limits/clmemory/budget_test.go
@@ -66,7 +66,7 @@
 }
 
 // Guards against memory that is taken from a fast transfer while a stalled one holds
-// some, from one that has ended, or from a faster one than the one that asks.
+// some, from a small one, from one that has ended, or from a faster one than the one that asks.
 func TestReclaimStopsSlowest(t *testing.T) {
 	var transfers Transfers
 	now := time.Unix(1000, 0)
@@ -76,28 +76,32 @@
 		transfers.Begin(x, now)
 		return x
 	}
+	small := begin("small")
+	require.True(t, transfers.Progress(small, 0, SmallTransferBytes, now))
 	stalled, slow, fast, ended := begin("stalled"), begin("slow"), begin("fast"), begin("ended")
 	for _, x := range []*Transfer{stalled, slow, fast, ended} {
-		require.True(t, transfers.Progress(x, 4<<20, 100, now))
+		require.True(t, transfers.Progress(x, 4<<20, 100<<10, now))
 	}
 	for range 50 {
 		now = now.Add(100 * time.Millisecond)
-		require.True(t, transfers.Progress(slow, 10<<10, 100, now))
-		require.True(t, transfers.Progress(fast, 1<<20, 100, now))
+		require.True(t, transfers.Progress(slow, 10<<10, 100<<10, now))
+		require.True(t, transfers.Progress(fast, 1<<20, 100<<10, now))
 	}
 	require.False(t, transfers.End(ended))
-	require.False(t, transfers.Reclaim(stalled, 50, now), "the slowest one asks")
-	require.True(t, transfers.Reclaim(fast, 50, now))
+	require.False(t, transfers.Reclaim(stalled, 50<<10, now), "the slowest one asks")
+	require.True(t, transfers.Reclaim(fast, 50<<10, now))
 	require.Equal(t, []string{"stalled"}, stopped)
-	require.True(t, transfers.Reclaim(fast, 50, now), "the memory is on its way")
+	require.True(t, transfers.Reclaim(fast, 50<<10, now), "the memory is on its way")
 	require.Equal(t, []string{"stalled"}, stopped)
 	require.True(t, transfers.End(stalled))
-	require.True(t, transfers.Reclaim(begin("new"), 50, now))
+	require.True(t, transfers.Reclaim(begin("new"), 50<<10, now))
 	require.Equal(t, []string{"stalled", "slow"}, stopped)
 	require.False(t, transfers.Progress(slow, 1, 100, now))
 	require.True(t, transfers.End(slow))
 	require.True(t, transfers.Reclaim(nil, 1, now))
 	require.Equal(t, []string{"stalled", "slow", "fast"}, stopped)
+	require.True(t, transfers.End(fast))
+	require.False(t, transfers.Reclaim(nil, 1, now), "only small ones are left")
 }
 
 // BenchmarkReserve measures a reservation and its release, which must take less than
--- a/internal/limits/clmemory/transfers.go
+++ b/internal/limits/clmemory/transfers.go
@@ -42,6 +42,10 @@
 	// one that has just begun is kept before one that has stalled. It is the rate of a
 	// link of 10 Mbit/s.
 	initialRate = 1.25e6
+	// SmallTransferBytes is the memory up to which a transfer is not stopped for its memory.
+	// Small reservations have a part of the budget of their own, and stopping a small body
+	// would refuse an ordinary request for little.
+	SmallTransferBytes = 16 << 10
 )
 
 // Begin adds a transfer.
@@ -83,9 +87,9 @@
 }
 
 // Reclaim stops the slowest transfers until the memory that will be released is at least
-// need bytes, and reports whether any memory will be released. A transfer that asks for
-// itself does not stop those that are faster; asker is nil if another part of the process
-// asks.
+// need bytes, and reports whether any memory will be released. It leaves out those that hold
+// at most SmallTransferBytes. A transfer that asks for itself does not stop those that are
+// faster; asker is nil if another part of the process asks.
 func (t *Transfers) Reclaim(asker *Transfer, need int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,7 +97,7 @@
 		return false
 	}
 	for t.pending < need {
-		x := t.slowest(now, 1)
+		x := t.slowest(now, SmallTransferBytes+1)
 		if x == nil || x == asker || asker != nil && x.rateAt(now) > asker.rateAt(now) {
 			break
 		}
--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -51,7 +51,7 @@
 	// as small, and firstReadBytes the memory that any body may hold as a small one.
 	// Prompts of several thousand tokens fit in smallBodyBytes.
 	smallBodyBytes = 64 << 10
-	firstReadBytes = 16 << 10
+	firstReadBytes = clmemory.SmallTransferBytes
 	// A body that holds more than smallBodyBytes must bring minWindowBytes in each
 	// bodyWindow, which is 4 KiB/s. That is 1/300 of a link of 10 Mbit/s, so that hundreds
 	// of callers may share one, and the window spans the retransmissions of a packet
@@ -100,8 +100,7 @@
 	err := r.read()
 	stopped := g.memory.bodies.End(&r.Transfer)
 	switch {
-	case err == nil:
-		// A stop that came too late to end the read has set the deadline as well.
+	case err == nil && !stopped:
 		if err := r.rc.SetReadDeadline(time.Time{}); err != nil {
 			g.Logger.Debug("clearing the read deadline failed", zap.Error(err))
 		}
@@ -181,8 +180,8 @@
 	}
 }
 
-// stop ends the read. It is the Stop of the transfer. It also cancels the context of a
-// request whose body ends at the same moment; that request is refused before it is sent.
+// stop ends the read. It is the Stop of the transfer. If the body ends at the same moment,
+// the request is refused as well, since the deadline cancels its context.
 func (r *bodyReader) stop() {
 	// It fails only if the connection is closed, which ends the read as well.
 	_ = r.rc.SetReadDeadline(past)
--- a/internal/serving/clgateway/conns.go
+++ b/internal/serving/clgateway/conns.go
@@ -111,7 +111,9 @@
 	// 4 KiB and two stacks of 8 KiB towards the caller, a head of 16 KiB as parsed, and
 	// buffers of 8 and 16 KiB towards an endpoint.
 	connectionBytes = 64 << 10
-	// connectionFraction is the part of the memory budget that connections may use.
+	// connectionFraction is the part of the memory budget that connections may use. With it,
+	// bodies that hold firstReadBytes on all connections just fit in the part of the budget
+	// for small reservations.
 	connectionFraction = 0.5
 	// otherDescriptors is the number of descriptors that are not for callers and
 	// endpoints: files, listeners, other gateways and the store.
