Use names of no platform in the test of follower requests

TestNamesStayHere of platform/cladapter failed because the test that came with the limits at the other listeners named kinds of the platform's store. It passes now, as does TestRequestMessages.

--- a/internal/coordination/clmirror/request_test.go
+++ b/internal/coordination/clmirror/request_test.go
@@ -18,7 +18,7 @@
 func TestRequestMessages(t *testing.T) {
 	var whole bytes.Buffer
 	request := feedRequest{Positions: map[string]Position{}, Wait: time.Second}
-	for _, name := range []string{"config", "endpoints", "rollouts", "evacuations", "gateways"} {
+	for _, name := range []string{"one", "two", "three", "four", "five"} {
 		request.Positions[name] = Position{}
 	}
 	require.NoError(t, gob.NewEncoder(&whole).Encode(request))
