Send no request of a connection that was closed for another

At the connection limit, and when a state lasts too long, a connection that still counts as new, idle or in its head is closed. Its request may have been read by then, and the handler ran nevertheless: a review saw 77 of 1,260 such requests at the endpoint. The handler now aborts if the connection was removed; after the state has become active, nothing removes it.

TestDisplacedRequestIsNotSent fails without the change.

--- a/internal/serving/clgateway/conns.go
+++ b/internal/serving/clgateway/conns.go
@@ -278,6 +278,14 @@
 	}
 }
 
+// isRemoved reports whether the connection was closed because of a limit. Once the state is
+// connActive, only the server closes it, so the result is final for a request.
+func (c *callerConn) isRemoved() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.removed
+}
+
 // expire closes the connection because its state has lasted too long.
 func (c *callerConn) expire() {
 	c.conns.mu.Lock()
--- a/internal/serving/clgateway/serve.go
+++ b/internal/serving/clgateway/serve.go
@@ -103,8 +103,12 @@
 )
 
 // serve is the HTTP handler for callers. It forwards the request if it is admitted,
-// and otherwise sends the error response that admit returns.
+// and otherwise sends the error response that admit returns. It sends nothing if the
+// connection was closed before the request was complete.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok && conn.isRemoved() {
+		panic(http.ErrAbortHandler)
+	}
 	c := &call{w: w, r: r, reqInfo: g.Headers.ParseRequest(r.Header), arrived: time.Now()}
 	if g.draining() {
 		w.Header().Set("Connection", "close")
