Keep the deadline that stops a body

A stop between Progress and the deadline of the minimum rate, or between Begin and the first deadline, was replaced by the later deadline, so that the body went on until that one. The first deadline is now set before Begin, and checkRate runs before Progress, which reports a stop in between.

--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -96,6 +96,10 @@
 	}
 	r := &bodyReader{g: g, c: c, rc: http.NewResponseController(c.w), limit: limit}
 	r.Stop = r.stop
+	// The deadline is set before Stop may be called, so that it does not replace that of Stop.
+	if err := r.rc.SetReadDeadline(c.deadline); err != nil {
+		g.Logger.Debug("setting the read deadline failed", zap.Error(err))
+	}
 	g.memory.bodies.Begin(&r.Transfer, time.Now())
 	err := r.read()
 	stopped := g.memory.bodies.End(&r.Transfer)
@@ -126,9 +130,6 @@
 
 // read reads the body into c.body.
 func (r *bodyReader) read() error {
-	if err := r.rc.SetReadDeadline(r.c.deadline); err != nil {
-		r.g.Logger.Debug("setting the read deadline failed", zap.Error(err))
-	}
 	held, length := &r.c.held, r.c.r.ContentLength
 	for {
 		if held.body == nil || len(held.body.B) == cap(held.body.B) && int64(len(held.body.B)) != length {
@@ -156,10 +157,11 @@
 			return err
 		}
 		now := time.Now()
+		// Progress comes last: it reports a Stop whose deadline checkRate has replaced.
+		r.checkRate(n, now)
 		if !r.g.memory.bodies.Progress(&r.Transfer, n, held.bodyBytes, now) {
 			return errNoMemory
 		}
-		r.checkRate(n, now)
 	}
 }
 
