Don't count a lack of memory as the silence of an endpoint

The time that a stream waited for memory for an event counted toward the time without events, so that a healthy endpoint was given up. It is now left out. Responses that are not streams are relayed unbuffered at once.

A request whose own body fills the budget lost its stream, since Reserve was told that the request held nothing. It now gets what the request holds.

TestWaitForEventMemoryIsNotSilence, TestOwnBodyDoesNotCutStream and TestResponseDoesNotWaitForMemory fail without the change.

--- a/internal/serving/clgateway/answer.go
+++ b/internal/serving/clgateway/answer.go
@@ -134,7 +134,8 @@
 	if size <= freeResponseBytes {
 		return slices.Grow(body, cap(body)), true
 	}
-	if !g.reserveResponse(clmemory.Responses, size) {
+	// It does not wait for memory, which would count as the endpoint's silence.
+	if !g.memory.budget.Reserve(clmemory.Responses, size, a.held.bytes(), false) {
 		g.recordShortage("response_not_buffered")
 		return body, false
 	}
@@ -217,7 +218,11 @@
 	// progressAt is when the last event with data arrived, or the beginning.
 	progressAt, patience := time.Now(), g.timeouts(a, time.Until(a.deadline)).BetweenReads
 	for {
-		if !g.growEvent(ctx, a, len(s.Remaining())+readBufferSize) {
+		waitFrom := time.Now()
+		granted := g.growEvent(ctx, a, len(s.Remaining())+readBufferSize)
+		// The time without memory is not the endpoint's silence.
+		progressAt = progressAt.Add(time.Since(waitFrom))
+		if !granted {
 			_ = a.response.Body.Close()
 			// A stream that continues elsewhere would need the same memory.
 			p.final = true
@@ -282,7 +287,7 @@
 		}
 		return true
 	}
-	for end := time.Now().Add(eventMemoryTimeout); !g.reserveResponse(clmemory.Events, more); time.Sleep(eventPollInterval) {
+	for end := time.Now().Add(eventMemoryTimeout); !g.reserveEvent(a, more); time.Sleep(eventPollInterval) {
 		if ctx.Err() != nil || time.Now().After(end) {
 			g.recordShortage("stream_cut")
 			return false
--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -238,17 +238,20 @@
 	}
 }
 
-// reserveResponse reserves memory for a response of an endpoint. If the budget is short,
+// bytes returns the sum of what a call holds.
+func (h *heldMemory) bytes() int64 { return h.bodyBytes + h.responseBytes + h.eventBytes }
+
+// reserveEvent reserves memory for an event of a stream. If the budget is short,
 // unfinished bodies are stopped, but only their release within reclaimTimeout counts.
-func (g *Gateway) reserveResponse(k clmemory.Kind, size int64) bool {
-	m := &g.memory
-	if m.budget.Reserve(k, size, 0, false) {
+func (g *Gateway) reserveEvent(a *attempt, size int64) bool {
+	m, own := &g.memory, a.held.bytes()
+	if m.budget.Reserve(clmemory.Events, size, own, false) {
 		return true
 	}
 	for end := time.Now().Add(reclaimTimeout); ; time.Sleep(memoryPollInterval) {
 		now := time.Now()
 		released := !now.After(end) && m.bodies.Reclaim(nil, size, now)
-		if m.budget.Reserve(k, size, 0, false) {
+		if m.budget.Reserve(clmemory.Events, size, own, false) {
 			return true
 		}
 		if !released {
