Don't allocate for each read of a body

The byte for finding the end of a body escaped in each turn of the loop. It is now a field of bodyReader.

--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -43,6 +43,8 @@
 		// begun if windowChecked is set.
 		windowBytes   int
 		windowChecked bool
+		// one is the buffer of the read that finds the end of a body whose buffer is full.
+		one [1]byte
 	}
 )
 
@@ -139,10 +141,9 @@
 		}
 		b := held.body.B
 		spare := b[len(b):cap(b)]
-		var one [1]byte
 		if len(spare) == 0 {
 			// The body is complete; only its end is missing.
-			spare = one[:]
+			spare = r.one[:]
 		}
 		n, err := r.c.r.Body.Read(spare)
 		if int64(len(b)+n) > r.limit {
