Close only stalled or silent connections for new ones

At the connection limit, the slowest body was stopped even if it was arriving, so an ordinary request was refused for a new connection. Only a body without bytes for 1 s is stopped now, else the new connection is refused. Closing connections and those that were silent for 100 ms are closed before others.

A 431 was discarded if the caller was still sending, since the connection was closed at once; it now lingers. An empty line after a body put an idle connection into its head, which closed it after the time for heads; it stays idle now, but the bytes still count.

TestStalledBodyMakesRoom, TestHeadRefusalLingers and TestHeadsOnOneConnection failed without the change. TestEmptyLinesCount covers the count, which the server's own 400 hides from callers.

--- a/internal/limits/clmemory/transfers.go
+++ b/internal/limits/clmemory/transfers.go
@@ -17,7 +17,9 @@
 		// rate is the recent rate in bytes per second as of the time at.
 		rate float64
 		at   time.Time
-		held int64
+		// arrivedAt is when bytes last arrived, or the beginning.
+		arrivedAt time.Time
+		held      int64
 		// index is the position in Transfers.list.
 		index   int
 		stopped bool
@@ -46,13 +48,16 @@
 	// Small reservations have a part of the budget of their own, and stopping a small body
 	// would refuse an ordinary request for little.
 	SmallTransferBytes = 16 << 10
+	// StalledAfter is the time without bytes after which a transfer counts as stalled. It
+	// spans two retransmissions of a lost packet (0.2 and 0.4 s).
+	StalledAfter = time.Second
 )
 
 // Begin adds a transfer.
 func (t *Transfers) Begin(x *Transfer, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.rate, x.at, x.index = initialRate, now, len(t.list)
+	x.rate, x.at, x.arrivedAt, x.index = initialRate, now, now, len(t.list)
 	t.list = append(t.list, x)
 }
 
@@ -63,6 +68,9 @@
 	defer t.mu.Unlock()
 	x.rate = x.rateAt(now) + float64(n)/rateDecay
 	x.at = now
+	if n > 0 {
+		x.arrivedAt = now
+	}
 	if x.stopped {
 		t.pending += held - x.held
 	}
@@ -106,15 +114,21 @@
 	return t.pending > 0
 }
 
-// StopSlowest stops the slowest transfer and reports whether there was one.
-func (t *Transfers) StopSlowest(now time.Time) bool {
+// StopStalled stops the transfer that has brought no bytes for longest, if that is at least
+// StalledAfter, and reports whether there was one.
+func (t *Transfers) StopStalled(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x := t.slowest(now, 0)
-	if x == nil {
+	var out *Transfer
+	for _, x := range t.list {
+		if !x.stopped && now.Sub(x.arrivedAt) >= StalledAfter && (out == nil || x.arrivedAt.Before(out.arrivedAt)) {
+			out = x
+		}
+	}
+	if out == nil {
 		return false
 	}
-	t.stop(x)
+	t.stop(out)
 	return true
 }
 
--- a/internal/serving/clgateway/conns.go
+++ b/internal/serving/clgateway/conns.go
@@ -3,6 +3,7 @@
 package clgateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -125,6 +126,10 @@
 	// lingerTimeout is how long a refused caller that is still sending may read the
 	// response. It is the time that net/http uses for the same purpose.
 	lingerTimeout = 500 * time.Millisecond
+	// settledAfter is the time after which a silent connection is closed for a new one
+	// before others. A request that was sent at once has arrived by then: a round trip
+	// between the regions of callers and gateways takes less.
+	settledAfter = 100 * time.Millisecond
 	// limitLogInterval is the time between two log lines about the same cause, so that an
 	// attack does not displace other lines.
 	limitLogInterval = 10 * time.Second
@@ -170,21 +175,21 @@
 	}
 }
 
-// add returns the wrapped connection. If there are too many, the connection that has been
-// idle for longest makes room for it, else the oldest one whose head is not complete, else
-// the slowest unfinished body. If there is none of these, add returns nil.
+// add returns the wrapped connection. If there are too many, another one makes room for it
+// (see victim), else the body that has stalled for longest. If there is none of these, add
+// returns nil.
 func (cs *callerConns) add(nc net.Conn) net.Conn {
 	now := time.Now()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if len(cs.conns) >= cs.limit {
-		switch victim := cs.oldest(); {
+		switch victim := cs.victim(now); {
 		case victim != nil:
 			cs.recordClosed(closedDisplaced, now)
 			cs.remove(victim)
 			// An error doesn't matter, because the connection is given up.
 			_ = victim.Conn.Close()
-		case cs.g.memory.bodies.StopSlowest(now):
+		case cs.g.memory.bodies.StopStalled(now):
 			// Its connection closes as soon as its request has been refused.
 			cs.recordClosed(closedDisplaced, now)
 		default:
@@ -205,26 +210,34 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// oldest returns the connection that has been without a request for longest; those that
-// have begun a head come last. It returns nil if all have requests.
-func (cs *callerConns) oldest() *callerConn {
-	var idle, head *callerConn
+// victim returns the connection that is closed for a new one, or nil if all have requests:
+// one that is closing, else one that has been silent for settledAfter, else another silent
+// one, else one that has begun a head. The oldest of its kind is taken.
+func (cs *callerConns) victim(now time.Time) *callerConn {
+	const ranks = 4
+	var oldest [ranks]*callerConn
 	for c := range cs.conns {
-		switch connState(c.state.Load()) {
-		case connNew, connIdle, connClosing:
-			if idle == nil || c.since.Before(idle.since) {
-				idle = c
-			}
-		case connHead:
-			if head == nil || c.since.Before(head.since) {
-				head = c
-			}
+		rank := 0
+		switch s := connState(c.state.Load()); {
+		case s == connActive:
+			continue
+		case s == connHead:
+			rank = 3
+		case s != connClosing && now.Sub(c.since) < settledAfter:
+			rank = 2
+		case s != connClosing:
+			rank = 1
+		}
+		if oldest[rank] == nil || c.since.Before(oldest[rank].since) {
+			oldest[rank] = c
 		}
 	}
-	if idle != nil {
-		return idle
+	for _, c := range oldest {
+		if c != nil {
+			return c
+		}
 	}
-	return head
+	return nil
 }
 
 // remove no longer counts a connection. mu must be held.
@@ -314,7 +327,9 @@
 		return n, err
 	}
 	maxBytes, maxTime := c.conns.g.headLimits()
-	if s != connHead {
+	// Some callers send an empty line after a body. It begins no head, so that the
+	// connection stays idle until idleTimeout.
+	if s != connHead && len(bytes.Trim(p[:n], "\r\n")) > 0 {
 		c.enter(connHead, maxTime)
 	}
 	c.headBytes += n
@@ -328,7 +343,9 @@
 		// The caller may have gone.
 		_, _ = io.WriteString(c.Conn, headTooLarge)
 	}
-	// The server closes the connection without a response of its own.
+	// The server closes the connection without a response of its own. Closing it at once
+	// would discard the response if the caller is still sending.
+	c.linger.Store(true)
 	return 0, io.EOF
 }
 
