Widen the margins of the tests of limits

TestStalledBodyGivesWay had 3 s until the minimum rate would refuse the body with 408; the body now begins another window and has 5 s.

--- a/internal/serving/clgateway/limits_test.go
+++ b/internal/serving/clgateway/limits_test.go
@@ -77,13 +77,13 @@
 		{"as large as configured", "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Key: f\r\nX-Filler: " + strings.Repeat("x", 7900) + "\r\nContent-Length: 0\r\n\r\n", 0, 200},
 		{"too large", "POST /get/1 HTTP/1.1\r\nX-Filler: " + strings.Repeat("x", 32<<10), 0, 431},
 		{"empty lines", strings.Repeat("\r\n", 4), 0, 400},
-		{"in time", "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Key: f\r\nContent-Length: 0\r\n", 400 * time.Millisecond, 200},
-		{"too slow", "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Key: f\r\nContent-Length: 0\r\n", 3 * time.Second, 0},
+		{"in time", "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Key: f\r\nContent-Length: 0\r\n", time.Second, 200},
+		{"too slow", "POST /get/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: r1\r\nX-Key: f\r\nContent-Length: 0\r\n", 6 * time.Second, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t, echoLength)
-			env.changeLimits(func(l *clcatalog.Limits) { l.HeaderBytes, l.HeaderTimeout = 8<<10, 500*time.Millisecond })
+			env.changeLimits(func(l *clcatalog.Limits) { l.HeaderBytes, l.HeaderTimeout = 8<<10, 2*time.Second })
 			c := env.dial(tc.head)
 			if tc.pause > 0 {
 				time.Sleep(tc.pause)
@@ -105,9 +105,12 @@
 	env.changeLimits(func(l *clcatalog.Limits) { l.BodyBytes = 8 << 20 })
 	env.setTimeout("book", 10*time.Second)
 	const large = 5 << 20
-	stalled := env.dial(bodyHead("/book/stalled", "f", large) + strings.Repeat("x", large-1))
+	stalled := env.dial(bodyHead("/book/stalled", "f", large) + strings.Repeat("x", large-1-minWindowBytes))
 	require.Eventually(t, func() bool { return env.gateway.memory.budget.Held(clmemory.Bodies) == large }, 5*time.Second, time.Millisecond)
 	time.Sleep(2 * time.Second)
+	// This begins another bodyWindow, so that the minimum rate leaves the test 5 s.
+	_, err := io.WriteString(stalled, strings.Repeat("x", minWindowBytes))
+	require.NoError(t, err)
 	other := env.dial(bodyHead("/book/other", "f", large) + strings.Repeat("x", large))
 	status, _, body := readResponse(t, other)
 	require.Equal(t, 200, status)
