Scan the transfers once for all that wait for memory

Each waiting body looked for the slowest of all transfers every 5 ms and computed two exponentials for each of them. All rates decay alike, so the order is kept as ln(rate) plus the time and compared as it is; and one scan serves all that wait within 5 ms, unless its result has changed.

TestReclaimAfterChange guards the kept result.

--- a/internal/limits/clmemory/budget_test.go
+++ b/internal/limits/clmemory/budget_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+// Guards against a transfer that is stopped because it was the slowest one before it brought
+// more, and against one that has ended and is kept as the slowest.
+func TestReclaimAfterChange(t *testing.T) {
+	var transfers Transfers
+	now := time.Unix(1000, 0)
+	var stopped []int
+	xs := make([]*Transfer, 3)
+	for i := range xs {
+		xs[i] = &Transfer{Stop: func() { stopped = append(stopped, i) }}
+		transfers.Begin(xs[i], now)
+		transfers.Progress(xs[i], (i+1)<<20, 100<<10, now)
+	}
+	require.False(t, transfers.Reclaim(xs[0], 1, now), "the slowest one asks")
+	transfers.Progress(xs[0], 8<<20, 100<<10, now)
+	require.False(t, transfers.Reclaim(xs[1], 1, now), "the slowest one asks")
+	require.False(t, transfers.End(xs[1]))
+	require.True(t, transfers.Reclaim(nil, 1, now))
+	require.Equal(t, []int{2}, stopped)
+}
+
 // Guards against memory that is taken from a fast transfer while a stalled one holds
 // some, from a small one, from one that has ended, or from a faster one than the one that asks.
 func TestReclaimStopsSlowest(t *testing.T) {
@@ -131,6 +151,31 @@
 	})
 }
 
+// BenchmarkReclaim measures an attempt of a waiting transfer that may stop none of 300
+// others. The attempts are as frequent as if all 300 waited. It must allocate nothing.
+func BenchmarkReclaim(b *testing.B) {
+	var transfers Transfers
+	now := time.Unix(1000, 0)
+	var asker *Transfer
+	for range 300 {
+		asker = &Transfer{Stop: func() {}}
+		transfers.Begin(asker, now)
+		transfers.Progress(asker, 4<<20, 100<<10, now)
+	}
+	now = now.Add(100 * time.Millisecond)
+	transfers.Progress(asker, 0, 100<<10, now)
+	slow := &Transfer{Stop: func() {}}
+	transfers.Begin(slow, now)
+	transfers.Progress(slow, 0, 100<<10, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(5 * time.Millisecond / 300)
+		if transfers.Reclaim(slow, 1<<20, now) {
+			b.Fatal("stopped")
+		}
+	}
+}
+
 // BenchmarkTransfer measures what the order of the transfers costs a body that arrives
 // at once, beside 500 others.
 func BenchmarkTransfer(b *testing.B) {
--- a/internal/limits/clmemory/transfers.go
+++ b/internal/limits/clmemory/transfers.go
@@ -17,6 +17,9 @@
 		// rate is the recent rate in bytes per second as of the time at.
 		rate float64
 		at   time.Time
+		// rank is ln(rate) plus the time at in units of rateDecay. All rates decay alike, so
+		// of two transfers the one with the lower rank is the slower one at any time.
+		rank float64
 		// arrivedAt is when bytes last arrived, or the beginning.
 		arrivedAt time.Time
 		held      int64
@@ -32,6 +35,13 @@
 		list []*Transfer
 		// pending is the memory of the transfers that were stopped and have not ended.
 		pending int64
+		// begun is the time from which ranks count.
+		begun time.Time
+		// candidate is the slowest transfer as of scannedAt, or nil, and candidateRank its
+		// rank at that time.
+		candidate     *Transfer
+		candidateRank float64
+		scannedAt     time.Time
 	}
 )
 
@@ -51,13 +61,20 @@
 	// StalledAfter is the time without bytes after which a transfer counts as stalled. It
 	// spans two retransmissions of a lost packet (0.2 and 0.4 s).
 	StalledAfter = time.Second
+	// scanInterval is the time for which the slowest transfer is kept. Each waiting transfer
+	// asks every 5 ms, so that all of them together cause one scan in that time.
+	scanInterval = 5 * time.Millisecond
 )
 
 // Begin adds a transfer.
 func (t *Transfers) Begin(x *Transfer, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.rate, x.at, x.arrivedAt, x.index = initialRate, now, now, len(t.list)
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	x.arrivedAt, x.index = now, len(t.list)
+	t.setRate(x, initialRate, now)
 	t.list = append(t.list, x)
 }
 
@@ -66,9 +83,8 @@
 func (t *Transfers) Progress(x *Transfer, n int, held int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.rate = x.rateAt(now) + float64(n)/rateDecay
-	x.at = now
 	if n > 0 {
+		t.setRate(x, x.rateAt(now)+float64(n)/rateDecay, now)
 		x.arrivedAt = now
 	}
 	if x.stopped {
@@ -83,6 +99,9 @@
 func (t *Transfers) End(x *Transfer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.candidate == x {
+		t.candidate, t.scannedAt = nil, time.Time{}
+	}
 	last := len(t.list) - 1
 	t.list[x.index] = t.list[last]
 	t.list[x.index].index = x.index
@@ -105,8 +124,8 @@
 		return false
 	}
 	for t.pending < need {
-		x := t.slowest(now, SmallTransferBytes+1)
-		if x == nil || x == asker || asker != nil && x.rateAt(now) > asker.rateAt(now) {
+		x := t.slowest(now)
+		if x == nil || x == asker || asker != nil && x.rank > asker.rank {
 			break
 		}
 		t.stop(x)
@@ -132,16 +151,27 @@
 	return true
 }
 
-// slowest returns the slowest transfer that is not stopped and holds at least minHeld
-// bytes, or nil.
-func (t *Transfers) slowest(now time.Time, minHeld int64) *Transfer {
-	var out *Transfer
+// slowest returns the slowest transfer that is not stopped and holds more than
+// SmallTransferBytes, or nil. Transfers that have begun or grown within
+// scanInterval may be left out.
+func (t *Transfers) slowest(now time.Time) *Transfer {
+	x := t.candidate
+	if age := now.Sub(t.scannedAt); age >= 0 && age < scanInterval && (x == nil || !x.stopped && x.rank == t.candidateRank) {
+		return x
+	}
+	t.candidate, t.scannedAt = nil, now
 	for _, x := range t.list {
-		if !x.stopped && x.held >= minHeld && (out == nil || x.rateAt(now) < out.rateAt(now)) {
-			out = x
+		if !x.stopped && x.held > SmallTransferBytes && (t.candidate == nil || x.rank < t.candidate.rank) {
+			t.candidate, t.candidateRank = x, x.rank
 		}
 	}
-	return out
+	return t.candidate
+}
+
+// setRate sets the rate of a transfer as of now.
+func (t *Transfers) setRate(x *Transfer, rate float64, now time.Time) {
+	x.rate, x.at = rate, now
+	x.rank = math.Log(rate) + now.Sub(t.begun).Seconds()/rateDecay
 }
 
 func (t *Transfers) stop(x *Transfer) {
