--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -66,8 +66,8 @@
 	// long as this.
 	reclaimTimeout = 500 * time.Millisecond
 	// memoryPollInterval is the time between two attempts to reserve memory. It is short
-	// beside the transfer of a body of 1 MiB, and long beside the cost of an attempt with
-	// some hundred transfers (a few microseconds).
+	// beside the transfer of a body of 1 MiB, and long beside the cost of an attempt
+	// (BenchmarkReclaim).
 	memoryPollInterval = 5 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of requests that get no memory. It is the time
 	// after which a stalled body counts as slower than most that begin.
--- a/internal/serving/clgateway/conns.go
+++ b/internal/serving/clgateway/conns.go
@@ -127,8 +127,8 @@
 	// response. It is the time that net/http uses for the same purpose.
 	lingerTimeout = 500 * time.Millisecond
 	// settledAfter is the time after which a silent connection is closed for a new one
-	// before others. A request that was sent at once has arrived by then: a round trip
-	// between the regions of callers and gateways takes less.
+	// before others. It is longer than a round trip within a continent, so that a caller
+	// has had the time to send its request.
 	settledAfter = 100 * time.Millisecond
 	// limitLogInterval is the time between two log lines about the same cause, so that an
 	// attack does not displace other lines.
@@ -328,7 +328,7 @@
 	}
 	maxBytes, maxTime := c.conns.g.headLimits()
 	// Some callers send an empty line after a body. It begins no head, so that the
-	// connection stays idle until idleTimeout.
+	// connection keeps its state and its deadline.
 	if s != connHead && len(bytes.Trim(p[:n], "\r\n")) > 0 {
 		c.enter(connHead, maxTime)
 	}
