--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -87,7 +87,7 @@
 
 // testEnv runs a gateway and the endpoints behind it.
 type testEnv struct {
-	t        *testing.T
+	t        testing.TB
 	gateway  *Gateway
 	baseURL  string
 	recorder *testRecorder
@@ -116,7 +116,13 @@
 
 // newTestEnv starts one endpoint for each script, and one gateway in front of all the
 // endpoints.
-func newTestEnv(t *testing.T, endpoints ...script) *testEnv {
+func newTestEnv(t testing.TB, endpoints ...script) *testEnv {
+	t.Helper()
+	return newLimitedEnv(t, 0, 0, endpoints...)
+}
+
+// newLimitedEnv is like newTestEnv, with limits for the gateway's process.
+func newLimitedEnv(t testing.TB, memoryBytes int64, maxDescriptors int, endpoints ...script) *testEnv {
 	t.Helper()
 	env := &testEnv{t: t, recorder: &testRecorder{}, configFresh: true, stopped: make(chan error, 1)}
 	fleet := &clfleet.Fleet{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
@@ -151,6 +157,7 @@
 	env.gateway = &Gateway{
 		Address: addr, Headers: testCodec{}, Fleet: fleet, Quotas: quotas, RetryBudget: retries, Crashes: &clcrash.Tracker{},
 		Client: &clendpoint.HTTP{}, Recorder: env.recorder, ShutdownDelay: 300 * time.Millisecond, GracePeriod: 3 * time.Second,
+		MemoryBytes: memoryBytes, MaxDescriptors: maxDescriptors,
 		ConfigFresh: func() (bool, time.Duration) {
 			env.mu.Lock()
 			defer env.mu.Unlock()
@@ -272,6 +279,15 @@
 	env.gateway.SetCatalog(changed)
 }
 
+// changeLimits puts a configuration in force in which the limits are changed.
+func (env *testEnv) changeLimits(change func(l *clcatalog.Limits)) {
+	old := env.gateway.Catalog()
+	changed := &clcatalog.Catalog{Version: old.Version + 1, Limits: old.Limits, Services: old.Services, Accounts: old.Accounts, Routes: old.Routes}
+	change(&changed.Limits)
+	changed.BuildIndexes()
+	env.gateway.SetCatalog(changed)
+}
+
 // request returns a POST request to the gateway. It carries the API key unless the key
 // is empty.
 func (env *testEnv) request(path, key, body string) *http.Request {
