Wait for the limits before the test of empty lines uses them

TestEmptyLinesCount called add while Run could still set the limits, which the race detector reported in one of two runs of the package, for this test and for others that ran at the same time.

--- a/internal/serving/clgateway/conns_test.go
+++ b/internal/serving/clgateway/conns_test.go
@@ -139,6 +139,9 @@
 func TestEmptyLinesCount(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, echoLength)
+	// Run sets the limits before it accepts this connection.
+	env.dial("")
+	env.onlyConn()
 	near, far := net.Pipe()
 	c, ok := env.gateway.conns.add(near).(*callerConn)
 	require.True(t, ok)
