--- a/internal/routing/clcost/model.go
+++ b/internal/routing/clcost/model.go
@@ -82,7 +82,8 @@
 }
 
 // PromptSeconds returns the time that an endpoint with the given rate, in tokens per
-// second, needs for a prompt by its tokens and pairs of tokens: each uncached token attends to all tokens before it.
+// second, needs for a prompt by its tokens and pairs of tokens: each uncached token attends
+// to all tokens before it.
 func PromptSeconds(r Request, rate float64) float64 {
 	cached := max(0, r.PromptTokens-r.UncachedTokens)
 	return r.UncachedTokens/rate + secondsPerPair*(r.PromptTokens*r.PromptTokens-cached*cached)/2
--- a/internal/routing/clfleet/score.go
+++ b/internal/routing/clfleet/score.go
@@ -107,8 +107,8 @@
 func (c *Choice) scoredLatency() time.Duration { return cmp.Or(c.trusted, c.ExpectedLatency) }
 
 // baseScore returns the score of the choice without the affinity bonus and the random
-// addition: the expected time to the first event, plus what the choice costs other callers, a penalty for another data
-// centre and one for failures in excess of the service's rate.
+// addition: the expected time to the first event, plus what the choice costs other callers,
+// a penalty for another data centre and one for failures in excess of the service's rate.
 func (f *Fleet) baseScore(s *service, cfg *clcatalog.Service, c *Choice, now time.Time) time.Duration {
 	score := c.scoredLatency() + c.Harm
 	if c.DataCentre != f.DataCentre {
--- a/internal/routing/clfleet/stated.go
+++ b/internal/routing/clfleet/stated.go
@@ -196,10 +196,10 @@
 // usualWork returns the work of a request at a plain endpoint whose pace is 1.
 func (s *service) usualWork() time.Duration { return cmp.Or(s.plainWork, defaultPlainLatency) }
 
-// plainSeconds returns the expected latency of a plain endpoint that states its load,
-// for a request that takes work seconds at a pace of 1, and the number of requests expected there. The digests' numbers of running requests
-// are not used: they are older than the requests are long, and all gateways would send
-// to the endpoint that was idle then.
+// plainSeconds returns the expected latency of a plain endpoint that states its load, for a
+// request that takes work seconds at a pace of 1, and the number of requests expected
+// there. The digests' numbers of running requests are not used: they are older than the
+// requests are long, and all gateways would send to the endpoint that was idle then.
 func (s *service) plainSeconds(e *endpoint, work, pace float64, now time.Time) (seconds, requests float64) {
 	work *= pace
 	slots := float64(max(1, e.heard.Slots))
