Log and count what an endpoint's connection had carried before

A refusal that rests on an endpoint's statement could not be traced: the logs said neither which connection an attempt was on nor whether that had carried the request's ID before, and nothing counted new connections by cause.

The lines 'attempt failed' and 'answered' have connection, connection_requests and connection_had_id; chestnutlead_gateway_endpoint_responses_total and chestnutlead_node_endpoint_connections_total count them. No request takes another way than before.

The tests of clendpoint, clgateway, clnode, clentry and the adapter pass.

--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -23,8 +23,10 @@
 		net.Conn
 		addr   netip.AddrPort
 		boot   string        // boot ID of the process that accepted the connection, if asked for
-		used   bool          // it has been idle in the pool
 		echoes bool          // an answer on it has carried an attempt ID
+		use    ConnUse       // what it had carried before the present attempt
+		sent   int           // requests that it has carried, with the present one
+		ids    idSet         // IDs of these requests
 		br     *bufio.Reader // reads through readLimited
 		out    []byte        // request buffer
 
@@ -51,12 +53,15 @@
 	requestHeaders  = sync.Pool{New: func() any { return new(fasthttp.RequestHeader) }}
 	responseHeaders = sync.Pool{New: func() any { return new(fasthttp.ResponseHeader) }}
 
+	// lastConn is the number of the connection that was opened last.
+	lastConn atomic.Uint64
+
 	// past is a deadline that ends blocked reads and writes at once.
 	past = time.Unix(1, 0)
 )
 
 func newConn(nc net.Conn, addr netip.AddrPort) *conn {
-	c := &conn{Conn: nc, addr: addr}
+	c := &conn{Conn: nc, addr: addr, use: ConnUse{Number: lastConn.Add(1)}}
 	c.br = bufio.NewReaderSize(readLimited{c}, readBufferBytes)
 	return c
 }
@@ -73,6 +78,12 @@
 	_ = c.SetDeadline(past)
 }
 
+// record adds the request of a call to what the connection has carried.
+func (c *conn) record(call Call) {
+	c.use.Requests, c.use.SameID = c.sent, c.ids.add(call.id())
+	c.sent++
+}
+
 // finish ends the attempt and reports whether the connection may be reused:
 // cancel has not run and never will.
 func (c *conn) finish() bool {
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -14,6 +14,9 @@
 		Endpoint netip.AddrPort
 		// AttemptID is unique for each attempt; the endpoint echoes it.
 		AttemptID string
+		// RequestID is the ID by which the caller recognizes the answer, if that is
+		// not AttemptID; it is not sent. Unlike AttemptID it may come again.
+		RequestID string
 		Method    string
 		// Path includes the query.
 		Path   string
@@ -56,15 +59,29 @@
 		Status int
 		Header []Header
 		Body   BodyReader
-		// Reused says that the connection had carried other requests, so that bytes
-		// which belong to them may have come first.
-		Reused bool
+		// Conn tells what the connection had carried before, so that bytes which
+		// belong to that may have come first.
+		Conn ConnUse
 		// UntilClose says that the body has neither a length nor chunks and ends with
 		// its connection. It then cannot tell a whole body from one whose endpoint
 		// ended.
 		UntilClose bool
 	}
 
+	// ConnUse tells what a connection had carried before an attempt.
+	ConnUse struct {
+		// Number tells the connections of a client apart.
+		Number uint64
+		// Requests is the number of requests, reports included, that the connection
+		// had carried.
+		Requests int
+		// SameID says that one of them had the ID of this attempt.
+		SameID bool
+	}
+
+	// ConnChoice says why a call goes over a kept connection or a new one.
+	ConnChoice string
+
 	// BodyReader reads an answer's body; Close before the end abandons the
 	// attempt and closes its connection, which is never reused.
 	BodyReader interface {
@@ -140,6 +157,19 @@
 	}
 )
 
+// Choices of a connection.
+const (
+	// ConnKept is a kept connection.
+	ConnKept ConnChoice = "kept"
+	// ConnNoneIdle is a new connection, because none was idle.
+	ConnNoneIdle ConnChoice = "none_idle"
+	// ConnAsked is a new connection, because the call asked for it.
+	ConnAsked ConnChoice = "asked_for"
+	// ConnUnusable is a new connection, because each idle one was closed, had been
+	// idle for too long or had unread bytes.
+	ConnUnusable ConnChoice = "unusable"
+)
+
 // Kinds of failure of a call.
 const (
 	// KindNotSent says that no byte of the request can have reached the endpoint.
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -30,6 +30,9 @@
 		// MaxIdlePerEndpoint limits the connections kept for each endpoint; 0
 		// means DefaultMaxIdlePerEndpoint.
 		MaxIdlePerEndpoint int
+		// Connected, unless nil, is told for each call which connection it goes over.
+		// It must not block.
+		Connected func(ConnChoice)
 
 		pool pool
 	}
@@ -76,6 +79,7 @@
 	}
 	c.begin(ctx, t)
 	c.keepWaiting = call.KeepWaiting
+	c.record(call)
 	n, err := c.send(call)
 	if err != nil {
 		err = c.classify(err, n > 0)
@@ -107,11 +111,15 @@
 
 // connect returns an idle connection that is still open, or a new one.
 func (h *HTTP) connect(ctx context.Context, call Call, t Timeouts) (*conn, error) {
+	choice := ConnAsked
 	if !call.NewConnection {
-		if c := h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout))); c != nil {
+		var c *conn
+		if c, choice = h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout))); c != nil {
+			h.connected(ConnKept)
 			return c, nil
 		}
 	}
+	h.connected(choice)
 	c, err := dial(ctx, call.Endpoint, t)
 	if err != nil || call.BootID == "" {
 		return c, err
@@ -119,6 +127,12 @@
 	return identify(ctx, c, call, t)
 }
 
+func (h *HTTP) connected(c ConnChoice) {
+	if h.Connected != nil {
+		h.Connected(c)
+	}
+}
+
 func dial(ctx context.Context, addr netip.AddrPort, t Timeouts) (*conn, error) {
 	d := net.Dialer{Timeout: t.Connect}
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
@@ -188,7 +202,7 @@
 		}
 	}
 	c.headBefore = time.Time{}
-	a := &Answer{Status: hdr.StatusCode(), Reused: c.used}
+	a := &Answer{Status: hdr.StatusCode(), Conn: c.use}
 	for k, v := range hdr.All() {
 		if name := string(k); !ownedHeader(name) {
 			a.Header = append(a.Header, Header{Name: name, Value: string(v)})
--- a/clendpoint/identify.go
+++ b/clendpoint/identify.go
@@ -49,6 +49,7 @@
 		}
 	}()
 	call := Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath}
+	c.record(call)
 	if _, err := c.send(call); err != nil {
 		return Load{}, false, err
 	}
--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -24,16 +24,18 @@
 )
 
 // take returns the most recently used connection that became idle after
-// oldest and is still open, or nil.
-func (p *pool) take(key poolKey, oldest time.Time) *conn {
+// oldest and is still open, or nil and the reason for a new one.
+func (p *pool) take(key poolKey, oldest time.Time) (*conn, ConnChoice) {
+	choice := ConnNoneIdle
 	for {
 		c := p.pop(key)
 		if c == nil {
-			return nil
+			return nil, choice
 		}
 		if c.idleSince.After(oldest) && c.usable() {
-			return c
+			return c, ConnKept
 		}
+		choice = ConnUnusable
 		_ = c.Conn.Close()
 	}
 }
@@ -53,7 +55,7 @@
 
 func (p *pool) put(c *conn, maxIdle int, idleTimeout time.Duration) {
 	now := time.Now()
-	c.idleSince, c.used = now, true
+	c.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/internal/serving/clgateway/evidence.go
+++ b/internal/serving/clgateway/evidence.go
@@ -76,21 +76,39 @@
 	}
 }
 
+// namedRequest returns which request the header of the endpoint's response names.
+func (a *attempt) namedRequest() string {
+	switch a.respInfo.ID {
+	case "":
+		return "none"
+	case a.reqInfo.ID:
+		return "own"
+	}
+	return "other"
+}
+
+// countResponse counts the header of a response by what it rests on.
+func (g *Gateway) countResponse(a *attempt) {
+	use := "first"
+	switch {
+	case a.response.Conn.SameID:
+		use = "had_id"
+	case a.response.Conn.Requests > 0:
+		use = "kept"
+	}
+	g.collectors.responses.WithLabelValues(a.namedRequest(), strconv.FormatBool(a.respInfo.NotRun), use).Inc()
+}
+
 // responseFields returns the log fields that tell what the header of the endpoint's
 // response proves, or nil if there is none.
 func (a *attempt) responseFields() []zap.Field {
 	if a.response == nil {
 		return nil
 	}
-	names := "other"
-	switch a.respInfo.ID {
-	case "":
-		names = "none"
-	case a.reqInfo.ID:
-		names = "own"
-	}
 	return []zap.Field{
-		zap.Int("response_status", a.response.Status), zap.String("response_request", names), zap.Bool("signed", a.respInfo.Signed),
-		zap.Bool("states_not_run", a.respInfo.NotRun), zap.Bool("connection_reused", a.response.Reused),
+		zap.Int("response_status", a.response.Status), zap.String("response_request", a.namedRequest()), zap.Bool("signed", a.respInfo.Signed),
+		zap.Bool("states_not_run", a.respInfo.NotRun), zap.Bool("connection_reused", a.response.Conn.Requests > 0),
+		zap.Uint64("connection", a.response.Conn.Number), zap.Int("connection_requests", a.response.Conn.Requests),
+		zap.Bool("connection_had_id", a.response.Conn.SameID),
 	}
 }
--- a/internal/serving/clgateway/evidence_test.go
+++ b/internal/serving/clgateway/evidence_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -51,6 +52,29 @@
 	}
 }
 
+// Guards against a refused request whose log lines don't tell what its connection had
+// carried before, by which a copy of an earlier refusal is known.
+func TestLogsTellTheConnectionOfAResponse(t *testing.T) {
+	env := newTestEnv(t, respond("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true))
+	for _, id := range []string{"r1", "r2"} {
+		r := env.request("/book/1", "f", "")
+		r.Header.Set("X-Id", id)
+		require.Equal(t, http.StatusServiceUnavailable, env.status(r))
+		time.Sleep(150 * time.Millisecond) // The endpoint gets no requests for 100 ms.
+	}
+	lines := env.logs.FilterMessage("attempt failed").All()
+	require.Len(t, lines, 2)
+	for i, l := range lines {
+		fields := l.ContextMap()
+		require.Equal(t, i > 0, fields["connection_reused"])
+		require.EqualValues(t, i, fields["connection_requests"])
+		require.Equal(t, false, fields["connection_had_id"])
+		require.Equal(t, lines[0].ContextMap()["connection"], fields["connection"])
+	}
+	require.EqualValues(t, 1, env.counter("chestnutlead_gateway_endpoint_responses_total", map[string]string{"names": "own", "not_run": "true", "connection": "first"}))
+	require.EqualValues(t, 1, env.counter("chestnutlead_gateway_endpoint_responses_total", map[string]string{"names": "own", "not_run": "true", "connection": "kept"}))
+}
+
 // runs returns a script that runs each request and responds with head, to which it adds
 // an empty body, and the number of requests that it has run.
 func runs(head string) (script, *atomic.Int64) {
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -293,7 +293,7 @@
 	resp, err := g.Client.Do(ctx, clendpoint.Call{
 		Endpoint: a.choice.Address, Method: a.r.Method, Path: a.r.RequestURI,
 		Header: g.Headers.ForwardHeaders(a.r.Header, info), Body: a.body, Timeouts: g.timeouts(a, timeLeft), SendBefore: a.sendBefore,
-		KeepWaiting: func() bool { return !g.giveUpFor(a) },
+		KeepWaiting: func() bool { return !g.giveUpFor(a) }, RequestID: a.reqInfo.ID,
 		// Without an ID, only a connection that no other request has used tells
 		// whose response arrives.
 		NewConnection: a.reqInfo.ID == "",
@@ -302,6 +302,7 @@
 		return g.failAttempt(ctx, a, err)
 	}
 	a.response, a.respInfo = resp, g.Headers.ParseResponse(resp)
+	g.countResponse(a)
 	if a.respInfo.ID == a.reqInfo.ID {
 		g.recordStatements(a)
 	}
@@ -450,7 +451,7 @@
 	g.recordPromise(a.response.Status, basisRelayed)
 	fields := []zap.Field{
 		zap.String("request", a.reqInfo.ID), zap.Int("status", a.response.Status), zap.String("endpoint", a.choice.Endpoint),
-		zap.Int("events", events), zap.Duration("after", time.Since(a.arrived)), zap.Int("sends", a.sends+1),
+		zap.Int("events", events), zap.Duration("after", time.Since(a.arrived)), zap.Int("sends", a.sends+1), zap.Uint64("connection", a.response.Conn.Number),
 	}
 	if a.response.Status >= http.StatusBadRequest {
 		fields = append(fields, a.responseFields()...)
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -19,7 +19,10 @@
 	quotaRefusals *prometheus.CounterVec
 	// promises counts the responses with a status that says that the request was not
 	// run, by what that rests on.
-	promises   *prometheus.CounterVec
+	promises *prometheus.CounterVec
+	// responses counts the headers of responses by which request they name, whether
+	// they state that it was not run, and what their connection had carried.
+	responses  *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
 	// costs sums the costs of the requests that the accounts' shares are computed from.
 	costs *prometheus.CounterVec
@@ -54,6 +57,8 @@
 			"Requests refused by their account's quota, by basis: above_limit (by the reported spending), unreported (by the estimate of what other gateways have not reported yet), startup (spending not known yet).", "basis"),
 		promises: m.Counter(clobserve.Name{Component: "gateway", What: "promises", Unit: "total"},
 			"Responses whose status promises that the request was not run, by status and basis: not_sent, stated (by every endpoint that received it), relayed (an endpoint's response as it came).", "status", "basis"),
+		responses: m.Counter(clobserve.Name{Component: "gateway", What: "endpoint_responses", Unit: "total"},
+			"Headers of endpoints' responses by the request they name (own, other, none), whether they state that it was not run, and the connection: first (it had carried nothing), kept, had_id (it had carried a request with the same ID).", "names", "not_run", "connection"),
 		firstEvent: m.Histogram(clobserve.Name{Component: "gateway", What: "first_event", Unit: "seconds"},
 			"Time from the arrival of a request to its first stream event or its response.", firstEventBuckets, "kind"),
 		costs: m.Counter(clobserve.Name{Component: "gateway", What: "account_cost", Unit: "total"},
--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -227,18 +229,23 @@
 
 // promises returns the number of responses with the given status and basis.
 func (env *testEnv) promises(status, basis string) float64 {
+	return env.counter("chestnutlead_gateway_promises_total", map[string]string{"status": status, "basis": basis})
+}
+
+// counter returns the value of a counter, or 0 if it has not been used.
+func (env *testEnv) counter(name string, labels map[string]string) float64 {
 	families, err := env.gateway.Metrics.Registry.Gather()
 	require.NoError(env.t, err)
 	for _, f := range families {
-		if f.GetName() != "chestnutlead_gateway_promises_total" {
+		if f.GetName() != name {
 			continue
 		}
 		for _, m := range f.GetMetric() {
-			labels := map[string]string{}
+			got := map[string]string{}
 			for _, l := range m.GetLabel() {
-				labels[l.GetName()] = l.GetValue()
+				got[l.GetName()] = l.GetValue()
 			}
-			if labels["status"] == status && labels["basis"] == basis {
+			if maps.Equal(got, labels) {
 				return m.GetCounter().GetValue()
 			}
 		}
@@ -300,6 +307,15 @@
 	return r
 }
 
+// status sends a request and returns the status of its response, which it reads whole.
+func (env *testEnv) status(r *http.Request) int {
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(env.t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(env.t, err)
+	return resp.StatusCode
+}
+
 // respond returns a script that writes text, and keeps the connection open if keep is
 // set. A response echoes the request's ID, as endpoints do, unless it has an ID already;
 // see respondRaw.
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -117,6 +117,8 @@
 
 		// rejections counts the entries of endpoints that can't be used.
 		rejections prometheus.Counter
+		// connections counts the requests to endpoints by the choice of a connection.
+		connections *prometheus.CounterVec
 
 		loadEstimator loadEstimator
 		// partitionDetector and grantedGatewayCount are used only by the control loop.
@@ -246,6 +248,8 @@
 	n.rejectedEntries = map[string]string{}
 	n.rejections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "rejected_entries", Unit: "total"},
 		"Entries of endpoints that were read and can't be used.").WithLabelValues()
+	n.connections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "endpoint_connections", Unit: "total"},
+		"Requests to endpoints by connection: kept, or new because none was idle (none_idle), all idle ones were closed, too old or had unread bytes (unusable), or the request needs one of its own (asked_for).", "choice")
 	n.gatewayEntries, n.silenceStart = map[string]clcatalog.Member{}, map[string]time.Time{}
 	n.requestedRollouts, n.evacuatedDataCentres = map[string]clcatalog.Rollout{}, map[string]bool{}
 	n.exchange = &clgossip.Exchange{
@@ -260,7 +264,7 @@
 	}
 	n.gateway = &clgateway.Gateway{
 		Address: settings.CallerAddress, Headers: n.HeaderCodec, Fleet: n.fleet, Quotas: n.quotaLimiter, RetryBudget: n.retryBudget, Crashes: n.crashTracker, Shares: n.newShareAllocator(bootID),
-		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout}, Probe: acceptsConnections, Identify: n.IdentifyEndpoint, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
+		Client: &clendpoint.HTTP{IdleTimeout: idleConnTimeout, Connected: n.countConnection}, Probe: acceptsConnections, Identify: n.IdentifyEndpoint, Recorder: n, ConfigFresh: n.configFresh, CopiesUsableFor: func() (time.Duration, bool) { return n.replicator.UsableFor() },
 		ShutdownDelay: min(ingressDrainDelay, settings.Grace/2), GracePeriod: settings.Grace,
 		MemoryBytes: settings.MemoryBytes, MaxDescriptors: settings.MaxDescriptors, Logger: component("gateway"), Metrics: n.Metrics,
 	}
@@ -268,6 +272,11 @@
 	n.buildMirrors(component("mirror"))
 }
 
+// countConnection counts a request to an endpoint.
+func (n *Node) countConnection(c clendpoint.ConnChoice) {
+	n.connections.WithLabelValues(string(c)).Inc()
+}
+
 // acceptsConnections reports whether the endpoint at addr accepts a connection
 // within probeTimeout.
 func acceptsConnections(addr netip.AddrPort) bool {
