Don't send an ID twice over one connection to an endpoint

Callers saw 503 for requests that ran (REFUSED), or an earlier answer (MIXED). Responses are recognized by the ID that they repeat. An endpoint or a proxy may send a copy of a response, with that ID, at any later time on the connection that has carried its request. Connections were kept by address only, so that a request could be in progress again on such a connection: its caller sent the ID again, or the gateway tried another endpoint ID with the same address. The copy was then taken for the response.

The client of endpoints now keeps an ID from a connection that has carried it before; another idle connection, or a new one, takes the request. An ID thus names one request on each connection, and what repeats it can only be the response to that request. A connection is closed after 1,024 IDs, which bounds their memory. True refusals are believed, tried elsewhere and reach callers as before.

The tests of clendpoint sent the same attempt ID in calls that were to share a connection, against its documentation (it is unique for each attempt); they now use one for each call and check the same.

--- a/clendpoint/bench_test.go
+++ b/clendpoint/bench_test.go
@@ -37,6 +37,7 @@
 	call := post(netip.MustParseAddrPort(ln.Addr().String()))
 	b.ReportAllocs()
 	for b.Loop() {
+		call.AttemptID = post(call.Endpoint).AttemptID
 		if _, err := readAll(h, call); err != nil {
 			b.Fatal(err)
 		}
--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -129,7 +129,7 @@
 	if !b.ended.CompareAndSwap(false, true) {
 		return
 	}
-	if b.c.finish() && b.keep && b.c.br.Buffered() == 0 {
+	if b.c.finish() && b.keep && b.c.br.Buffered() == 0 && len(b.c.ids) < maxIDs {
 		if b.h == nil {
 			b.kept = true
 		} else {
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -15,7 +15,8 @@
 		// AttemptID is unique for each attempt; the endpoint echoes it.
 		AttemptID string
 		// RequestID is the ID by which the caller recognizes the answer, if that is
-		// not AttemptID; it is not sent. Unlike AttemptID it may come again.
+		// not AttemptID; it is not sent. No connection carries two calls with the same
+		// ID.
 		RequestID string
 		Method    string
 		// Path includes the query.
@@ -70,7 +71,7 @@
 
 	// ConnUse tells what a connection had carried before an attempt.
 	ConnUse struct {
-		// Number tells the connections of a client apart.
+		// Number tells the connections of a process apart.
 		Number uint64
 		// Requests is the number of requests, reports included, that the connection
 		// had carried.
@@ -163,6 +164,9 @@
 	ConnKept ConnChoice = "kept"
 	// ConnNoneIdle is a new connection, because none was idle.
 	ConnNoneIdle ConnChoice = "none_idle"
+	// ConnHadID is a new connection, because each idle one that could be used had
+	// carried a request with the same ID.
+	ConnHadID ConnChoice = "had_id"
 	// ConnAsked is a new connection, because the call asked for it.
 	ConnAsked ConnChoice = "asked_for"
 	// ConnUnusable is a new connection, because each idle one was closed, had been
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -109,12 +109,14 @@
 	}
 }
 
-// connect returns an idle connection that is still open, or a new one.
+// connect returns an idle connection that is still open and has not carried a request
+// with the same ID, or a new one. On a connection that has, the answer could not be told
+// from a copy of the earlier one.
 func (h *HTTP) connect(ctx context.Context, call Call, t Timeouts) (*conn, error) {
 	choice := ConnAsked
 	if !call.NewConnection {
 		var c *conn
-		if c, choice = h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout))); c != nil {
+		if c, choice = h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout)), call.id()); c != nil {
 			h.connected(ConnKept)
 			return c, nil
 		}
--- a/clendpoint/http_test.go
+++ b/clendpoint/http_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,8 +52,12 @@
 	return h
 }
 
+// lastAttempt is the number of the call that post returned last.
+var lastAttempt atomic.Uint64
+
+// post returns a call with an attempt ID of its own.
 func post(addr netip.AddrPort) Call {
-	return Call{Endpoint: addr, Method: "POST", Path: "/x", Body: []byte("body"), AttemptID: "a"}
+	return Call{Endpoint: addr, Method: "POST", Path: "/x", Body: []byte("body"), AttemptID: fmt.Sprint("a", lastAttempt.Add(1))}
 }
 
 // readAll sends the call and reads the whole body.
--- a/clendpoint/ids.go
+++ b/clendpoint/ids.go
@@ -8,34 +8,40 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// idSet holds the hashes of request IDs. A collision makes an ID look known, which does
-// no harm.
-type idSet []uint64
+type (
+	// idHash is the hash of a request ID, or 0 for a request without one. A collision
+	// makes an ID look known, which costs a connection and does no other harm.
+	idHash uint64
 
-// maxIDs bounds the memory for the IDs of a connection, to 8 KiB.
+	// idSet holds the hashes of the IDs of requests.
+	idSet []idHash
+)
+
+// maxIDs is the number of IDs after which a connection is closed. It bounds their memory,
+// to 8 KiB for each connection.
 const maxIDs = 1024
 
-// add adds an ID, unless there are maxIDs already, and reports whether it was there. An
-// empty ID is never there.
-func (s *idSet) add(id string) bool {
-	if id == "" {
-		return false
-	}
-	if s.has(id) {
+// add adds an ID and reports whether it was there.
+func (s *idSet) add(h idHash) bool {
+	if s.has(h) {
 		return true
 	}
-	if len(*s) < maxIDs {
-		*s = append(*s, xxhash.Sum64String(id))
+	if h != 0 {
+		*s = append(*s, h)
 	}
 	return false
 }
 
-func (s *idSet) has(id string) bool { return id != "" && slices.Contains(*s, xxhash.Sum64String(id)) }
+func (s *idSet) has(h idHash) bool { return h != 0 && slices.Contains(*s, h) }
 
-// id returns the ID by which the answer to the call is recognized, or "".
-func (c Call) id() string {
-	if c.RequestID != "" {
-		return c.RequestID
+// id returns the hash of the ID by which the answer to the call is recognized.
+func (c Call) id() idHash {
+	id := c.RequestID
+	if id == "" {
+		id = c.AttemptID
+	}
+	if id == "" {
+		return 0
 	}
-	return c.AttemptID
+	return idHash(xxhash.Sum64String(id))
 }
--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,16 +24,19 @@
 	}
 )
 
-// take returns the most recently used connection that became idle after
-// oldest and is still open, or nil and the reason for a new one.
-func (p *pool) take(key poolKey, oldest time.Time) (*conn, ConnChoice) {
+// take returns the most recently used connection that became idle after oldest, is
+// still open and has not carried a request with the given ID, or nil and the reason for
+// a new one.
+func (p *pool) take(key poolKey, oldest time.Time, id idHash) (*conn, ConnChoice) {
 	choice := ConnNoneIdle
 	for {
-		c := p.pop(key)
-		if c == nil {
+		c, skipped := p.pop(key, id)
+		switch {
+		case c == nil && skipped:
+			return nil, ConnHadID
+		case c == nil:
 			return nil, choice
-		}
-		if c.idleSince.After(oldest) && c.usable() {
+		case c.idleSince.After(oldest) && c.usable():
 			return c, ConnKept
 		}
 		choice = ConnUnusable
@@ -40,17 +44,22 @@
 	}
 }
 
-func (p *pool) pop(key poolKey) *conn {
+// pop removes and returns the most recently used connection that has not carried a
+// request with the given ID, and reports whether it has skipped others.
+func (p *pool) pop(key poolKey, id idHash) (c *conn, skipped bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[key]
-	if len(cs) == 0 {
-		return nil
+	for i := len(cs) - 1; i >= 0; i-- {
+		if cs[i].ids.has(id) {
+			skipped = true
+			continue
+		}
+		c = cs[i]
+		p.idle[key] = slices.Delete(cs, i, i+1)
+		return c, skipped
 	}
-	c := cs[len(cs)-1]
-	cs[len(cs)-1] = nil
-	p.idle[key] = cs[:len(cs)-1]
-	return c
+	return nil, skipped
 }
 
 func (p *pool) put(c *conn, maxIdle int, idleTimeout time.Duration) {
--- a/clendpoint/reuse_test.go
+++ b/clendpoint/reuse_test.go
@@ -108,6 +108,7 @@
 		call.Method = method
 		_, err := readAll(h, call)
 		require.NoError(t, err)
+		call.AttemptID += "-second"
 		_, err = readAll(h, call)
 		require.Equal(t, KindBroken, kindOf(err), "%v", err)
 		require.EqualValues(t, 2, requests.Load(), method)
@@ -290,9 +291,10 @@
 				readRequest(br)
 			})
 			h := newClient(t)
-			_, err := readAll(h, post(addr))
-			require.NoError(t, err)
 			call := post(addr)
+			call.AttemptID = "a"
+			_, err := readAll(h, call)
+			require.NoError(t, err)
 			call.AttemptID = "b"
 			_, err = readAll(h, call)
 			if tc.ok {
@@ -303,3 +305,70 @@
 		})
 	}
 }
+
+// TestConnectionCarriesEachIDOnce guards against an answer that can't be told from the
+// copy of an earlier one, because its connection has carried a request with the same ID;
+// and against new connections for requests with IDs of their own.
+func TestConnectionCarriesEachIDOnce(t *testing.T) {
+	addr := listen(t, func(_ int, c net.Conn) {
+		for br := bufio.NewReader(c); readRequest(br); {
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	var choices []ConnChoice
+	var numbers []uint64
+	h := newClient(t)
+	h.Connected = func(c ConnChoice) { choices = append(choices, c) }
+	for _, tc := range []struct {
+		request, attempt string
+		want             ConnChoice
+		conn             int
+	}{
+		{"r1", "", ConnNoneIdle, 0},
+		{"r2", "", ConnKept, 0},
+		{"r1", "", ConnHadID, 1},
+		{"r3", "", ConnKept, 1},
+		{"r2", "", ConnKept, 1},
+		{"r1", "", ConnHadID, 2},
+		{"", "r1", ConnHadID, 3},
+		{"r3", "r1", ConnKept, 3},
+		{"", "", ConnKept, 3},
+		{"", "", ConnKept, 3},
+		{"r4", "", ConnKept, 3},
+	} {
+		call := post(addr)
+		call.RequestID, call.AttemptID = tc.request, tc.attempt
+		a, err := h.Do(t.Context(), call)
+		require.NoError(t, err)
+		_, err = io.ReadAll(a.Body)
+		require.NoError(t, err)
+		require.Equal(t, tc.want, choices[len(choices)-1], "%+v", tc)
+		require.False(t, a.Conn.SameID)
+		if tc.conn == len(numbers) {
+			numbers = append(numbers, a.Conn.Number)
+		}
+		require.Equal(t, numbers[tc.conn], a.Conn.Number, "%+v", tc)
+	}
+}
+
+// TestConnectionEndsWithItsIDs guards against a connection whose memory of IDs grows
+// without bound.
+func TestConnectionEndsWithItsIDs(t *testing.T) {
+	addr := listen(t, func(_ int, c net.Conn) {
+		for br := bufio.NewReader(c); readRequest(br); {
+			_, _ = io.WriteString(c, okAnswer)
+		}
+	})
+	opened := 0
+	h := newClient(t)
+	h.Connected = func(c ConnChoice) {
+		if c != ConnKept {
+			opened++
+		}
+	}
+	for range 2*maxIDs + 1 {
+		_, err := readAll(h, post(addr))
+		require.NoError(t, err)
+	}
+	require.Equal(t, 3, opened)
+}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -249,7 +249,7 @@
 	n.rejections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "rejected_entries", Unit: "total"},
 		"Entries of endpoints that were read and can't be used.").WithLabelValues()
 	n.connections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "endpoint_connections", Unit: "total"},
-		"Requests to endpoints by connection: kept, or new because none was idle (none_idle), all idle ones were closed, too old or had unread bytes (unusable), or the request needs one of its own (asked_for).", "choice")
+		"Requests to endpoints by connection: kept, or new because none was idle (none_idle), all idle ones were closed, too old or had unread bytes (unusable), they had carried a request with the same ID (had_id), or the request needs one of its own (asked_for).", "choice")
 	n.gatewayEntries, n.silenceStart = map[string]clcatalog.Member{}, map[string]time.Time{}
 	n.requestedRollouts, n.evacuatedDataCentres = map[string]clcatalog.Rollout{}, map[string]bool{}
 	n.exchange = &clgossip.Exchange{
