Keep a connection only after the response on it was recognized

A response with an empty body gave its connection back as soon as its header had been read, before the gateway saw which request it names. If it was the copy of a response to another request, the attempt was given up, but the connection went back to the pool while the endpoint still owed a response on it. The next request got that one, was given up in turn, and so on: callers got 502 for requests that ran, one after the other.

A body, an empty one included, now gives its connection back when its reader has reached its end; one that is closed unread closes its connection.

The tests of reuse pass.

--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -13,6 +13,8 @@
 )
 
 // body reads an answer's body as it arrives and gives the connection back at its end.
+// That holds for an empty body, too: before its first Read, it isn't known whether the
+// answer is the one that was asked for.
 type body struct {
 	c    *conn
 	h    *HTTP
@@ -37,11 +39,8 @@
 
 func newBody(c *conn, h *HTTP, length int64, closes bool) *body {
 	b := &body{c: c, h: h, src: c.br, left: length, keep: !closes && length != lengthUntilClose}
-	switch length {
-	case lengthChunked:
+	if length == lengthChunked {
 		b.src = httputil.NewChunkedReader(c.br)
-	case 0:
-		b.end()
 	}
 	return b
 }
@@ -49,6 +48,9 @@
 // Read returns what has arrived, io.EOF at the end of the whole body, and an
 // *Error if the connection broke or stayed silent before.
 func (b *body) Read(p []byte) (int, error) {
+	if b.err == nil && b.left == 0 {
+		b.end()
+	}
 	if b.err != nil {
 		return 0, b.err
 	}
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -83,8 +83,10 @@
 	// ConnChoice says why a call goes over a kept connection or a new one.
 	ConnChoice string
 
-	// BodyReader reads an answer's body; Close before the end abandons the
-	// attempt and closes its connection, which is never reused.
+	// BodyReader reads an answer's body; Close before Read has returned the end of
+	// a body, an empty one included, abandons the attempt and closes its connection,
+	// which is never reused. A caller that does not recognize the answer as its own
+	// must close the body unread.
 	BodyReader interface {
 		Read(p []byte) (int, error)
 		Close() error
