Name reports and cache transfers, so that copies are told from answers

The client of endpoints compares attempt IDs, but asked for load reports, cache events, boot IDs and cache transfers without one. An endpoint that sends such an answer twice made the daemon 'entry' take a load report for the answer to the call behind it on the connection, an old report for a new one, or an earlier answer for the confirmation of a transfer: the same cause as with refusals, a response that is believed although nothing ties it to its request.

These calls now have attempt IDs of their own, which endpoints echo. A copy fails the call as broken. The rest of an answer to a transfer is read, so that its connection is kept although empty bodies no longer free their connections unread.

--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,6 +36,8 @@
 		Connected func(ConnChoice)
 
 		pool pool
+		// lastReport is the number of the latest call that exchange has sent.
+		lastReport atomic.Uint64
 	}
 )
 
--- a/clendpoint/identify.go
+++ b/clendpoint/identify.go
@@ -11,9 +11,14 @@
 	"github.com/go-faster/errors"
 )
 
-// identifyTimeout is as long as a slot waits for its request to be sent; a load
-// report is quick even at a busy endpoint.
-const identifyTimeout = 500 * time.Millisecond
+const (
+	// identifyTimeout is as long as a slot waits for its request to be sent; a load
+	// report is quick even at a busy endpoint.
+	identifyTimeout = 500 * time.Millisecond
+	// identifyID is the attempt ID of the request for the boot ID, which each connection
+	// carries at most once.
+	identifyID = "identify"
+)
 
 // identify reads the load report over the new connection and returns the
 // connection if it leads to the start of the endpoint that the call is for.
@@ -48,7 +53,7 @@
 			c.stop()
 		}
 	}()
-	call := Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath}
+	call := Call{Endpoint: c.addr, Method: http.MethodGet, Path: loadPath, AttemptID: identifyID}
 	c.record(call)
 	if _, err := c.send(call); err != nil {
 		return Load{}, false, err
--- a/clendpoint/identify_test.go
+++ b/clendpoint/identify_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -120,3 +121,61 @@
 	require.EqualError(t, err, "not_sent: it took too long to connect")
 	require.Empty(t, s.paths)
 }
+
+// TestCopyOfReportIsNoAnswer guards against a call that gets the load report by which its
+// connection was asked for its boot ID, since the endpoint sends that report twice.
+func TestCopyOfReportIsNoAnswer(t *testing.T) {
+	addr := listen(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		copied := ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if copied != "" {
+				_, _ = io.WriteString(c, copied)
+			}
+			body := `{"boot_id":"b1"}`
+			copied = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", AttemptHeader, r.Header.Get(AttemptHeader), len(body), body)
+			_, _ = io.WriteString(c, copied)
+		}
+	})
+	call := post(addr)
+	call.BootID = "b1"
+	_, err := readAll(newClient(t), call)
+	require.Equal(t, KindBroken, kindOf(err), "%v", err)
+}
+
+// TestCopyOfReportIsNoLaterReport guards against a report that is taken for a later one,
+// since the endpoint sends it twice.
+func TestCopyOfReportIsNoLaterReport(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ask  func(h *HTTP, addr netip.AddrPort) error
+	}{
+		{"load", func(h *HTTP, addr netip.AddrPort) error { _, err := h.Load(t.Context(), addr); return err }},
+		{"cache events", func(h *HTTP, addr netip.AddrPort) error { _, err := h.CacheEvents(t.Context(), addr, 0); return err }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := listen(t, func(_ int, c net.Conn) {
+				br := bufio.NewReader(c)
+				copied := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, copied)
+					body := `{"boot_id":"b1","events":[]}`
+					copied = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", AttemptHeader, r.Header.Get(AttemptHeader), len(body), body)
+					_, _ = io.WriteString(c, copied)
+				}
+			})
+			h := newClient(t)
+			require.NoError(t, tc.ask(h, addr))
+			require.Equal(t, KindBroken, kindOf(tc.ask(h, addr)))
+		})
+	}
+}
--- a/clendpoint/reports.go
+++ b/clendpoint/reports.go
@@ -61,8 +61,10 @@
 	return err
 }
 
-// exchange sends a call and returns the whole body of a successful answer.
+// exchange sends a call under an attempt ID of its own and returns the whole body of a
+// successful answer.
 func (h *HTTP) exchange(ctx context.Context, call Call) ([]byte, error) {
+	call.AttemptID = "report-" + strconv.FormatUint(h.lastReport.Add(1), 10)
 	a, err := h.Do(ctx, call)
 	if err != nil {
 		return nil, err
--- a/clentry/generation.go
+++ b/clentry/generation.go
@@ -324,7 +324,7 @@
 	}
 	old := g.cur
 	if g.handover == clroute.HandoverExport {
-		g.h.transfers.move(g.ctx, g.h.runner.client, old.p.endpoint, p.endpoint, g.streamID, g.w.route.Tokens+g.position())
+		g.h.transfers.move(g.ctx, g.h.runner.client, g.h.runner.nextID(), old.p.endpoint, p.endpoint, g.streamID, g.w.route.Tokens+g.position())
 	}
 	if g.base > 0 {
 		g.skip = g.position()
--- a/clentry/transfer.go
+++ b/clentry/transfer.go
@@ -17,6 +17,10 @@
 	// firstTransferPerToken is assumed until a transfer was measured.
 	firstTransferPerToken = 100 * time.Microsecond
 	transferWeight        = 0.2
+	// maxDiscardedBytes and discardTimeout limit what is read of an answer that only
+	// matters by its status, so that its connection can be used again.
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 20 * time.Millisecond
 )
 
 // transfers moves caches and learns how long that takes.
@@ -38,13 +42,13 @@
 }
 
 // move makes an engine fetch the cache of a stream from another one. A failure
-// costs only that the tokens are computed again.
-func (t *transfers) move(ctx context.Context, client clendpoint.Client, from, to endpoint, streamID string, tokens int) {
+// costs only that the tokens are computed again. attemptID must be unique.
+func (t *transfers) move(ctx context.Context, client clendpoint.Client, attemptID string, from, to endpoint, streamID string, tokens int) {
 	c, err := clendpoint.ImportCall(from.addr, streamID)
 	if err != nil {
 		return
 	}
-	c.Endpoint = to.addr
+	c.Endpoint, c.AttemptID = to.addr, attemptID
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	started := time.Now()
@@ -53,12 +57,16 @@
 		t.log.Info("Cache cannot be moved. Its tokens are computed again.", zap.String("from", from.id), zap.String("to", to.id), zap.Error(err))
 		return
 	}
-	_ = a.Body.Close() // The status says whether the cache arrived.
+	took := time.Since(started)
+	// The status says whether the cache arrived.
+	if err := clendpoint.Discard(a.Body, maxDiscardedBytes, discardTimeout); err != nil {
+		t.log.Debug("Rest of the answer to a cache transfer was lost.", zap.String("to", to.id), zap.Error(err))
+	}
 	if a.Status >= 300 {
 		t.log.Info("Cache was refused. Its tokens are computed again.", zap.String("from", from.id), zap.String("to", to.id), zap.Int("status", a.Status))
 		return
 	}
-	t.learn(time.Since(started) / time.Duration(max(tokens, 1)))
+	t.learn(took / time.Duration(max(tokens, 1)))
 }
 
 func (t *transfers) learn(perToken time.Duration) {
