Remember also an ID whose hash is 0

A connection remembers the hashes of the IDs that it has carried, and 0 stands for no ID. An ID with the hash 0, which a caller can construct since xxhash is not cryptographic, was never remembered: its request went again over a connection that had carried it, where the copy of a refusal is taken for the response.

Such an ID now has the hash 1, which it shares with others at the cost of a connection at most. TestEachIDIsRemembered failed before and passes.

--- a/clendpoint/ids.go
+++ b/clendpoint/ids.go
@@ -43,5 +43,5 @@
 	if id == "" {
 		return 0
 	}
-	return idHash(xxhash.Sum64String(id))
+	return max(1, idHash(xxhash.Sum64String(id))) // 0 stands for no ID
 }
