--- a/internal/serving/clgateway/testworld_test.go
+++ b/internal/serving/clgateway/testworld_test.go
@@ -72,10 +72,12 @@
 	}
 }
 
-// testRecorder counts the requests that have started.
+// testRecorder counts the requests that have started, and the attempts that were recorded
+// as failed.
 type testRecorder struct {
 	mu              sync.Mutex
 	startedRequests int
+	failedAttempts  int
 }
 
 func (r *testRecorder) RequestStarted(string) {
@@ -83,9 +85,15 @@
 	defer r.mu.Unlock()
 	r.startedRequests++
 }
-func (*testRecorder) AttemptStarted(string, string, string)                            {}
-func (*testRecorder) AttemptSampled(string, string, string, bool, bool, time.Duration) {}
-func (*testRecorder) RequestAdmitted(string)                                           {}
+func (r *testRecorder) AttemptSampled(_, _, _ string, failed, _ bool, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if failed {
+		r.failedAttempts++
+	}
+}
+func (*testRecorder) AttemptStarted(string, string, string) {}
+func (*testRecorder) RequestAdmitted(string)                {}
 
 // testEnv runs a gateway and the endpoints behind it.
 type testEnv struct {
