Don't use a connection again after a failure that names no attempt

Endpoints that echo attempt IDs do so in each answer, but a proxy before them may not. An answer without an ID is believed as long as none on its connection has had one, so that the copy of a proxy's 429 was taken for the answer to the next attempt, which ran: the daemon 'entry' relays that status to its caller.

The connection of a failure (from 400) that names no attempt is now closed behind it. Successes of endpoints that never echo keep theirs: nothing tells their copies. Calls that are recognized by another ID, as those of the gateway, are not concerned.

--- a/clendpoint/copies_test.go
+++ b/clendpoint/copies_test.go
@@ -326,3 +326,38 @@
 	_, err := h.Load(t.Context(), addr)
 	require.Equal(t, KindBroken, kindOf(err), "the copy of the second order's answer")
 }
+
+// TestCopyOfUnnamedFailureIsNoAnswer guards against a request that runs although it was
+// refused: its endpoint names attempts, but a proxy before it does not, and sends its
+// refusal or failure twice.
+func TestCopyOfUnnamedFailureIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"429 Too Many Requests", "503 Service Unavailable", "404 Not Found", "500 Internal Server Error"} {
+		t.Run(status[:3], func(t *testing.T) {
+			unnamed, first := "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n", true
+			addr := listen(t, func(_ int, c net.Conn) {
+				copied := ""
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if first {
+						first, copied = false, unnamed
+						_, _ = io.WriteString(c, unnamed)
+						continue
+					}
+					_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", copied, AttemptHeader, r.Header.Get(AttemptHeader))
+				}
+			})
+			h := newClient(t)
+			for _, want := range []string{status[:3], "200", "200"} {
+				a, err := h.Do(t.Context(), post(addr))
+				require.NoError(t, err)
+				require.Equal(t, want, fmt.Sprint(a.Status))
+				_, err = io.ReadAll(a.Body)
+				require.NoError(t, err)
+			}
+		})
+	}
+}
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -217,7 +217,10 @@
 		return nil, err
 	}
 	length := bodyLength(call.Method, hdr)
-	a.Body, a.UntilClose = newBody(c, h, length, hdr.ConnectionClose()), length == lengthUntilClose
+	// A failure that names no attempt may be a proxy's; nothing would tell its copy from
+	// the next answer.
+	unnamed := call.AttemptID != "" && a.Status >= fasthttp.StatusBadRequest && a.Value(AttemptHeader) == ""
+	a.Body, a.UntilClose = newBody(c, h, length, unnamed || hdr.ConnectionClose()), length == lengthUntilClose
 	return a, nil
 }
 
