--- a/internal/serving/clgateway/copypaths_test.go
+++ b/internal/serving/clgateway/copypaths_test.go
@@ -219,6 +219,27 @@
 	require.Equal(t, []string{"", "", "1"}, resumes)
 }
 
+// Guards against a caller that gets a failure although a later attempt has succeeded
+// (DENIED): the gateway tries the request at another endpoint ID with the same address, and
+// the failure comes again on the same connection.
+func TestCopyOfFailureAtTheSameAddress(t *testing.T) {
+	for _, way := range copyWays {
+		for _, target := range []string{"/get/1", "/resume/1"} {
+			t.Run(way.name+" "+target, func(t *testing.T) {
+				t.Parallel()
+				d := &duplicator{first: answer("500 Internal Server Error", ""), way: way}
+				env := newTestEnv(t, d.serve)
+				address := env.gateway.Fleet.Endpoints("s")[0].Address
+				env.gateway.Fleet.Put(clcatalog.Endpoint{ID: "other", Service: "s", Address: address, DataCentre: "a", Slots: 8}, time.Now())
+				status, seal := env.seal(env.request(target, "f", "body"))
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, "s", seal)
+				require.EqualValues(t, 1, d.ran.Load())
+			})
+		}
+	}
+}
+
 // Guards against a request that meets the connections of an earlier start of the gateway
 // (REFUSED): its caller sends the ID again to a gateway that has started since.
 func TestRequestAfterARestartOfTheGateway(t *testing.T) {
