Don't count reports as requests in the stand-in of endpoints

The stand-in counted each request with an attempt ID as the arrival of a caller's request.

Arrivals now leave out the paths that only the system itself uses, so that they count exactly what they counted before. TestReportsAreNoArrivals fails without that.

--- a/clstandin/engine_test.go
+++ b/clstandin/engine_test.go
@@ -380,3 +380,14 @@
 		}
 	})
 }
+
+// Guards against promises that are measured by the arrival of requests, and count the
+// questions for reports instead.
+func TestReportsAreNoArrivals(t *testing.T) {
+	e, h := testEngine(t, nil), testClient(t)
+	_, err := h.Load(t.Context(), e.Addr())
+	require.NoError(t, err)
+	_, err = h.CacheEvents(t.Context(), e.Addr(), 0)
+	require.NoError(t, err)
+	require.Zero(t, e.Arrivals().Count)
+}
--- a/clstandin/server.go
+++ b/clstandin/server.go
@@ -53,8 +53,9 @@
 		held atomic.Int64
 	}
 
-	// Arrivals counts the requests with an attempt ID that reached the stand-in
-	// over all boots, also those that a fault switch failed or delayed.
+	// Arrivals counts the requests of callers, which have an attempt ID, that reached
+	// the stand-in over all boots, also those that a fault switch failed or delayed.
+	// Questions for reports, orders and transfers of caches don't count.
 	Arrivals struct {
 		Count uint64 `json:"count"`
 		// LastAt is the arrival of the last one; zero if there was none.
@@ -225,7 +226,9 @@
 func (s *Server) serveFaulty(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(clendpoint.AttemptHeader); id != "" {
 		w.Header().Set(clendpoint.AttemptHeader, id)
-		s.arrived()
+		if !isControlPath(r.URL.Path) {
+			s.arrived()
+		}
 	}
 	if strings.HasPrefix(r.URL.Path, "/admin/") || r.URL.Path == "/stats" {
 		s.mux.ServeHTTP(w, r)
@@ -256,6 +259,15 @@
 	}
 }
 
+// isControlPath reports whether requests to the path come from the system itself.
+func isControlPath(path string) bool {
+	switch path {
+	case "/load", "/cache/events", "/orders", "/v1/kv":
+		return true
+	}
+	return false
+}
+
 // arrived counts a request.
 func (s *Server) arrived() {
 	s.arrivalsMu.Lock()
