Accept reports of endpoints that echo attempt IDs in other answers only

Reports have attempt IDs since copies of them are told by these. An endpoint that echoes the ID in answers to callers' requests, but not in reports, then failed each report behind a request on the same connection ("answer is for attempt \"\"").

A report that names no attempt is accepted again, as before; one that names another attempt is not. TestReportWithoutEcho failed before and passes, as do the tests of copies.

--- a/clendpoint/copies_test.go
+++ b/clendpoint/copies_test.go
@@ -361,3 +361,27 @@
 		})
 	}
 }
+
+// TestReportWithoutEcho guards against a report that is given up because its endpoint
+// echoes attempt IDs in answers to callers' requests, but not in reports.
+func TestReportWithoutEcho(t *testing.T) {
+	addr := listen(t, func(_ int, c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			body, echo := `{"boot_id":"b1","events":[]}`, ""
+			if r.URL.Path != loadPath {
+				echo = AttemptHeader + ": " + r.Header.Get(AttemptHeader) + "\r\n"
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(body), body)
+		}
+	})
+	h := newClient(t)
+	_, err := readAll(h, post(addr))
+	require.NoError(t, err)
+	_, err = h.Load(t.Context(), addr)
+	require.NoError(t, err)
+}
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -39,6 +39,10 @@
 		// the limit of FirstByte or BetweenReads; if it returns true, the attempt goes
 		// on for that long again.
 		KeepWaiting func() bool
+
+		// report says that the answer need not echo the attempt ID: some endpoints echo
+		// it in answers to callers' requests only.
+		report bool
 	}
 
 	// Header is one header field of a call or an answer.
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -213,7 +213,7 @@
 			a.Header = append(a.Header, Header{Name: name, Value: string(v)})
 		}
 	}
-	if err := c.checkEcho(call.AttemptID, a.Value(AttemptHeader)); err != nil {
+	if err := c.checkEcho(call, a.Value(AttemptHeader)); err != nil {
 		return nil, err
 	}
 	length := bodyLength(call.Method, hdr)
@@ -224,14 +224,15 @@
 	return a, nil
 }
 
-// checkEcho returns an error if the answer belongs to another attempt than the one with
-// the given ID. An answer without an ID is accepted as long as no earlier one on the
-// connection has had one: not all endpoints echo it, but those that do always do.
-func (c *conn) checkEcho(sent, echoed string) error {
-	if sent == "" || echoed == "" && !c.echoes {
+// checkEcho returns an error if an answer that echoes the given attempt ID belongs to
+// another call. An answer without an ID is accepted as long as no earlier one on the
+// connection has had one: not all endpoints echo it, but those that do always do, except
+// in reports.
+func (c *conn) checkEcho(call Call, echoed string) error {
+	if call.AttemptID == "" || echoed == "" && (call.report || !c.echoes) {
 		return nil
 	}
-	if echoed != sent {
+	if echoed != call.AttemptID {
 		return errors.Errorf("answer is for attempt %q", echoed)
 	}
 	c.echoes = true
--- a/clendpoint/reports.go
+++ b/clendpoint/reports.go
@@ -64,7 +64,7 @@
 // exchange sends a call under an attempt ID of its own and returns the whole body of a
 // successful answer.
 func (h *HTTP) exchange(ctx context.Context, call Call) ([]byte, error) {
-	call.AttemptID = "report-" + strconv.FormatUint(h.lastReport.Add(1), 10)
+	call.AttemptID, call.report = "report-"+strconv.FormatUint(h.lastReport.Add(1), 10), true
 	a, err := h.Do(ctx, call)
 	if err != nil {
 		return nil, err
