Don't add to an endpoint's connections for a repeated ID

A request whose ID all idle connections had carried opened a new one beside them. A caller that sent one ID again and again thus took all connections that an endpoint accepts: with 8, 12 of its 20 requests and then those of others got 503, since the fleet counts only attempts in progress.

If all idle connections have carried the ID, the one that has been idle for longest is closed for the new one, so that their number stays. Idle connections that the endpoint has closed are no longer blamed on the ID (choice 'unusable').

TestRepeatedIDKeepsNumberOfConnections is new.

--- a/clendpoint/pool.go
+++ b/clendpoint/pool.go
@@ -26,40 +26,58 @@
 
 // take returns the most recently used connection that became idle after oldest, is
 // still open and has not carried a request with the given ID, or nil and the reason for
-// a new one.
+// a new one. If all that are left have carried the ID, it closes one of them, so that
+// requests with the same ID don't add to the connections of the endpoint.
 func (p *pool) take(key poolKey, oldest time.Time, id idHash) (*conn, ConnChoice) {
 	choice := ConnNoneIdle
 	for {
-		c, skipped := p.pop(key, id)
-		switch {
-		case c == nil && skipped:
-			return nil, ConnHadID
-		case c == nil:
+		c := p.pop(key, id)
+		hadID := c == nil
+		if hadID {
+			c = p.popOldest(key)
+		}
+		if c == nil {
 			return nil, choice
-		case c.idleSince.After(oldest) && c.usable():
+		}
+		usable := c.idleSince.After(oldest) && c.usable()
+		if usable && !hadID {
 			return c, ConnKept
 		}
-		choice = ConnUnusable
 		_ = c.Conn.Close()
+		if usable {
+			return nil, ConnHadID
+		}
+		choice = ConnUnusable
 	}
 }
 
 // pop removes and returns the most recently used connection that has not carried a
-// request with the given ID, and reports whether it has skipped others.
-func (p *pool) pop(key poolKey, id idHash) (c *conn, skipped bool) {
+// request with the given ID, or returns nil.
+func (p *pool) pop(key poolKey, id idHash) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[key]
 	for i := len(cs) - 1; i >= 0; i-- {
-		if cs[i].ids.has(id) {
-			skipped = true
-			continue
+		if c := cs[i]; !c.ids.has(id) {
+			p.idle[key] = slices.Delete(cs, i, i+1)
+			return c
 		}
-		c = cs[i]
-		p.idle[key] = slices.Delete(cs, i, i+1)
-		return c, skipped
 	}
-	return nil, skipped
+	return nil
+}
+
+// popOldest removes and returns the connection that has been idle for longest, or
+// returns nil.
+func (p *pool) popOldest(key poolKey) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[key]
+	if len(cs) == 0 {
+		return nil
+	}
+	c := cs[0]
+	p.idle[key] = slices.Delete(cs, 0, 1)
+	return c
 }
 
 func (p *pool) put(c *conn, maxIdle int, idleTimeout time.Duration) {
--- a/clendpoint/reuse_test.go
+++ b/clendpoint/reuse_test.go
@@ -372,3 +372,48 @@
 	}
 	require.Equal(t, 3, opened)
 }
+
+// TestRepeatedIDKeepsNumberOfConnections guards against a caller that takes all
+// connections of an endpoint by requests with the same ID, and against a choice that
+// blames the ID for connections that the endpoint has closed.
+func TestRepeatedIDKeepsNumberOfConnections(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		closes bool
+		want   ConnChoice
+		idle   int
+	}{
+		{"kept", false, ConnHadID, 1},
+		{"closed by the endpoint", true, ConnUnusable, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			closed := make(chan struct{}, 1)
+			addr := listen(t, func(_ int, c net.Conn) {
+				for br := bufio.NewReader(c); readRequest(br); {
+					_, _ = io.WriteString(c, okAnswer)
+					if tc.closes {
+						_ = c.Close()
+						closed <- struct{}{}
+						return
+					}
+				}
+			})
+			var choices []ConnChoice
+			h := newClient(t)
+			h.Connected = func(c ConnChoice) { choices = append(choices, c) }
+			call := post(addr)
+			call.RequestID = "r1"
+			for range 10 {
+				_, err := readAll(h, call)
+				require.NoError(t, err)
+				if tc.closes {
+					<-closed
+				}
+				require.Len(t, h.pool.idle[poolKey{addr: addr}], tc.idle)
+			}
+			for _, c := range choices[1:] {
+				require.Equal(t, tc.want, c)
+			}
+		})
+	}
+}
