Keep the connection of a refusal without the statement

Since connections are kept only after their response was read, a response that names its request and has a status of refusals, but not the statement, closed its connection each time: 10 such responses with an empty body opened 10 connections, 1 before.

TestRefusalsKeepTheirConnection failed before and passes.

--- a/internal/serving/clgateway/copypaths_test.go
+++ b/internal/serving/clgateway/copypaths_test.go
@@ -308,3 +308,25 @@
 		})
 	}
 }
+
+// Guards against a new connection for each refusal, with the statement that the request
+// was not run or without it, although the connection is in order.
+func TestRefusalsKeepTheirConnection(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nX-Seal: s\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n",
+	} {
+		for _, body := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbusy", "Transfer-Encoding: chunked\r\n\r\n" + chunk("busy") + "0\r\n\r\n"} {
+			env := newTestEnv(t, respond(head+body, true))
+			for i := range 3 {
+				r := env.request("/book/1", "f", "")
+				r.Header.Set("X-Id", fmt.Sprint("r", i))
+				require.NotEqual(t, http.StatusOK, env.status(r))
+				time.Sleep(120 * time.Millisecond) // An endpoint that sheds gets no requests for 100 ms.
+			}
+			for i, l := range env.logs.FilterMessage("attempt failed").All() {
+				require.EqualValues(t, i, l.ContextMap()["connection_requests"], "%s%s", head, body)
+			}
+		}
+	}
+}
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -312,15 +312,13 @@
 	case a.respInfo.NotRun && resp.Status < http.StatusBadRequest:
 		return g.discardResponse(a, clfleet.OutcomeConnectionBroken, errors.Errorf("response with status %d contradicts its statement that the request was not run", resp.Status))
 	case a.respInfo.NotRun:
-		// The client reuses the connection only if the body is read to its end.
-		if err := clendpoint.Discard(resp.Body, maxDiscardedBytes, discardTimeout); err != nil {
-			g.Logger.Debug("reading the response of an endpoint that did not run the request failed", zap.String("request", a.reqInfo.ID), zap.Error(err))
-		}
+		g.discardBody(a)
 		result := g.discardResponse(a, clfleet.OutcomeShed, errors.Errorf("endpoint responded with status %d without running the request", resp.Status))
 		result.notRun, a.statedNotRun = true, true
 		a.shed = !a.respInfo.Leaving && a.respInfo.QuietFor == 0
 		return result
 	case promisesNotRun(resp.Status):
+		g.discardBody(a)
 		return g.discardResponse(a, clfleet.OutcomeFailed, errors.Errorf("endpoint responded with status %d without stating that it did not run the request", resp.Status))
 	case p.started && (a.route.Kind != clcatalog.Streaming || resp.Status >= 300):
 		// The stream has already begun, so that this response can't be relayed.
@@ -384,6 +382,14 @@
 	return attemptResult{outcome: outcome, err: err}
 }
 
+// discardBody reads the rest of a response to the request, so that the client can use its
+// connection again.
+func (g *Gateway) discardBody(a *attempt) {
+	if err := clendpoint.Discard(a.response.Body, maxDiscardedBytes, discardTimeout); err != nil {
+		g.Logger.Debug("reading the body of a refusal failed", zap.String("request", a.reqInfo.ID), zap.Error(err))
+	}
+}
+
 // failAttempt returns the result of an attempt that ended with err before or during
 // the response. It records a failure of the endpoint, except if no byte of the request
 // was sent, if the caller is gone, or if the deadline has passed.
