Send a call that may not be repeated behind no unnamed report

A call with a boot ID asks each new connection for a load report first. At an endpoint that echoes no attempt IDs, a copy of that report was taken for the answer to the call, also if the call had asked for a connection of its own since it may not be repeated.

Such a call now gets a further connection if the report did not echo its ID; the start of the endpoint is then as fresh as the report, as with endpoints that close their connections. A case of TestCopyOfReportIsNoAnswer failed before and passes. TestNewConnectionRemembersItsID has the path that follows for its endpoint without an echo. Other calls to such endpoints stay open to copies: nothing tells them.

--- a/clendpoint/identify.go
+++ b/clendpoint/identify.go
@@ -32,9 +32,10 @@
 		_ = c.Conn.Close()
 		return nil, &RestartedError{Want: call.BootID, Load: l}
 	}
-	if !keep {
-		// The endpoint answers one request per connection. The start is as fresh
-		// as the report that was just read.
+	if !keep || call.NewConnection && !c.echoes {
+		// The endpoint answers one request per connection, or nothing tells a copy of
+		// its report from the answer to a call that may not be repeated. The start is
+		// as fresh as the report that was just read.
 		_ = c.Conn.Close()
 		if c, err = dial(ctx, call.Endpoint, t); err != nil {
 			return nil, err
