Name the IDs of calls and the limits of discarding by what they do

From the review: the comment on AttemptID claimed that it is unique for each attempt, RequestID did not say that it only chooses a connection, the memory of IDs is about 10 KiB, the log field connection_had_id is a fault if it is true, and two packages had the same limits of discarding a body. No behaviour has changed; the tests of copies pass.

--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -29,8 +29,16 @@
 	err   error // returned by all further reads
 }
 
-// Lengths of bodies that are not known beforehand, as in fasthttp.
 const (
+	// MaxDiscardedBytes limits how much is usually read of a body that is not used. A
+	// connection can be used again only if the whole body has been read.
+	MaxDiscardedBytes = 4 << 10
+	// DiscardTimeout is the usual limit of the time for that. Such a body mostly arrives
+	// with the header, and a caller may be waiting.
+	DiscardTimeout = 20 * time.Millisecond
+
+	// lengthChunked and lengthUntilClose are lengths of bodies that are not known
+	// beforehand, as in fasthttp.
 	lengthChunked    = -1
 	lengthUntilClose = -2
 )
--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -80,7 +80,7 @@
 
 // record adds the request of a call to what the connection has carried.
 func (c *conn) record(call Call) {
-	c.use.Requests, c.use.SameID = c.sent, c.ids.add(call.id())
+	c.use.Requests, c.use.SameID = c.sent, c.ids.add(call.idHash())
 	c.sent++
 }
 
--- a/clendpoint/endpoint.go
+++ b/clendpoint/endpoint.go
@@ -12,11 +12,12 @@
 	// Call is one attempt to run a request at an endpoint.
 	Call struct {
 		Endpoint netip.AddrPort
-		// AttemptID is unique for each attempt; the endpoint echoes it.
+		// AttemptID is sent, and the endpoint echoes it. No other call on the connection
+		// has it.
 		AttemptID string
 		// RequestID is the ID by which the caller recognizes the answer, if that is
-		// not AttemptID; it is not sent. No connection carries two calls with the same
-		// ID.
+		// not AttemptID. It is neither sent nor compared here, but decides over which
+		// connection the call goes: none carries two calls with the same ID.
 		RequestID string
 		Method    string
 		// Path includes the query.
@@ -80,7 +81,7 @@
 		// Requests is the number of requests, reports included, that the connection
 		// had carried.
 		Requests int
-		// SameID says that one of them had the ID of this attempt.
+		// SameID says that one of them had the ID of this attempt, which must not happen.
 		SameID bool
 	}
 
@@ -170,8 +171,8 @@
 	ConnKept ConnChoice = "kept"
 	// ConnNoneIdle is a new connection, because none was idle.
 	ConnNoneIdle ConnChoice = "none_idle"
-	// ConnHadID is a new connection, because each idle one that could be used had
-	// carried a request with the same ID.
+	// ConnHadID is a new connection in place of an idle one, because each usable one
+	// had carried a request with the same ID.
 	ConnHadID ConnChoice = "had_id"
 	// ConnAsked is a new connection, because the call asked for it.
 	ConnAsked ConnChoice = "asked_for"
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -119,7 +119,7 @@
 	choice := ConnAsked
 	if !call.NewConnection {
 		var c *conn
-		if c, choice = h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout)), call.id()); c != nil {
+		if c, choice = h.pool.take(poolKey{call.Endpoint, call.BootID}, time.Now().Add(-or(h.IdleTimeout, DefaultIdleTimeout)), call.idHash()); c != nil {
 			h.connected(ConnKept)
 			return c, nil
 		}
--- a/clendpoint/ids.go
+++ b/clendpoint/ids.go
@@ -18,7 +18,7 @@
 )
 
 // maxIDs is the number of IDs after which a connection is closed. It bounds their memory,
-// to 8 KiB for each connection.
+// to about 10 KiB for each connection.
 const maxIDs = 1024
 
 // add adds an ID and reports whether it was there.
@@ -34,8 +34,8 @@
 
 func (s *idSet) has(h idHash) bool { return h != 0 && slices.Contains(*s, h) }
 
-// id returns the hash of the ID by which the answer to the call is recognized.
-func (c Call) id() idHash {
+// idHash returns the hash of the ID by which the answer to the call is recognized.
+func (c Call) idHash() idHash {
 	id := c.RequestID
 	if id == "" {
 		id = c.AttemptID
--- a/clendpoint/ids_test.go
+++ b/clendpoint/ids_test.go
@@ -16,8 +16,8 @@
 	require.Zero(t, xxhash.Sum64String(zero))
 	for _, call := range []Call{{RequestID: "r1"}, {RequestID: zero}, {AttemptID: zero}} {
 		var s idSet
-		require.False(t, s.add(call.id()))
-		require.True(t, s.has(call.id()), "%+v", call)
+		require.False(t, s.add(call.idHash()))
+		require.True(t, s.has(call.idHash()), "%+v", call)
 	}
-	require.Zero(t, Call{}.id())
+	require.Zero(t, Call{}.idHash())
 }
--- a/clentry/transfer.go
+++ b/clentry/transfer.go
@@ -17,10 +17,6 @@
 	// firstTransferPerToken is assumed until a transfer was measured.
 	firstTransferPerToken = 100 * time.Microsecond
 	transferWeight        = 0.2
-	// maxDiscardedBytes and discardTimeout limit what is read of an answer that only
-	// matters by its status, so that its connection can be used again.
-	maxDiscardedBytes = 4 << 10
-	discardTimeout    = 20 * time.Millisecond
 )
 
 // transfers moves caches and learns how long that takes.
@@ -59,7 +55,7 @@
 	}
 	took := time.Since(started)
 	// The status says whether the cache arrived.
-	if err := clendpoint.Discard(a.Body, maxDiscardedBytes, discardTimeout); err != nil {
+	if err := clendpoint.Discard(a.Body, clendpoint.MaxDiscardedBytes, clendpoint.DiscardTimeout); err != nil {
 		t.log.Debug("Rest of the answer to a cache transfer was lost.", zap.String("to", to.id), zap.Error(err))
 	}
 	if a.Status >= 300 {
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -102,13 +102,6 @@
 	// maxBufferedBytes is the size up to which a response body is read in full
 	// before it is sent to the caller.
 	maxBufferedBytes = 1 << 20
-	// maxDiscardedBytes limits how much is read and discarded of the response
-	// body of an endpoint that did not run the request. A connection can be reused
-	// only if the whole body has been read.
-	maxDiscardedBytes = 4 << 10
-	// discardTimeout limits the time for reading that body, which usually arrives with
-	// the header. The caller waits meanwhile.
-	discardTimeout = 20 * time.Millisecond
 	// notRunRetryAfter is the Retry-After of the response to a request that no
 	// endpoint has run, unless the fleet states another one.
 	notRunRetryAfter = 300 * time.Millisecond
@@ -385,7 +378,7 @@
 // discardBody reads the rest of a response to the request, so that the client can use its
 // connection again.
 func (g *Gateway) discardBody(a *attempt) {
-	if err := clendpoint.Discard(a.response.Body, maxDiscardedBytes, discardTimeout); err != nil {
+	if err := clendpoint.Discard(a.response.Body, clendpoint.MaxDiscardedBytes, clendpoint.DiscardTimeout); err != nil {
 		g.Logger.Debug("reading the body of a refusal failed", zap.String("request", a.reqInfo.ID), zap.Error(err))
 	}
 }
