Show copies of refusals in the soak

The report counts sends again, copies, and copies sent while their ID was under way again on their connection.

--- a/internal/testing/clsoak/badpart.go
+++ b/internal/testing/clsoak/badpart.go
@@ -64,7 +64,8 @@
 			prompt = fmt.Sprintf("%s:500,%x:900,%x:100", p.id, 0xb0+s.intN(promptParts), s.intN(1<<40))
 		}
 		running.Go(func() {
-			s.send(context.Background(), c, g, clstandplatform.StreamPrefix, fmt.Sprintf("%s-%d", p.id, n), prompt)
+			id := fmt.Sprintf("%s-%d", p.id, n)
+			s.send(context.Background(), c, g, clstandplatform.Call{Path: clstandplatform.StreamPrefix + id, ID: id, Prompt: prompt})
 		})
 		time.Sleep(s.between(100*time.Millisecond, 500*time.Millisecond))
 	}
@@ -77,7 +78,7 @@
 	if p == nil || w.find(e.id) == nil {
 		return false
 	}
-	p.arrived(w.soak.inTouchNow(r.Request), r.At)
+	p.arrived(w.soak.inTouchNow(r.Send), r.At)
 	// What ends with the endpoint is judged as soon as its connections have ended.
 	e.trouble(time.Now().Add(time.Hour))
 	// The link before the server: who asks at once whether the endpoint still accepts
--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -12,9 +12,11 @@
 	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
 )
 
-// attempt is one request with its answer.
+// attempt is one send of a request with its answer.
 type attempt struct {
-	id, prefix  string
+	send        string
+	prefix      string
+	again       bool
 	gateway     *gateway
 	key         accountKey
 	sent, ended time.Time
@@ -23,7 +25,7 @@
 
 // judge checks the promises about one request.
 func (s *Soak) judge(a attempt) {
-	runs := s.runsOf(a.id)
+	runs := s.runsOf(a.send)
 	s.judgeKey(a, runs)
 	s.judgeAnswer(a, runs)
 	s.judgeDrain(a, runs)
@@ -39,9 +41,9 @@
 
 // inTouchNow reports whether neither the gateway that got a request in progress nor the
 // store had a fault shortly before.
-func (s *Soak) inTouchNow(id string) bool {
+func (s *Soak) inTouchNow(send string) bool {
 	s.mu.Lock()
-	g := s.senders[id]
+	g := s.senders[send]
 	s.mu.Unlock()
 	return g != nil && s.inTouch(attempt{gateway: g, sent: time.Now()})
 }
@@ -49,21 +51,21 @@
 func (s *Soak) judgeKey(a attempt, runs []clstandplatform.Run) {
 	switch {
 	case !a.key.removed.IsZero() && a.sent.After(a.key.removed.Add(bounds.Revocation)) && len(runs) > 0:
-		s.violate("%s ran %s after its key was removed, at %s", a.id, a.sent.Sub(a.key.removed), a.gateway.name)
+		s.violate("%s ran %s after its key was removed, at %s", a.send, a.sent.Sub(a.key.removed), a.gateway.name)
 	case a.key.removed.IsZero() && a.sent.After(a.key.added.Add(bounds.Config)) && s.inTouch(a) &&
 		(a.reply.Status == http.StatusUnauthorized || a.reply.Status == http.StatusNotFound):
-		s.violate("%s got %d with a valid key %s after it was added, at %s", a.id, a.reply.Status, a.sent.Sub(a.key.added), a.gateway.name)
+		s.violate("%s got %d with a valid key %s after it was added, at %s", a.send, a.reply.Status, a.sent.Sub(a.key.added), a.gateway.name)
 	}
 }
 
 func (s *Soak) judgeAnswer(a attempt, runs []clstandplatform.Run) {
 	r := a.reply
 	if r.Wrong != "" {
-		s.violate("%s got what is not its own: %q", a.id, r.Wrong)
+		s.violate("%s got what is not its own: %q", a.send, r.Wrong)
 	}
 	for i, n := range r.Events {
 		if n != i+1 {
-			s.violate("%s got event %d in place %d", a.id, n, i+1)
+			s.violate("%s got event %d in place %d", a.send, n, i+1)
 		}
 	}
 	if r.Status != http.StatusOK || !r.Whole {
@@ -71,13 +73,13 @@
 	}
 	sealed := false
 	for _, run := range runs {
-		sealed = sealed || r.Seal == clstandplatform.Seal(run.Endpoint, a.id)
+		sealed = sealed || r.Seal == clstandplatform.Seal(run.Endpoint, a.send)
 	}
 	if !sealed {
-		s.violate("%s got an answer sealed %q and ran at %d endpoints", a.id, r.Seal, len(runs))
+		s.violate("%s got an answer sealed %q and ran at %d endpoints", a.send, r.Seal, len(runs))
 	}
 	if a.prefix == clstandplatform.StreamPrefix && len(r.Events) != eventCount {
-		s.violate("%s ended as whole after %d of %d events", a.id, len(r.Events), eventCount)
+		s.violate("%s ended as whole after %d of %d events", a.send, len(r.Events), eventCount)
 	}
 }
 
@@ -88,7 +90,7 @@
 		if e == nil || e.leftAt().IsZero() || !run.At.After(e.leftAt().Add(bounds.Drain)) || !s.inTouch(a) {
 			continue
 		}
-		s.violate("%s reached %s %s after it left, from %s", a.id, run.Endpoint, run.At.Sub(e.leftAt()), a.gateway.name)
+		s.violate("%s reached %s %s after it left, from %s", a.send, run.Endpoint, run.At.Sub(e.leftAt()), a.gateway.name)
 	}
 }
 
@@ -100,7 +102,7 @@
 	}
 	if errors.Is(a.reply.Err, context.DeadlineExceeded) {
 		if s.inTouch(a) {
-			s.violate("%s had no answer within %s of its deadline, at %s", a.id, callerWait-deadline, a.gateway.name)
+			s.violate("%s had no answer within %s of its deadline, at %s", a.send, callerWait-deadline, a.gateway.name)
 		}
 		return
 	}
@@ -112,7 +114,7 @@
 			return
 		}
 	}
-	s.violate("%s ran and was cut while %s stopped as planned: %v", a.id, a.gateway.name, a.reply.Err)
+	s.violate("%s ran and was cut while %s stopped as planned: %v", a.send, a.gateway.name, a.reply.Err)
 }
 
 // checkRecovery requires that all gateways serve all kinds of requests again.
@@ -140,18 +142,18 @@
 func (s *Soak) checkEnd() {
 	// A request that was refused must not run later either.
 	time.Sleep(time.Second)
-	for _, id := range s.refused {
-		if n := len(s.runsOf(id)); n > 0 {
-			s.violate("%s was refused as not run and ran %d times", id, n)
+	for _, send := range s.refused {
+		if n := len(s.runsOf(send)); n > 0 {
+			s.violate("%s was refused as not run and ran %d times", send, n)
 		}
 	}
 	s.mu.Lock()
 	most := map[string]int{clstandplatform.OncePrefix: 1, clstandplatform.RepeatPrefix: 2, clstandplatform.StreamPrefix: 2}
 	var often []string
-	for id, runs := range s.runs {
+	for send, runs := range s.runs {
 		for prefix, limit := range most {
-			if len(runs) > limit && runs[0].Path == prefix+id {
-				often = append(often, fmt.Sprintf("%s ran %d times, %d are allowed", prefix+id, len(runs), limit))
+			if len(runs) > limit && runs[0].Path == prefix+runs[0].Request {
+				often = append(often, fmt.Sprintf("%s ran %d times, %d are allowed", prefix+send, len(runs), limit))
 			}
 		}
 	}
--- a/internal/testing/clsoak/checks_test.go
+++ b/internal/testing/clsoak/checks_test.go
@@ -21,7 +21,7 @@
 func (s *Soak) attemptOf(id, prefix string) attempt {
 	now := time.Now()
 	return attempt{
-		id: id, prefix: prefix, gateway: &gateway{name: "g"}, sent: now, ended: now,
+		send: id, prefix: prefix, gateway: &gateway{name: "g"}, sent: now, ended: now,
 		key: accountKey{key: "k", added: now.Add(-time.Hour)},
 	}
 }
@@ -32,6 +32,8 @@
 	s.sentAt = map[string]time.Time{request: time.Now()}
 }
 
-func runOf(id, endpoint, path string) clstandplatform.Run {
-	return clstandplatform.Run{Request: id, Endpoint: endpoint, Path: path, Account: account, At: time.Now()}
+func runOf(id, endpoint, path string) clstandplatform.Run { return sendOf(id, 1, endpoint, path) }
+
+func sendOf(id string, n int, endpoint, path string) clstandplatform.Run {
+	return clstandplatform.Run{Request: id, Send: clstandplatform.SendName(id, n), Endpoint: endpoint, Path: path, Account: account, At: time.Now()}
 }
--- a/internal/testing/clsoak/command.go
+++ b/internal/testing/clsoak/command.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "gateways", Value: 4, Usage: "gateway processes"},
 			&cli.IntFlag{Name: "endpoints", Value: 5, Usage: "endpoints"},
 			&cli.IntFlag{Name: "callers", Value: 12, Usage: "callers"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "the name of a fault, to inject only those that are named"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "how long faults are injected"},
 		},
 		Action: runCommand,
@@ -52,7 +53,7 @@
 		s := &Soak{
 			Binary: cmd.String("binary"), Dir: filepath.Join(dir, fmt.Sprint("seed-", seed+uint64(i))), Seed: seed + uint64(i),
 			Gateways: cmd.Int("gateways"), Endpoints: cmd.Int("endpoints"), Callers: cmd.Int("callers"), Length: cmd.Duration("length"),
-			Logger: zap.NewNop(),
+			Faults: cmd.StringSlice("fault"), Logger: zap.NewNop(),
 		}
 		if err := os.MkdirAll(s.Dir, 0o700); err != nil {
 			return errors.Wrap(err, "name a folder that can be written with --dir")
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -32,6 +32,8 @@
 	stopsAsPlanned   = "a gateway is stopped as planned"
 	asksForQuiet     = "an endpoint refuses a part of its requests and asks for quiet"
 	saysThatItLeaves = "an endpoint says that it leaves before the store does"
+	copiesRefusals   = "an endpoint sends copies of its refusals"
+	proxyCopies      = "a proxy before an endpoint sends copies of refusals"
 	// storeReturn is how long after an outage gateways need to find the store.
 	storeReturn = time.Second
 )
@@ -123,6 +125,18 @@
 	{refusesWhatRan, func(s *Soak, w *world) {
 		s.spoil(w, clstandplatform.FailureAsRefusal, clstandplatform.ForeignRefusal)
 	}},
+	{copiesRefusals, func(s *Soak, w *world) {
+		e := s.pickEndpoint(w)
+		e.copies.Store(true)
+		s.spoilOne(e, s.between(longest, 2*longest), clstandplatform.Full)
+		e.copies.Store(false)
+	}},
+	{proxyCopies, func(s *Soak, w *world) {
+		e := s.pickEndpoint(w)
+		e.link.set(modeCopy)
+		s.spoilOne(e, s.between(longest, 2*longest), clstandplatform.Full)
+		e.link.set(modeOpen)
+	}},
 	{"an endpoint crashes and another one comes", func(s *Soak, w *world) {
 		if e, ok := s.takeEndpoint(w); ok {
 			w.crash(e)
@@ -150,8 +164,10 @@
 // spoil makes an endpoint treat a part of its requests in one of the given ways for a
 // while.
 func (s *Soak) spoil(w *world, kinds ...clstandplatform.Fault) {
-	e := s.pickEndpoint(w)
-	d := s.between(shortest, longest)
+	s.spoilOne(s.pickEndpoint(w), s.between(shortest, longest), kinds...)
+}
+
+func (s *Soak) spoilOne(e *endpoint, d time.Duration, kinds ...clstandplatform.Fault) {
 	e.trouble(time.Now().Add(d))
 	e.fault.Store(int64(kinds[s.intN(len(kinds))]))
 	time.Sleep(d)
--- a/internal/testing/clsoak/link.go
+++ b/internal/testing/clsoak/link.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
 )
 
 type (
@@ -45,6 +47,8 @@
 	modeSilent
 	// modeOneWay swallows what the target sends.
 	modeOneWay
+	// modeCopy sends copies of refusals.
+	modeCopy
 )
 
 const (
@@ -54,13 +58,18 @@
 	linkBuffer = 16 << 10
 )
 
-// newLink returns a running link to target.
-func newLink(target netip.AddrPort) (*link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newLink returns a running link to target. Without a soak, it has no modeCopy.
+func newLink(target netip.AddrPort, s *Soak) (*link, error) {
+	k := &link{target: target, conns: make(map[*linkConn]bool)}
+	var copier *clstandplatform.Copier
+	if s != nil {
+		copier = s.copier(func() bool { return k.current() == modeCopy })
+	}
+	l, err := listen(copier)
 	if err != nil {
 		return nil, err
 	}
-	k := &link{target: target, listener: l, conns: make(map[*linkConn]bool)}
+	k.listener = l
 	go k.run()
 	return k, nil
 }
@@ -160,7 +169,7 @@
 // reset closes both ends without the usual farewell.
 func (c *linkConn) reset() {
 	for _, conn := range []net.Conn{c.from, c.to} {
-		if t, ok := conn.(*net.TCPConn); ok {
+		if t, ok := conn.(interface{ SetLinger(int) error }); ok {
 			_ = t.SetLinger(0) // only the way it ends changes
 		}
 		_ = conn.Close() // it may be closed already
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,14 +32,15 @@
 
 		world *world
 
-		mu      sync.Mutex
-		rnd     *rand.Rand
+		mu  sync.Mutex
+		rnd *rand.Rand
+		// runs holds what ran of each send, and refused the sends that were refused.
 		runs    map[string][]clstandplatform.Run
 		refused []string
 		report  Report
 		version int
 		keys    []accountKey
-		// senders holds the gateways to which requests in progress were sent, by ID.
+		// senders holds the gateways to which requests in progress were sent, by send.
 		senders map[string]*gateway
 		// sentAt holds when these were sent.
 		sentAt     map[string]time.Time
@@ -60,9 +62,15 @@
 		Answered int    `json:"answered"`
 		Refused  int    `json:"refused"`
 		// Broken requests got a failure or no whole answer.
-		Broken     int      `json:"broken"`
-		Faults     []string `json:"faults"`
-		Violations []string `json:"violations"`
+		Broken int `json:"broken"`
+		// Again counts the sends of IDs that had been sent before, Copies the copies of
+		// refusals, and CopiesUnderWay those that were sent while the ID was under way
+		// again on their connection.
+		Again          int      `json:"again"`
+		Copies         int      `json:"copies"`
+		CopiesUnderWay int      `json:"copies_under_way"`
+		Faults         []string `json:"faults"`
+		Violations     []string `json:"violations"`
 	}
 )
 
@@ -166,17 +174,17 @@
 // ran records a request that an endpoint runs.
 func (s *Soak) ran(r clstandplatform.Run) {
 	s.mu.Lock()
-	s.runs[r.Request] = append(s.runs[r.Request], r)
+	s.runs[r.Send] = append(s.runs[r.Send], r)
 	s.mu.Unlock()
 	if r.Account != account || r.Header.Get("Authorization") != "" {
 		s.violate("a request ran for account %q with headers %v", r.Account, r.Header)
 	}
 }
 
-func (s *Soak) runsOf(id string) []clstandplatform.Run {
+func (s *Soak) runsOf(send string) []clstandplatform.Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.runs[id])
+	return slices.Clone(s.runs[send])
 }
 
 // violate records a broken promise; the same text counts once.
@@ -198,52 +206,68 @@
 	defer c.Close()
 	for n := 0; ctx.Err() == nil; n++ {
 		g := s.world.gateways[s.intN(len(s.world.gateways))]
-		s.call(ctx, c, g, prefixes[s.intN(len(prefixes))], fmt.Sprintf("c%d-%d", number, n))
+		prefix, id := prefixes[s.intN(len(prefixes))], fmt.Sprintf("c%d-%d", number, n)
+		if s.chance(againShare) {
+			s.callAgain(ctx, c, g, prefix, id)
+		} else {
+			s.call(ctx, c, g, prefix, id)
+		}
 		time.Sleep(s.between(2*time.Millisecond, 30*time.Millisecond))
 	}
 }
 
 // call sends one request and judges its answer, and reports whether it was served.
 func (s *Soak) call(ctx context.Context, c *clstandplatform.Caller, g *gateway, prefix, id string) bool {
-	prompt := ""
+	a := s.send(ctx, c, g, s.newCall(prefix, id))
+	return a.reply.Status == http.StatusOK && a.reply.Whole
+}
+
+// newCall returns a request with a sound prompt.
+func (s *Soak) newCall(prefix, id string) clstandplatform.Call {
+	call := clstandplatform.Call{Path: prefix + id, ID: id}
 	if prefix == clstandplatform.StreamPrefix {
-		prompt = s.soundPrompt()
+		call.Prompt = s.soundPrompt()
 	}
-	return s.send(ctx, c, g, prefix, id, prompt)
+	return call
 }
 
-// send is call with a prompt, which is empty if there is none.
-func (s *Soak) send(ctx context.Context, c *clstandplatform.Caller, g *gateway, prefix, id, prompt string) bool {
+// send sends a request at a gateway and judges its answer.
+func (s *Soak) send(ctx context.Context, c *clstandplatform.Caller, g *gateway, call clstandplatform.Call) attempt {
+	a := attempt{
+		send: clstandplatform.SendName(call.ID, call.Send), prefix: strings.TrimSuffix(call.Path, call.ID), gateway: g, key: s.pickKey(), sent: time.Now(),
+		again: call.Send > 1,
+	}
 	s.mu.Lock()
-	s.senders[id], s.sentAt[id] = g, time.Now()
+	s.senders[a.send], s.sentAt[a.send] = g, a.sent
 	s.mu.Unlock()
-	a := attempt{id: id, prefix: prefix, gateway: g, key: s.pickKey(), sent: time.Now()}
+	call.Gateway, call.Method, call.Host, call.Key = g.callers, http.MethodPost, clstandplatform.Host, a.key.key
+	call.Deadline, call.Wait = deadline, callerWait
 	// Not bound to ctx: a run that ends lets the last requests end.
-	a.reply = c.Send(context.WithoutCancel(ctx), clstandplatform.Call{
-		Gateway: g.callers, Method: http.MethodPost, Host: clstandplatform.Host, Path: prefix + id, ID: id, Key: a.key.key, Prompt: prompt,
-		Deadline: deadline, Wait: callerWait,
-	})
+	a.reply = c.Send(context.WithoutCancel(ctx), call)
 	a.ended = time.Now()
 	s.mu.Lock()
-	delete(s.senders, id)
-	delete(s.sentAt, id)
+	delete(s.senders, a.send)
+	delete(s.sentAt, a.send)
 	s.mu.Unlock()
 	s.passedOn(a)
 	s.count(a)
 	s.judge(a)
-	return a.reply.Status == http.StatusOK && a.reply.Whole
+	return a
 }
 
 func (s *Soak) count(a attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.Requests++
+	if a.again {
+		s.report.Again++
+	}
 	switch {
 	case a.reply.Status == http.StatusOK && a.reply.Whole:
 		s.report.Answered++
 	case a.reply.Refuses():
 		s.report.Refused++
-		s.refused = append(s.refused, a.id)
+		s.refused = append(s.refused, a.send)
 	default:
 		s.report.Broken++
 	}
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -99,6 +99,24 @@
 	require.NotEmpty(t, s.statements.leaving, "the fault has had no effect")
 }
 
+// Guards against requests that run although they were refused (REFUSED): an endpoint, or a
+// proxy before it, sends a copy of a refusal while its ID is under way again.
+func TestCopiesOfRefusalsAreNoAnswers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := &Soak{
+		Binary: buildBinary(t), Dir: t.TempDir(), Seed: 37001, Gateways: 4, Endpoints: 2, Callers: 12, Length: 8 * time.Second,
+		Faults: []string{copiesRefusals, proxyCopies}, Logger: zaptest.NewLogger(t),
+	}
+	report, err := s.Run(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.Positive(t, report.Copies, "the fault has had no effect")
+	require.Positive(t, report.Again, "the fault has had no effect")
+	require.Positive(t, report.Answered)
+}
+
 // buildBinary returns the path of the program under test.
 func buildBinary(t *testing.T) string {
 	t.Helper()
@@ -110,11 +128,7 @@
 
 // Guards against a check that never fails: what each promise forbids must be seen.
 func TestChecksFindWhatTheyLookFor(t *testing.T) {
-	for _, tc := range []struct {
-		name string
-		want string
-		do   func(s *Soak)
-	}{
+	for _, tc := range append([]checkCase{
 		{"ran twice", "ran 2 times, 1 are allowed", func(s *Soak) {
 			s.ran(runOf("x", "e1", "/once/x"))
 			s.ran(runOf("x", "e2", "/once/x"))
@@ -189,7 +203,7 @@
 				p.arrived(true, time.Now())
 			}
 		}},
-	} {
+	}, sendChecks...) {
 		s := newChecks(t)
 		tc.do(s)
 		s.checkEnd()
--- a/internal/testing/clsoak/statement.go
+++ b/internal/testing/clsoak/statement.go
@@ -54,13 +54,13 @@
 // arrivedAt records a request that has reached an endpoint, whether it runs or not.
 func (s *Soak) arrivedAt(r clstandplatform.Run) {
 	s.mu.Lock()
-	g := s.senders[r.Request]
+	g := s.senders[r.Send]
 	if g == nil {
 		s.mu.Unlock()
 		return
 	}
 	at := told{g.name, r.Endpoint}
-	sent := s.sentAt[r.Request]
+	sent := s.sentAt[r.Send]
 	leavingSince, leaves := s.statements.leaving[at]
 	for _, q := range s.statements.quiets {
 		if q.told == at && r.At.After(q.asked.Add(quietSlack)) && r.At.Before(q.until) && g.runsSince(q.asked) {
@@ -69,7 +69,7 @@
 	}
 	s.mu.Unlock()
 	if leaves && sent.After(leavingSince.Add(bounds.Drain)) && g.runsSince(leavingSince) {
-		s.violate("%s reached %s %s after %s had passed on its word that it leaves", r.Request, r.Endpoint, sent.Sub(leavingSince), g.name)
+		s.violate("%s reached %s %s after %s had passed on its word that it leaves", r.Send, r.Endpoint, sent.Sub(leavingSince), g.name)
 	}
 }
 
@@ -77,7 +77,7 @@
 func (s *Soak) askedForQuiet(r clstandplatform.Run, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g := s.senders[r.Request]; g != nil {
+	if g := s.senders[r.Send]; g != nil {
 		now := time.Now()
 		s.statements.quiets = append(s.statements.quiets, &quietTime{told: told{g.name, r.Endpoint}, asked: now, until: now.Add(d)})
 	}
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -87,6 +87,8 @@
 		fault atomic.Int64
 		// saysLeaving makes it say in its answers that it leaves.
 		saysLeaving atomic.Bool
+		// copies makes it send copies of its refusals.
+		copies atomic.Bool
 
 		troubles
 
@@ -149,7 +151,7 @@
 
 // serve serves a stand-in of the platform until the world is closed.
 func (w *world) serve(h http.Handler) (netip.AddrPort, error) {
-	srv, err := newServer(h)
+	srv, err := newServer(h, nil)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -160,8 +162,8 @@
 }
 
 // newServer serves a handler on a free port until it is closed.
-func newServer(h http.Handler) (*server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newServer(h http.Handler, copier *clstandplatform.Copier) (*server, error) {
+	l, err := listen(copier)
 	if err != nil {
 		return nil, err
 	}
@@ -178,7 +180,7 @@
 func (w *world) addGateway(i int) error {
 	// The process number keeps runs that go on at the same time apart.
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(os.Getpid() / 250 % 250), byte(10 + i)})
-	k, err := newLink(w.storeAddr)
+	k, err := newLink(w.storeAddr, nil)
 	if err != nil {
 		return err
 	}
@@ -325,10 +327,10 @@
 		},
 	}
 	var err error
-	if e.server, err = newServer(handler); err != nil {
+	if e.server, err = newServer(handler, w.soak.copier(e.copies.Load)); err != nil {
 		return err
 	}
-	if e.link, err = newLink(e.server.addr()); err != nil {
+	if e.link, err = newLink(e.server.addr(), w.soak); err != nil {
 		return err
 	}
 	w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, false)
@@ -419,6 +421,7 @@
 	for _, e := range w.live() {
 		e.link.set(modeOpen)
 		e.fault.Store(int64(clstandplatform.NoFault))
+		e.copies.Store(false)
 	}
 	return nil
 }
