--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
@@ -117,23 +118,32 @@
 	s.violate("%s ran and was cut while %s stopped as planned: %v", a.send, a.gateway.name, a.reply.Err)
 }
 
-// checkRecovery requires that all gateways serve all kinds of requests again.
+// checkRecovery requires that all gateways serve all kinds of requests again. They are
+// asked at the same time, so that each has all the time to recover.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	c := clstandplatform.NewCaller()
-	defer c.Close()
 	end := time.Now().Add(recovery)
+	var checks sync.WaitGroup
 	for _, g := range s.world.gateways {
-		for i, prefix := range prefixes {
-			for n := 0; ; n++ {
-				if s.call(ctx, c, g, prefix, fmt.Sprintf("last-%s-%d-%d", g.name, i, n)) {
-					break
-				}
-				if time.Now().After(end) {
-					s.violate("%s does not serve %s within %s of the last fault", g.name, prefix, recovery)
-					break
-				}
-				time.Sleep(pollEvery)
+		checks.Go(func() { s.checkServes(ctx, g, end) })
+	}
+	checks.Wait()
+}
+
+// checkServes requires that a gateway serves all kinds of requests before end. A request
+// may be refused for its key, which may be a removed one.
+func (s *Soak) checkServes(ctx context.Context, g *gateway, end time.Time) {
+	c := clstandplatform.NewCaller()
+	defer c.Close()
+	for i, prefix := range prefixes {
+		for n := 0; ; n++ {
+			if s.call(ctx, c, g, prefix, fmt.Sprintf("last-%s-%d-%d", g.name, i, n)) {
+				break
+			}
+			if time.Now().After(end) {
+				s.violate("%s does not serve %s within %s of the last fault", g.name, prefix, recovery)
+				break
 			}
+			time.Sleep(pollEvery)
 		}
 	}
 }
