Review: case 6, a late answer of the store brings back an endpoint that leaves

A watch in progress goes on when a gateway begins to follow another one, and its events are applied whatever the copy has reached meanwhile.

--- /dev/null
+++ b/review/clcase/latewatch.go
@@ -0,0 +1,127 @@
+// This file defines the case in which an answer of the store comes late.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
+)
+
+const (
+	callerKey = "key-1"
+	// contact is how long a gateway must have been without a disruption to be in touch.
+	contact = 3 * time.Second
+	// heartbeat is the time between two writes of an endpoint's entry.
+	heartbeat = 1200 * time.Millisecond
+	// interruption is how long the way to the store is interrupted.
+	interruption = 1600 * time.Millisecond
+	// settle is the time between the steps of a case.
+	settle = 3 * time.Second
+)
+
+// arrivals counts the requests that arrive at the endpoints.
+type arrivals struct {
+	mu sync.Mutex
+	// at holds the times of the arrivals at each endpoint.
+	at map[string][]time.Time
+}
+
+// startEndpoint starts an endpoint that answers after work. It has no entry yet.
+func (w *world) startEndpoint(id string, work time.Duration, a *arrivals) (*endpoint, error) {
+	h := &clstandplatform.Endpoint{ID: id, Work: work, Arrived: func(r clstandplatform.Run) {
+		a.mu.Lock()
+		a.at[id] = append(a.at[id], r.At)
+		a.mu.Unlock()
+		w.note("%s: request %s arrives", id, r.Request)
+	}}
+	addr, err := w.serve(h)
+	return &endpoint{id: id, dc: "a", born: time.Now(), addr: addr}, err
+}
+
+// send sends one request that may run once, and records its answer.
+func (w *world) send(c *clstandplatform.Caller, g *gateway, id string) clstandplatform.Reply {
+	w.note("caller: sends %s to %s", id, g.name)
+	r := c.Send(context.Background(), clstandplatform.Call{
+		Gateway: g.callers, Method: "POST", Host: clstandplatform.Host, Path: clstandplatform.OncePrefix + "x", ID: id, Key: callerKey,
+		Deadline: 2 * time.Second, Wait: 2 * time.Second,
+	})
+	w.note("caller: %s gets %d by %q", id, r.Status, r.Endpoint)
+	return r
+}
+
+// lateWatch interrupts a gateway's way to the store for a moment, while an endpoint
+// registers and, with its next heartbeat, leaves. The gateway learns of both through the
+// gateway that reads the store for it. The endpoint must get no request later than the
+// bound on draining.
+func lateWatch(w *world) (bool, error) {
+	w.store.Configure(1, "account-1", []string{callerKey})
+	seen := &arrivals{at: map[string][]time.Time{}}
+	const others = 3
+	endpoints := make([]*endpoint, others+1)
+	for i := range endpoints {
+		e, err := w.startEndpoint(fmt.Sprintf("e%d", i+1), 20*time.Millisecond, seen)
+		if err != nil {
+			return false, err
+		}
+		if endpoints[i] = e; i < others {
+			w.put(e, "ready", 0)
+		}
+	}
+	leaving := endpoints[others]
+	way, err := w.newLink(w.storeAddr)
+	if err != nil {
+		return false, err
+	}
+	second, err := w.addGateway("edge-a-2", "a", 2, way.addr())
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	// The change ends the watch in progress, so that the next one lasts until the interruption.
+	w.put(endpoints[0], "ready", time.Millisecond)
+	time.Sleep(time.Second)
+	// The added gateway is the first one by name, so that edge-a-2 follows it from now on.
+	if _, err := w.addGateway("edge-a-1", "a", 1, w.storeAddr); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	w.interrupt(way, true)
+	interruptedAt := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	w.put(leaving, "ready", 0)
+	time.Sleep(heartbeat)
+	leftAt := w.put(leaving, "draining", 0)
+	time.Sleep(time.Until(interruptedAt.Add(interruption)))
+	w.interrupt(way, false)
+	time.Sleep(contact + 200*time.Millisecond)
+	caller := clstandplatform.NewCaller()
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	every(ctx, 50*time.Millisecond, func(n int) { w.send(caller, second, fmt.Sprintf("r%d", n)) })
+	late := 0
+	for _, at := range seen.at[leaving.id] {
+		if at.Sub(leftAt) > bounds.Drain {
+			late++
+		}
+	}
+	w.note("%d requests reached %s later than %s after the store had acknowledged that it leaves", late, leaving.id, bounds.Drain)
+	return late > 0, nil
+}
+
+// interrupt interrupts the way of edge-a-2 to the store, or ends that.
+func (w *world) interrupt(way *link, held bool) {
+	switch {
+	case !w.trouble:
+	case held:
+		w.note("edge-a-2 is partitioned from the store")
+		way.hold(true)
+	default:
+		way.hold(false)
+		w.note("edge-a-2 reaches the store again")
+	}
+}
