--- a/review/clcase/latewatch.go
+++ b/review/clcase/latewatch.go
@@ -15,10 +15,17 @@
 	callerKey = "key-1"
 	// contact is how long a gateway must have been without a disruption to be in touch.
 	contact = 3 * time.Second
-	// heartbeat is the time between two writes of an endpoint's entry.
-	heartbeat = 1200 * time.Millisecond
-	// interruption is how long the way to the store is interrupted.
-	interruption = 1600 * time.Millisecond
+	// interruption is how long the way to the store is interrupted, and changeGap the time
+	// between the two changes of the endpoint's entry meanwhile.
+	interruption = time.Second
+	changeGap    = 600 * time.Millisecond
+	// coldFor is how long the endpoint says that it stays cold.
+	coldFor = 3 * time.Second
+	// work is how long a request runs, sendGap the time between two requests, and sendFor
+	// how long they are sent.
+	work    = 20 * time.Millisecond
+	sendGap = 25 * time.Millisecond
+	sendFor = 4 * time.Second
 	// settle is the time between the steps of a case.
 	settle = 3 * time.Second
 )
@@ -54,24 +61,21 @@
 }
 
 // lateWatch interrupts a gateway's way to the store for a moment, while an endpoint
-// registers and, with its next heartbeat, leaves. The gateway learns of both through the
-// gateway that reads the store for it. The endpoint must get no request later than the
-// bound on draining.
+// becomes cold and then leaves. The gateway learns of both through the gateway that reads
+// the store for it. The endpoint must get no request later than the bound on draining.
 func lateWatch(w *world) (bool, error) {
 	w.store.Configure(1, "account-1", []string{callerKey})
 	seen := &arrivals{at: map[string][]time.Time{}}
-	const others = 3
-	endpoints := make([]*endpoint, others+1)
+	endpoints := make([]*endpoint, 4)
 	for i := range endpoints {
-		e, err := w.startEndpoint(fmt.Sprintf("e%d", i+1), 20*time.Millisecond, seen)
+		e, err := w.startEndpoint(fmt.Sprintf("e%d", i+1), work, seen)
 		if err != nil {
 			return false, err
 		}
-		if endpoints[i] = e; i < others {
-			w.put(e, "ready", 0)
-		}
+		endpoints[i] = e
+		w.put(e, "ready", 0)
 	}
-	leaving := endpoints[others]
+	leaving := endpoints[len(endpoints)-1]
 	way, err := w.newLink(w.storeAddr)
 	if err != nil {
 		return false, err
@@ -92,17 +96,17 @@
 	w.interrupt(way, true)
 	interruptedAt := time.Now()
 	time.Sleep(100 * time.Millisecond)
-	w.put(leaving, "ready", 0)
-	time.Sleep(heartbeat)
+	w.put(leaving, "ready", coldFor)
+	time.Sleep(changeGap)
 	leftAt := w.put(leaving, "draining", 0)
 	time.Sleep(time.Until(interruptedAt.Add(interruption)))
 	w.interrupt(way, false)
 	time.Sleep(contact + 200*time.Millisecond)
 	caller := clstandplatform.NewCaller()
 	defer caller.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), sendFor)
 	defer cancel()
-	every(ctx, 50*time.Millisecond, func(n int) { w.send(caller, second, fmt.Sprintf("r%d", n)) })
+	every(ctx, sendGap, func(n int) { w.send(caller, second, fmt.Sprintf("r%d", n)) })
 	late := 0
 	for _, at := range seen.at[leaving.id] {
 		if at.Sub(leftAt) > bounds.Drain {
