--- a/review/clcase/latewatch.go
+++ b/review/testdata/clcase/latewatch.go
@@ -33,8 +33,16 @@
 // arrivals counts the requests that arrive at the endpoints.
 type arrivals struct {
 	mu sync.Mutex
-	// at holds the times of the arrivals at each endpoint.
-	at map[string][]time.Time
+	// at holds the times of the arrivals at each endpoint, and ids the requests.
+	at  map[string][]time.Time
+	ids map[string]bool
+}
+
+// has reports whether a request has arrived.
+func (a *arrivals) has(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ids[id]
 }
 
 // startEndpoint starts an endpoint that answers after work. It has no entry yet.
@@ -42,6 +50,10 @@
 	h := &clstandplatform.Endpoint{ID: id, Work: work, Arrived: func(r clstandplatform.Run) {
 		a.mu.Lock()
 		a.at[id] = append(a.at[id], r.At)
+		if a.ids == nil {
+			a.ids = map[string]bool{}
+		}
+		a.ids[r.Request] = true
 		a.mu.Unlock()
 		w.note("%s: request %s arrives", id, r.Request)
 	}}
--- a/review/clcase/main.go
+++ b/review/testdata/clcase/main.go
@@ -17,7 +17,8 @@
 
 // cases holds the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(w *world) (bool, error){
-	"late-watch": lateWatch,
+	"late-watch":      lateWatch,
+	"endless-reports": endlessReports,
 }
 
 func main() { os.Exit(run()) }
--- a/review/clcase/world.go
+++ b/review/testdata/clcase/world.go
@@ -178,24 +178,6 @@
 	return errors.Errorf("%s is not ready; see %s", g.name, g.world.dir)
 }
 
-// signal sends a signal to the process.
-func (g *gateway) signal(s os.Signal) {
-	g.world.note("%s: %s", g.name, s)
-	_ = g.cmd.Process.Signal(s)
-}
-
-// stop stops the process as planned and waits for its end.
-func (g *gateway) stop() {
-	g.signal(syscall.SIGTERM)
-	select {
-	case <-g.ended:
-	case <-time.After(bounds.Grace):
-		_ = g.cmd.Process.Kill()
-		<-g.ended
-	}
-	g.world.note("%s: ended", g.name)
-}
-
 // put writes the entry of an endpoint and records when the store acknowledged it.
 func (w *world) put(e *endpoint, state string, coldFor time.Duration) time.Time {
 	entry := clstandplatform.EndpointEntry(clstandplatform.Service, e.addr, e.dc, slots, e.born, state == "draining")
