--- a/review/testdata/clcase/main.go
+++ b/review/testdata/clcase/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(w *world) (bool, error){
 	"late-watch":      lateWatch,
 	"endless-reports": endlessReports,
+	"late-end":        lateEnd,
 }
 
 func main() { os.Exit(run()) }
--- a/review/testdata/clcase/reports.go
+++ b/review/testdata/clcase/reports.go
@@ -79,30 +79,6 @@
 	}
 }
 
-// configure writes a configuration with the streams of engines and the bookings of plain
-// endpoints.
-func (w *world) configure() {
-	route := func(name, prefix, kind, service string, timeout, target int) map[string]any {
-		return map[string]any{
-			"name": name, "host": clstandplatform.Host, "path_prefix": prefix, "kind": kind, "timeout_ms": timeout, "service": service,
-			"max_attempts": 1, "target_latency_ms": target, "priority": 1,
-		}
-	}
-	w.store.Put(cladapter.KindConfig, "main", map[string]any{
-		"version": 1,
-		"routes": []any{
-			route("profile-query", clstandplatform.StreamPrefix, "streaming", engineService, 3000, 1000),
-			route("delivery-booking", clstandplatform.OncePrefix, "non_idempotent", plainService, 1500, 100),
-		},
-		"services": []any{
-			map[string]any{"name": engineService, "max_conns": 370, "health_path": "/health", "engine": map[string]any{"slots": 64, "kv_tokens": 664587}},
-			map[string]any{"name": plainService, "max_conns": 110, "health_path": "/health"},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "account-1", "api_keys": []string{callerKey}}},
-	})
-}
-
 // register writes the entry of an endpoint of a service.
 func (w *world) register(service, id string, addr netip.AddrPort, born time.Time) {
 	w.store.Put(cladapter.KindServers, id, clstandplatform.EndpointEntry(service, addr, "a", slots, born, false))
@@ -185,7 +161,9 @@
 // endlessReports lets the reports of engines go on without end. The bookings of sound
 // endpoints must not lose their answers.
 func endlessReports(w *world) (bool, error) {
-	w.configure()
+	if err := w.configure("kartli.json"); err != nil {
+		return false, err
+	}
 	for i := range engineCount {
 		e := &engine{id: fmt.Sprintf("llm%d", i+1), born: time.Now(), trouble: w.trouble}
 		addr, err := w.serve(e)
--- a/review/testdata/clcase/world.go
+++ b/review/testdata/clcase/world.go
@@ -75,6 +75,9 @@
 
 // newWorld starts the platform's stand-ins. The record of the case goes to a file.
 func newWorld(record string, trouble bool) (*world, error) {
+	if err := readNames(); err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "clcase")
 	if err != nil {
 		return nil, errors.Wrap(err, "make the folder for logs")
@@ -144,7 +147,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	cmd := exec.Command(binary, "gateway")
-	cmd.Env = append(os.Environ(), "CHESTNUTLEAD_BOOT="+g.settings)
+	cmd.Env = append(os.Environ(), names.Settings+"="+g.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -181,7 +184,7 @@
 // put writes the entry of an endpoint and records when the store acknowledged it.
 func (w *world) put(e *endpoint, state string, coldFor time.Duration) time.Time {
 	entry := clstandplatform.EndpointEntry(clstandplatform.Service, e.addr, e.dc, slots, e.born, state == "draining")
-	entry["cold_left_ms"] = coldFor.Milliseconds()
+	entry[names.Cold] = coldFor.Milliseconds()
 	at := w.store.Put(cladapter.KindServers, e.id, entry)
 	w.note("store: %s is %s, cold for %s", e.id, state, coldFor)
 	return at
