--- a/review/testdata/clcase/files.go
+++ b/review/testdata/clcase/files.go
@@ -23,10 +23,10 @@
 // readNames reads the names.
 func readNames() error {
 	b, err := files.ReadFile("names.json")
-	if err == nil {
-		err = json.Unmarshal(b, &names)
+	if err != nil {
+		return errors.Wrap(err, "read the names")
 	}
-	return errors.Wrap(err, "read names.json")
+	return json.Unmarshal(b, &names)
 }
 
 // configure writes the configuration of a file.
