Log the store's revision of endpoints' entries

An entry that goes back to an older state looked the same in the log whether the store sent it in the wrong order or the gateway applied it so.

--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -136,14 +136,14 @@
 			if c.Why != "" {
 				continue
 			}
-			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name))
+			n.Logger.Info("endpoint removed", zap.String("endpoint", c.Name), zap.Uint64("revision", c.Revision))
 			continue
 		}
 		n.fleet.Put(c.Value, now)
 		e := c.Value
 		n.Logger.Info("endpoint registered", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("data_centre", e.DataCentre),
 			zap.String("version", e.Version), zap.Bool("leaving", e.Leaving), zap.Bool("spot", e.Spot), zap.Duration("cold_for", e.ColdFor),
-			zap.Int64("born", e.Born), zap.Stringer("address", e.Address))
+			zap.Int64("born", e.Born), zap.Stringer("address", e.Address), zap.Uint64("revision", c.Revision))
 	}
 	if complete {
 		n.fleet.MarkSynced()
