Order answers of the store and of readers by era and revision

Cause: changes of a watch entered the copy whatever it had reached meanwhile, through the gateway that it follows. Evidence: the log of entries, now with revisions: 27, 28, 27. Ruled out: the store (its revisions rise) and the reader (it told 28 once).

The copy holds all changes up to its cursor, so a value counts only if it is newer than the object in the copy, or newer than the cursor if the copy lacks the object; the same for changes and complete copies of readers. Applying and passing on are one step now. Revisions are compared within one era of the store: answers of an earlier era change nothing, a watch answered in a later one leads to a list, and versions of conditional writes carry the era. Blocked traits that the store has forgotten are recorded again.

--- a/internal/coordination/clmirror/delta.go
+++ b/internal/coordination/clmirror/delta.go
@@ -7,7 +7,6 @@
 	"compress/flate"
 	"encoding/gob"
 	"io"
-	"maps"
 	"slices"
 	"time"
 
@@ -25,8 +24,8 @@
 		// Sequence is the number of changes of the mirror up to this position.
 		Sequence uint64
 		// Cursor is the store revision that the mirror's copy has reached, and
-		// Newest is the revision of the last change in that copy.
-		Cursor, Newest uint64
+		// Newest is the revision of the last change in that copy. Both are of Era.
+		Cursor, Newest, Era uint64
 	}
 
 	// delta holds the changes of one mirror that a reader sends to a follower. If
@@ -58,7 +57,7 @@
 	if !m.listed {
 		return Position{}
 	}
-	return Position{Sequence: m.sequence, Cursor: m.cursor, Newest: m.newestRevision}
+	return Position{Sequence: m.sequence, Cursor: m.cursor, Newest: m.newestRevision, Era: m.era}
 }
 
 func (m *Mirror[T]) changesSince(p Position) ([]byte, error) {
@@ -74,13 +73,13 @@
 	}
 	sequence := m.sequence
 	encoded, ok := m.encoded[missing]
-	d := delta[T]{Position: Position{Reader: m.replicator.BootID, Sequence: sequence, Cursor: m.cursor, Newest: m.newestRevision}}
+	d := delta[T]{Position: Position{Reader: m.replicator.BootID, Sequence: sequence, Cursor: m.cursor, Newest: m.newestRevision, Era: m.era}}
 	switch {
 	case ok:
 	case missing == completeDelta:
 		d.Complete = true
-		for name, value := range maps.All(m.objects) {
-			d.Changes = append(d.Changes, Change[T]{Name: name, Value: value})
+		for name, o := range m.objects {
+			d.Changes = append(d.Changes, Change[T]{Name: name, Value: o.value, Revision: o.revision})
 		}
 	default:
 		for _, c := range m.changeLog[len(m.changeLog)-missing:] {
@@ -117,7 +116,7 @@
 		}
 		return completeDelta
 	}
-	if p.Cursor == 0 || p.Cursor < m.logStart {
+	if p.Cursor == 0 || p.Era != m.era || p.Cursor < m.logStart {
 		return completeDelta
 	}
 	first, _ := slices.BinarySearchFunc(m.changeLog, p.Cursor, func(c loggedChange[T], cursor uint64) int {
@@ -152,17 +151,30 @@
 	if err := gob.NewDecoder(decompressed).Decode(&d); err != nil {
 		return Position{}, errors.Wrap(err, "decode changes")
 	}
+	latest := m.replicator.latestEra()
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	m.mu.Lock()
+	// A copy from which no watch can continue still holds all changes up to its cursor.
+	changes, sameEra := d.Changes, m.objects != nil && m.era == d.Position.Era
+	switch {
 	// A reader that listed the objects after a removal has no record of the
 	// removal, so that its Newest may be lower than this mirror's although its copy
 	// is not older; its Cursor is then the store revision of the list.
-	if max(d.Position.Newest, d.Position.Cursor) < m.position().Newest {
+	case d.Position.Era < max(m.era, latest), sameEra && max(d.Position.Newest, d.Position.Cursor) < m.newestRevision:
+		m.mu.Unlock()
 		return Position{}, errReaderBehind
+	case !d.Complete && !sameEra:
+		// The changes follow a copy that this mirror no longer has.
+		m.mu.Unlock()
+		return Position{}, nil
+	case d.Complete && sameEra:
+		changes = m.mergeComplete(changes, d.Position)
+	case !d.Complete:
+		changes = m.selectNewer(changes)
 	}
-	m.applyChanges(d.Changes, d.Complete, d.Position.Cursor, time.Time{})
-	m.mu.Lock()
-	// The changes of a complete delta carry no revisions, and do not include a
-	// removal that was the reader's last change.
-	m.newestRevision = max(m.newestRevision, d.Position.Newest)
 	m.mu.Unlock()
+	m.applyChanges(changes, d.Complete, d.Position, time.Time{})
+	m.replicator.observeEra(d.Position.Era)
 	return d.Position, nil
 }
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -24,7 +24,9 @@
 		List(ctx context.Context, fresh bool) (Batch[T], error)
 		// Watch returns the changes after the store revision cursor as soon as
 		// there are any, or a batch without changes after about wait. It returns
-		// ErrHistoryGone if the store no longer has the changes after cursor.
+		// ErrHistoryGone if the store no longer has the changes after cursor. The
+		// cursor is a revision of the era of an earlier batch, which the store cannot
+		// tell from the same revision of a later era; callers compare Batch.Era.
 		Watch(ctx context.Context, cursor uint64, wait time.Duration) (Batch[T], error)
 	}
 
@@ -35,6 +37,10 @@
 		Changes []Change[T]
 		// Cursor is the store revision from which the next watch continues.
 		Cursor uint64
+		// Era numbers the histories of the store. It rises when the store returns from
+		// an older copy; revisions of different eras cannot be compared. It is 0 if the
+		// store states none.
+		Era uint64
 	}
 
 	// Change is a new value of an object, or its removal.
@@ -44,8 +50,8 @@
 		// Value must not be used if Removed is set.
 		Value   T
 		Removed bool
-		// Revision is the store revision of the change. It is 0 in a complete copy
-		// from a reader.
+		// Revision is the store revision of the change, or 0 if it is not known. That of
+		// a removal may be the revision of the change before.
 		Revision uint64
 		// Why is the reason why an existing object cannot be used, or empty. Such
 		// an object counts as removed: Removed is set as well.
@@ -53,13 +59,20 @@
 	}
 
 	// loggedChange is a change and the cursor that the copy reached with it. The
-	// change's own revision does not tell whether a follower has seen it: that of a
-	// removal may be the revision of the change before.
+	// change's own revision does not tell whether a follower has seen it, because of
+	// removals.
 	loggedChange[T any] struct {
 		Change[T]
 		reached uint64
 	}
 
+	// object is an object of a copy and the store revision of its last change, or 0 if
+	// that is not known.
+	object[T any] struct {
+		value    T
+		revision uint64
+	}
+
 	// Mirror keeps a copy of the store's objects of one kind. Exported fields
 	// must be set before the Replicator that it belongs to runs.
 	Mirror[T any] struct {
@@ -85,19 +98,24 @@
 		// replicator is the Replicator that this mirror belongs to; Add sets it.
 		replicator *Replicator
 
+		// applyMu is held while changes enter the copy and are passed to Apply, so that
+		// Apply sees changes from the store and from a reader in the order of the copy.
+		// It is acquired before mu.
+		applyMu sync.Mutex
+
 		mu            sync.Mutex
 		lastConfirmed time.Time
 		// cancelCall cancels the latest store call. It is nil before the first call
 		// and has no effect once the call has ended.
 		cancelCall context.CancelFunc
 		// objects is the copy, by object name.
-		objects map[string]T
+		objects map[string]object[T]
 		// listed is set while the copy holds all objects of a list, from the store
 		// or from a reader, and the changes since; a watch can then continue from
 		// cursor.
 		listed bool
-		// historyGone is set when the store has dropped changes that a watch needed,
-		// until the next list.
+		// historyGone is set when the store has dropped changes that a watch needed, or
+		// has begun a new era, until the next list.
 		historyGone bool
 		// currentAt is the latest time as of which the copy is known to have held all
 		// changes, without the watch in progress.
@@ -113,9 +131,10 @@
 		// catchUp makes the next watch return at once: it tells that the copy holds all
 		// changes, which a watch that waits does not.
 		catchUp bool
-		// cursor is the store revision that the copy has reached, and
-		// newestRevision is the revision of the last change in the copy.
-		cursor, newestRevision uint64
+		// cursor is the store revision that the copy has reached: the copy holds all
+		// changes up to it. newestRevision is the revision of the last change in the copy,
+		// and era the era of both.
+		cursor, newestRevision, era uint64
 		// sequence is the number of changes that the copy has received so far; a
 		// list counts as one more. changeLog holds the most recent of these changes,
 		// the oldest first, at most maxLoggedChanges and none from before the last
@@ -155,6 +174,8 @@
 		// lastAnswerTime returns how long the store took to answer the last call that
 		// did not wait for changes.
 		lastAnswerTime() time.Duration
+		// relist makes the mirror list all objects again if its copy is of an earlier era.
+		relist(era uint64)
 		// currentAsOf returns the latest time as of which the copy is known to hold all
 		// changes, or zero if that is not known. probed is when the mirror with
 		// ProbesStore sent its last call that the store answered.
@@ -168,6 +189,10 @@
 // changes after the cursor, so that all objects must be listed again.
 var ErrHistoryGone = errors.New("the store no longer has the changes after the cursor; list all objects again")
 
+// errEarlierEra is the failure of a store call whose answer is from before the era of
+// the copy.
+var errEarlierEra = errors.New("the answer is from an earlier era of the store than the copy")
+
 const (
 	// callTimeoutMargin is the time that a watch may take beyond its wait. The store
 	// answers within milliseconds, and within a few hundred milliseconds when it is
@@ -296,7 +321,7 @@
 			m.mu.Lock()
 			m.listed, m.historyGone = false, true
 			m.mu.Unlock()
-			m.Logger.Info("store dropped the watch history, listing all objects", zap.String("kind", m.Name))
+			m.Logger.Info("store no longer has the watch history, listing all objects", zap.String("kind", m.Name))
 		case err != nil:
 			if !failing && ctx.Err() == nil {
 				failing = true
@@ -308,9 +333,7 @@
 			if failing {
 				m.Logger.Info("store reachable again", zap.String("kind", m.Name), zap.Uint64("cursor", batch.Cursor))
 			}
-			if !complete || !m.isAhead(batch.Cursor) {
-				m.applyChanges(batch.Changes, complete, batch.Cursor, sentAt)
-			}
+			m.applyBatch(batch, complete, sentAt)
 			backoff, failing = firstBackoff, false
 			if len(batch.Changes) > 0 || m.WatchPause > 0 {
 				pause(ctx, max(m.replicator.changePause(), m.WatchPause))
@@ -333,13 +356,17 @@
 	pause(ctx, d)
 }
 
-// isAhead reports whether the copy has reached a later revision than a list, because a
-// reader's copy arrived while the list was on its way. The list, which may be seconds
-// old, would bring objects back that have been removed since.
-func (m *Mirror[T]) isAhead(listCursor uint64) bool {
+// relist implements anyMirror.
+func (m *Mirror[T]) relist(era uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.listed && m.cursor > listCursor
+	if !m.listed || m.era >= era {
+		return
+	}
+	m.listed, m.historyGone = false, true
+	if m.cancelCall != nil {
+		m.cancelCall()
+	}
 }
 
 func (m *Mirror[T]) isListed() bool {
@@ -352,7 +379,7 @@
 // listed, and otherwise lists them. complete says that the batch is a list.
 func (m *Mirror[T]) readStore(ctx context.Context) (batch Batch[T], complete bool, err error) {
 	m.mu.Lock()
-	listed, cursor := m.listed, m.cursor
+	listed, cursor, era := m.listed, m.cursor, m.era
 	// A list of the mirror with ProbesStore counts as a confirmation that the
 	// mirror's copy is current, so the list must not be seconds old. After
 	// ErrHistoryGone, a watch from the cursor of a list that is seconds old could
@@ -382,6 +409,9 @@
 	defer cancel()
 	if !listed {
 		batch, err = m.Source.List(ctx, fresh)
+		if err == nil && batch.Era < max(era, m.replicator.latestEra()) {
+			err = errEarlierEra
+		}
 		m.recordAnswer(sentAt, fresh, true, err)
 		if err == nil {
 			m.mu.Lock()
@@ -391,6 +421,15 @@
 		return batch, true, err
 	}
 	batch, err = m.Source.Watch(ctx, cursor, wait)
+	switch {
+	case err != nil:
+	case batch.Era < era:
+		err = errEarlierEra
+	case batch.Era > era:
+		// The cursor is a revision of the earlier era, so that changes may be missing.
+		err = ErrHistoryGone
+		m.replicator.observeEra(batch.Era)
+	}
 	m.recordAnswer(sentAt, true, wait <= catchUpWait, err)
 	return batch, false, err
 }
@@ -429,25 +468,106 @@
 	}
 }
 
-// applyChanges applies changes, which reach the store revision cursor, to the copy,
+// applyBatch applies an answer of the store to a call that was sent at sentAt. Meanwhile,
+// changes from a reader may have entered the copy: a batch of an earlier era has no
+// effect, nor has a list that the copy has overtaken, which would bring removed objects
+// back; the changes of a watch have an effect as far as they are newer than the copy.
+func (m *Mirror[T]) applyBatch(batch Batch[T], complete bool, sentAt time.Time) {
+	latest := m.replicator.latestEra()
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	m.mu.Lock()
+	outdated := batch.Era < max(m.era, latest) || complete && m.listed && batch.Era == m.era && batch.Cursor < m.cursor
+	// A watch of an earlier copy says nothing about one that is to be listed again.
+	outdated = outdated || !complete && (!m.listed || batch.Era != m.era)
+	changes := batch.Changes
+	switch {
+	case outdated:
+	case complete:
+		m.cursor, m.newestRevision = 0, 0
+	default:
+		changes = m.selectNewer(changes)
+	}
+	m.mu.Unlock()
+	if dropped := len(batch.Changes) - len(changes); outdated || dropped > 0 {
+		m.Logger.Info("outdated answer of the store", zap.String("kind", m.Name), zap.Bool("list", complete), zap.Bool("dropped", outdated),
+			zap.Int("dropped_changes", dropped), zap.Uint64("era", batch.Era), zap.Uint64("cursor", batch.Cursor))
+	}
+	if outdated {
+		return
+	}
+	m.applyChanges(changes, complete, Position{Era: batch.Era, Cursor: batch.Cursor}, sentAt)
+	m.replicator.observeEra(batch.Era)
+}
+
+// selectNewer returns the changes that are newer than the copy, which is of the same era.
+// The copy holds all changes up to cursor, so that an older version of an object, or one
+// of an object that has been removed since, must not enter it. The caller holds mu.
+func (m *Mirror[T]) selectNewer(changes []Change[T]) []Change[T] {
+	type state struct {
+		exists   bool
+		revision uint64
+	}
+	// states holds the objects that an earlier one of changes has changed.
+	states := make(map[string]state, len(changes))
+	return lo.Filter(changes, func(c Change[T], _ int) bool {
+		s, ok := states[c.Name]
+		if !ok {
+			o, exists := m.objects[c.Name]
+			s = state{exists, o.revision}
+		}
+		removal := c.Removed && c.Why == ""
+		switch {
+		case c.Revision == 0:
+		case removal && s.exists && c.Revision < s.revision:
+			return false
+		case removal:
+		case s.exists && c.Revision <= s.revision, !s.exists && c.Revision <= m.cursor:
+			return false
+		}
+		states[c.Name] = state{!c.Removed, c.Revision}
+		return true
+	})
+}
+
+// mergeComplete merges a reader's complete copy at position p into this one, which is of
+// the same era, and returns all objects of the result. An object that only this copy has
+// is kept if it has changed since p. The caller holds mu.
+func (m *Mirror[T]) mergeComplete(changes []Change[T], p Position) []Change[T] {
+	merged := m.selectNewer(changes)
+	inCopy := lo.SliceToMap(changes, func(c Change[T]) (string, bool) { return c.Name, true })
+	taken := lo.SliceToMap(merged, func(c Change[T]) (string, bool) { return c.Name, true })
+	for name, o := range m.objects {
+		if !taken[name] && (inCopy[name] || o.revision > p.Cursor) {
+			merged = append(merged, Change[T]{Name: name, Value: o.value, Revision: o.revision})
+		}
+	}
+	return merged
+}
+
+// applyChanges applies changes, which reach the era and cursor of p, to the copy,
 // passes them to Apply and notifies the followers. If complete is set, changes
 // replaces the whole copy. confirmed is the time at which the copy with these
-// changes was current, or zero if that is not known.
-func (m *Mirror[T]) applyChanges(changes []Change[T], complete bool, cursor uint64, confirmed time.Time) {
+// changes was current, or zero if that is not known. The caller holds applyMu.
+func (m *Mirror[T]) applyChanges(changes []Change[T], complete bool, p Position, confirmed time.Time) {
 	m.mu.Lock()
 	if complete || m.objects == nil {
-		m.objects = make(map[string]T, len(changes))
+		m.objects = make(map[string]object[T], len(changes))
+	}
+	if p.Era != m.era {
+		m.era, m.cursor, m.newestRevision = p.Era, 0, 0
 	}
+	m.newestRevision = max(m.newestRevision, p.Newest)
 	for _, c := range changes {
 		if c.Removed {
 			delete(m.objects, c.Name)
 		} else {
-			m.objects[c.Name] = c.Value
+			m.objects[c.Name] = object[T]{c.Value, c.Revision}
 		}
 		m.newestRevision = max(m.newestRevision, c.Revision)
 	}
 	m.sequence += uint64(len(changes))
-	m.listed, m.cursor = true, max(cursor, m.cursor)
+	m.listed, m.cursor = true, max(p.Cursor, m.cursor)
 	for _, c := range changes {
 		m.changeLog = append(m.changeLog, loggedChange[T]{c, m.cursor})
 	}
--- a/internal/serving/clnode/blocks.go
+++ b/internal/serving/clnode/blocks.go
@@ -75,7 +75,7 @@
 // followLoop reads the records once, and follows them while this gateway is to, until ctx
 // ends.
 func (k *blockKeeper) followLoop(ctx context.Context) {
-	source, cursor, listed := k.store.CrashBlocks(), uint64(0), false
+	source, cursor, era, listed := k.store.CrashBlocks(), uint64(0), uint64(0), false
 	k.retry(ctx, blockWatchPause, func() error {
 		switch {
 		case !listed:
@@ -85,13 +85,19 @@
 			if err != nil {
 				return errors.Wrap(err, "list the records of blocked traits")
 			}
-			cursor, listed = batch.Cursor, true
+			if batch.Era < era {
+				return errors.Errorf("list of records is of era %d of the store, before era %d", batch.Era, era)
+			}
+			if batch.Era != era {
+				k.forgetRecords()
+			}
+			cursor, era, listed = batch.Cursor, batch.Era, true
 			k.apply(batch.Changes)
 		case k.follows():
 			callCtx, cancel := context.WithTimeout(ctx, maxWatchWait+storeWriteTimeout)
 			defer cancel()
 			batch, err := source.Watch(callCtx, cursor, maxWatchWait)
-			if errors.Is(err, clmirror.ErrHistoryGone) {
+			if errors.Is(err, clmirror.ErrHistoryGone) || err == nil && batch.Era != era {
 				listed = false
 				return nil
 			}
@@ -150,6 +156,14 @@
 	}
 }
 
+// forgetRecords forgets which records the store holds, after it has returned from an older
+// copy that may lack some of them. recordLoop writes those again.
+func (k *blockKeeper) forgetRecords() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.recorded = nil
+}
+
 // apply passes records on to the tracker. A removed record ends no block: its time ends it
 // everywhere.
 func (k *blockKeeper) apply(changes []clmirror.Change[clcatalog.CrashBlock]) {
--- a/internal/serving/clnode/blocks_test.go
+++ b/internal/serving/clnode/blocks_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	records map[uint64]clcatalog.CrashBlock
 	changes []clmirror.Change[clcatalog.CrashBlock]
+	era     uint64
 	// failures is the number of calls that fail from now on; the failing writes take
 	// effect if failuresTakeEffect is set.
 	failures           int
@@ -39,7 +40,7 @@
 func (s *recordStore) List(context.Context, bool) (clmirror.Batch[clcatalog.CrashBlock], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := clmirror.Batch[clcatalog.CrashBlock]{Cursor: uint64(len(s.changes))}
+	b := clmirror.Batch[clcatalog.CrashBlock]{Cursor: uint64(len(s.changes)), Era: s.era}
 	if s.fails() {
 		return b, errStore
 	}
@@ -52,13 +53,13 @@
 func (s *recordStore) Watch(ctx context.Context, cursor uint64, _ time.Duration) (clmirror.Batch[clcatalog.CrashBlock], error) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		fails, changes := s.fails(), s.changes[cursor:]
+		fails, era, changes := s.fails(), s.era, s.changes[min(cursor, uint64(len(s.changes))):]
 		s.mu.Unlock()
 		switch {
 		case fails:
 			return clmirror.Batch[clcatalog.CrashBlock]{}, clmirror.ErrHistoryGone
 		case len(changes) > 0:
-			return clmirror.Batch[clcatalog.CrashBlock]{Cursor: cursor + uint64(len(changes)), Changes: changes}, nil
+			return clmirror.Batch[clcatalog.CrashBlock]{Cursor: cursor + uint64(len(changes)), Changes: changes, Era: era}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -140,6 +141,22 @@
 	}
 }
 
+// Guards against the loss of records that the store has forgotten: a gateway that starts
+// would send the requests to endpoints again.
+func TestForgottenRecordsAreWrittenAgain(t *testing.T) {
+	store := &recordStore{}
+	tracker, _ := startKeeper(t, store)
+	block(tracker, 1, 0)
+	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	store.mu.Lock()
+	store.records, store.changes, store.era = nil, nil, store.era+1
+	store.mu.Unlock()
+	// The change of another trait shows the new era.
+	require.NoError(t, store.RecordCrashBlock(t.Context(), clcatalog.CrashBlock{Trait: 2, Depth: 1, LastCrash: time.Now()}))
+	require.NoError(t, store.RecordCrashBlock(t.Context(), clcatalog.CrashBlock{Trait: 3, Depth: 1, LastCrash: time.Now()}))
+	require.Eventually(t, func() bool { return store.len() == 3 }, 5*time.Second, 10*time.Millisecond)
+}
+
 // Guards against records that count for longer than their time, and that stay for ever.
 func TestOutdatedRecordsDoNotCount(t *testing.T) {
 	store := &recordStore{}
