Limit the gateway's own questions to endpoints

Cause: for each response that ends with its connection the gateway asks its endpoint which start of it lives, without a limit on how many such calls are in progress, and reads up to 1 MiB of each outside the memory budget. Evidence: 274 MB resident with 14 of 109 MB held in the budget, 100 MB a second more at 80 requests a second. Ruled out: responses, events and bodies, whose metrics stay at 0 to 1 MB.

Calls of the gateway's own accord go through a group: two in progress for one endpoint and 128 in all, 1.5 s each, 128 KiB of the budget reserved for each, of which 48 KiB are the answer; those who ask meanwhile share the next call. Endpoints that time out leave half of them to others. Probes of endpoints that may have crashed are limited in the same way and end with the request. It works because what such endpoints can take is now a constant.

--- a/internal/limits/clmemory/budget.go
+++ b/internal/limits/clmemory/budget.go
@@ -30,12 +30,14 @@
 	Responses
 	// Events are events of streams that have not arrived in full.
 	Events
+	// Questions are answers to the gateway's own questions to endpoints.
+	Questions
 	kinds
 )
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [...]string{"connections", "bodies", "responses", "events"}[k]
+	return [...]string{"connections", "bodies", "responses", "events", "questions"}[k]
 }
 
 const (
--- a/internal/serving/clgateway/copypaths_test.go
+++ b/internal/serving/clgateway/copypaths_test.go
@@ -279,7 +279,7 @@
 				return sealed(r), false
 			}}
 			env := newTestEnv(t, d.serve)
-			env.gateway.Probe = func(netip.AddrPort) bool { return false }
+			env.gateway.Probe = func(context.Context, netip.AddrPort) bool { return false }
 			env.status(env.request(tc.target+"1", "f", ""))
 			stated := env.counter("chestnutlead_gateway_promises_total", map[string]string{"status": "503", "basis": basisStated})
 			failed, started := env.recorder.failedAttempts, env.recorder.startedRequests
--- a/internal/serving/clgateway/crash.go
+++ b/internal/serving/clgateway/crash.go
@@ -3,6 +3,7 @@
 package clgateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -56,9 +57,9 @@
 // recordCrash records a crash of the endpoint with the request as a suspect, if the
 // endpoint no longer accepts connections. If it still accepts them, or if Probe is nil,
 // it is assumed that only the connection or the response was lost.
-func (g *Gateway) recordCrash(a *attempt) {
+func (g *Gateway) recordCrash(ctx context.Context, a *attempt) {
 	now := clclock.Now()
-	if g.Probe == nil || g.Probe(a.choice.Address) {
+	if g.Probe == nil || g.accepts(ctx, a) {
 		return
 	}
 	writingFor := time.Duration(0)
--- a/internal/serving/clgateway/crash_test.go
+++ b/internal/serving/clgateway/crash_test.go
@@ -3,6 +3,7 @@
 package clgateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
@@ -17,7 +18,7 @@
 func TestRequestIsNotRetriedAfterCrashes(t *testing.T) {
 	crash := respond("", false)
 	env := newTestEnv(t, crash, crash, crash, crash)
-	env.gateway.Probe = func(netip.AddrPort) bool { return false }
+	env.gateway.Probe = func(context.Context, netip.AddrPort) bool { return false }
 	env.changeRoute("get", func(r *clcatalog.Route) { r.MaxAttempts = 4 })
 	for range 2 {
 		resp, err := http.DefaultClient.Do(env.request("/get/1", "f", ""))
@@ -49,7 +50,7 @@
 		{"a body of a crashed endpoint", "/book/1", signedOK + "\r\nhel", false, false},
 	} {
 		env := newTestEnv(t, respond(test.text, false))
-		env.gateway.Probe = func(netip.AddrPort) bool { return test.accepts }
+		env.gateway.Probe = func(context.Context, netip.AddrPort) bool { return test.accepts }
 		resp, err := http.DefaultClient.Do(env.request(test.path, "f", ""))
 		whole := err == nil && resp.StatusCode == http.StatusOK
 		if err == nil {
--- a/internal/serving/clgateway/ending.go
+++ b/internal/serving/clgateway/ending.go
@@ -29,14 +29,14 @@
 	}
 	s := g.Catalog().Service(a.service)
 	if g.Identify == nil || s == nil || s.HealthPath == "" {
-		if g.Probe == nil || g.Probe(a.choice.Address) {
+		if g.Probe == nil || g.accepts(ctx, a) {
 			return nil
 		}
 		return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("endpoint ended with a body that has no length")}
 	}
 	askedAt := time.Now()
 	// A body that is ready is delivered even after the deadline.
-	said, err := g.Identify(context.WithoutCancel(ctx), s, a.choice.Address, a.choice.Born)
+	said, err := g.identify(context.WithoutCancel(ctx), a)
 	if err == nil {
 		err = judgeIdentity(a.choice, said, g.Fleet.EntryUnchanged(a.choice))
 	}
@@ -44,6 +44,8 @@
 	switch {
 	case errors.Is(err, errOtherStart), errors.Is(err, errOtherID):
 		result = "other_start"
+	case errors.Is(err, errNotAsked):
+		result = "not_asked"
 	case err != nil:
 		result = "unknown"
 	}
@@ -53,7 +55,7 @@
 	}
 	g.Logger.Info("response without a length is not known to be whole", zap.String("request", a.reqInfo.ID), zap.String("endpoint", a.choice.Endpoint),
 		zap.Int64("born", a.choice.Born), zap.Int64("said_born", said.Born), zap.String("said_endpoint", said.Endpoint),
-		zap.Duration("asked_for", time.Since(askedAt)), zap.Error(err))
+		zap.Duration("asked_for", time.Since(askedAt)), zap.Duration("left", time.Until(a.deadline)), zap.Error(err))
 	return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.Wrap(err, "body without a length is not known to be whole")}
 }
 
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -396,13 +396,13 @@
 			result.outcome = clfleet.OutcomeAbandoned
 		}
 		return result
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errNotAsked):
 		result.outcome = clfleet.OutcomeAbandoned
 		return result
 	case errors.As(err, &e) && e.Kind == clendpoint.KindSilent:
 		result.outcome = clfleet.OutcomeTimedOut
 	default:
-		g.recordCrash(a)
+		g.recordCrash(ctx, a)
 	}
 	g.recordSample(a, true)
 	return result
--- a/internal/serving/clgateway/gateway.go
+++ b/internal/serving/clgateway/gateway.go
@@ -149,13 +149,14 @@
 		Shares *clshare.Allocator
 		// Client sends requests to endpoints.
 		Client clendpoint.Client
-		// Probe reports whether an endpoint accepts connections. If it is nil, no
-		// crashes are counted.
-		Probe func(addr netip.AddrPort) bool
-		// Identify asks the process at addr, over a new connection and for a limited time,
+		// Probe reports whether an endpoint accepts connections, before ctx ends. If it is
+		// nil, no crashes are counted.
+		Probe func(ctx context.Context, addr netip.AddrPort) bool
+		// Identify asks the process at addr, over a new connection and before ctx ends,
 		// which endpoint of the service and which start of it it is. born is the start
 		// that the endpoint's entry states, or 0. Each call is charged, so that it is
-		// made only for responses that end with their connection. It is not called for
+		// made only for responses that end with their connection. It must hold at most
+		// IdentifyBytes of what the process sends. It is not called for
 		// a service without a HealthPath. If it is nil, Probe takes its place.
 		Identify func(ctx context.Context, s *clcatalog.Service, addr netip.AddrPort, born int64) (Identity, error)
 		Recorder Recorder
@@ -192,6 +193,7 @@
 		listener   net.Listener
 		collectors *collectors
 		memory     memory
+		questions  questions
 		conns      callerConns
 		limitLog   limitLog
 	}
@@ -253,6 +255,7 @@
 		}
 	}
 	g.setMemory()
+	g.setQuestions()
 	srv := &http.Server{
 		Handler: http.HandlerFunc(g.serve), MaxHeaderBytes: serverMaxHeaderBytes, ConnState: g.conns.setState, ConnContext: withConn,
 		ErrorLog: zap.NewStdLog(g.Logger),
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -33,6 +33,8 @@
 	// ends counts the responses that ended with their connection, by what the endpoint
 	// said of itself afterwards.
 	ends *prometheus.CounterVec
+	// questions counts the gateway's own questions to endpoints, by kind and outcome.
+	questions *prometheus.CounterVec
 	// work sums the predicted and the observed times of answered attempts at endpoints.
 	work *prometheus.CounterVec
 	// closed counts the connections of callers that were closed because of a limit.
@@ -69,6 +71,8 @@
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
 		ends: m.Counter(clobserve.Name{Component: "gateway", What: "unframed_ends", Unit: "total"},
 			"Responses that ended with their connection, by service and result: whole (the same start of the endpoint still lives), other_start, unknown (it can't be told). Only whole ones are passed on as complete.", "service", "result"),
+		questions: m.Counter(clobserve.Name{Component: "gateway", What: "endpoint_questions", Unit: "total"},
+			"Questions to endpoints of the gateway's own accord, by kind (identity, probe) and outcome: answered, failed, timed_out, limit (not asked: too many are in progress, or no memory).", "kind", "outcome"),
 		work: m.Counter(clobserve.Name{Component: "gateway", What: "work", Unit: "seconds"},
 			"Time of answered attempts at endpoints that were chosen by cost, by route: predicted at the choice, and observed.", "route", "basis"),
 		closed: m.Counter(clobserve.Name{Component: "gateway", What: "closed_connections", Unit: "total"},
@@ -79,7 +83,7 @@
 // observeMemory registers the metrics of the memory that is held for peers and of the
 // connections of callers.
 func (*collectors) observeMemory(m *clobserve.Metrics, budget *clmemory.Budget, conns *callerConns) {
-	for _, k := range []clmemory.Kind{clmemory.Connections, clmemory.Bodies, clmemory.Responses, clmemory.Events} {
+	for _, k := range []clmemory.Kind{clmemory.Connections, clmemory.Bodies, clmemory.Responses, clmemory.Events, clmemory.Questions} {
 		m.GaugeFunc(clobserve.Name{Component: "gateway", What: "held_" + k.String(), Unit: "bytes"},
 			"Memory that is reserved for "+k.String()+".", func() float64 { return float64(budget.Held(k)) })
 	}
--- /dev/null
+++ b/internal/serving/clgateway/questions_test.go
@@ -0,0 +1,118 @@
+// This file tests the limits of the gateway's own questions to endpoints.
+
+package clgateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/internal/limits/clmemory"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/stretchr/testify/require"
+)
+
+const unframedHello = signedOK + "\r\nhello"
+
+// newUnframedEnv is newTestEnv with endpoints whose responses end with their connection,
+// and with identify as Gateway.Identify.
+func newUnframedEnv(t testing.TB, endpoints int, identify func(ctx context.Context, addr netip.AddrPort) (Identity, error)) *testEnv {
+	var scripts []script
+	for range endpoints {
+		scripts = append(scripts, respond(unframedHello, false))
+	}
+	env := newTestEnv(t, scripts...)
+	cat := *env.gateway.Catalog()
+	cat.Version++
+	cat.Services = []clcatalog.Service{{Name: "s", HealthPath: "/health"}}
+	cat.BuildIndexes()
+	env.gateway.SetCatalog(&cat)
+	env.gateway.Fleet.SetCatalog(&cat)
+	env.gateway.Identify = func(ctx context.Context, _ *clcatalog.Service, addr netip.AddrPort, _ int64) (Identity, error) {
+		return identify(ctx, addr)
+	}
+	return env
+}
+
+// get sends a request with a time limit and returns the status, or 0 if the response is
+// not whole, and the time that it took.
+func (env *testEnv) get(path string, deadline time.Duration) (status int, took time.Duration) {
+	r := env.request(path, "f", "")
+	r.Header.Set("X-Deadline", fmt.Sprint(deadline.Milliseconds()))
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, time.Since(begin)
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0, time.Since(begin)
+	}
+	return resp.StatusCode, time.Since(begin)
+}
+
+// Guards against endpoints whose answers to the gateway's own questions never end, and
+// which thereby take its memory and connections.
+func TestEndlessIdentitiesAreLimited(t *testing.T) {
+	var inProgress, most, held atomic.Int64
+	env := newUnframedEnv(t, 1, nil)
+	env.gateway.Identify = func(ctx context.Context, _ *clcatalog.Service, _ netip.AddrPort, _ int64) (Identity, error) {
+		n := inProgress.Add(1)
+		defer inProgress.Add(-1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		held.Store(max(held.Load(), env.gateway.memory.budget.Held(clmemory.Questions)))
+		<-ctx.Done()
+		return Identity{}, ctx.Err()
+	}
+	var requests sync.WaitGroup
+	for i := range 40 {
+		requests.Go(func() { env.get(fmt.Sprint("/book/", i), 400*time.Millisecond) })
+	}
+	requests.Wait()
+	require.LessOrEqual(t, most.Load(), int64(questionsPerEndpoint))
+	require.Positive(t, held.Load(), "the memory of the questions is reserved")
+	require.Eventually(t, func() bool { return env.gateway.memory.budget.Held(clmemory.Questions) == 0 }, 3*time.Second, time.Millisecond)
+}
+
+// Guards against an endpoint that is avoided although the gateway did not ask it.
+func TestEndThatIsNotAskedFor(t *testing.T) {
+	env := newUnframedEnv(t, 1, nil)
+	env.gateway.questions.identities.Total = 0
+	status, took := env.get("/book/1", time.Second)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Less(t, took, 500*time.Millisecond, "it is known at once")
+	require.Zero(t, env.recorder.failedAttempts)
+	require.EqualValues(t, 1, env.counter("chestnutlead_gateway_endpoint_questions_total", map[string]string{"kind": "identity", "outcome": "limit"}))
+}
+
+// Guards against requests that wait beyond their deadline for a connection to an endpoint
+// that may have crashed, and against as many such connections as requests.
+func TestProbesAreLimited(t *testing.T) {
+	var inProgress, most atomic.Int64
+	env := newTestEnv(t, respond(signedOK+"Content-Length: 9\r\n\r\nhello", false))
+	env.gateway.Probe = func(ctx context.Context, _ netip.AddrPort) bool {
+		n := inProgress.Add(1)
+		defer inProgress.Add(-1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		<-ctx.Done()
+		return false
+	}
+	var requests sync.WaitGroup
+	for i := range 20 {
+		requests.Go(func() {
+			status, took := env.get(fmt.Sprint("/book/", i), 100*time.Millisecond)
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusServiceUnavailable}, status)
+			require.LessOrEqual(t, took, 200*time.Millisecond)
+		})
+	}
+	requests.Wait()
+	require.LessOrEqual(t, most.Load(), int64(questionsPerEndpoint))
+}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -151,9 +151,6 @@
 	ingressDrainDelay = 3200 * time.Millisecond
 	// controlInterval is the time between two steps of the control loop.
 	controlInterval = 100 * time.Millisecond
-	// probeTimeout is the time after which an endpoint that has not accepted a
-	// connection is assumed to have stopped.
-	probeTimeout = 300 * time.Millisecond
 	// idleConnTimeout is how long idle connections to endpoints are kept. It is
 	// shorter than the usual idle timeouts of servers, so that the endpoint does
 	// not close a connection first.
@@ -277,10 +274,11 @@
 	n.connections.WithLabelValues(string(c)).Inc()
 }
 
-// acceptsConnections reports whether the endpoint at addr accepts a connection
-// within probeTimeout.
-func acceptsConnections(addr netip.AddrPort) bool {
-	c, err := net.DialTimeout("tcp", addr.String(), probeTimeout)
+// acceptsConnections reports whether the endpoint at addr accepts a connection before ctx
+// ends.
+func acceptsConnections(ctx context.Context, addr netip.AddrPort) bool {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return false
 	}
