End the question whether an endpoint lives with its request

Cause: the question which start of an endpoint lives, for a response that ended with its connection, had its own 1.5 s, whatever was left of the request; and the endpoint that did not answer kept its standing, since the request counted as abandoned. Evidence: the log's asked_for of 1.5 s at a deadline of 1 s.

The endpoint counts as failed and gets no requests for 0.3 s and longer each time, as one that accepts no connection.

--- a/internal/routing/clfleet/fleet.go
+++ b/internal/routing/clfleet/fleet.go
@@ -128,7 +128,7 @@
 		// blockedUntil is the time until which the endpoint gets no requests
 		// after a failed connection or a shed request.
 		blockedUntil time.Time
-		// unreachableCount is the number of failed connections since the last
+		// unreachableCount is the number of failed connections and unconfirmed answers since the last
 		// complete answer, from which the next blocked period is computed.
 		unreachableCount int
 		// coldUntil is the end of the latest cold period, or zero if there was
--- a/internal/routing/clfleet/outcome.go
+++ b/internal/routing/clfleet/outcome.go
@@ -37,6 +37,9 @@
 	OutcomeTimedOut
 	// OutcomeUnreachable means that no connection could be established.
 	OutcomeUnreachable
+	// OutcomeUnconfirmed means that an answer ended with its connection and the endpoint
+	// did not confirm in time that it is whole.
+	OutcomeUnconfirmed
 	// OutcomeShed means that the endpoint responded that it has not run the
 	// request.
 	OutcomeShed
@@ -53,8 +56,8 @@
 	// is tried again.
 	failureRateHalfLife = 4 * time.Second
 	// minBlockDuration is how long an endpoint gets no requests after a failed
-	// connection. The time doubles with each further failed connection. It is at
-	// most maxBlockDuration, since an endpoint that has crashed is back within
+	// connection, or an answer that it did not confirm. The time doubles with each
+	// further one. It is at most maxBlockDuration, since an endpoint that has crashed is back within
 	// seconds.
 	minBlockDuration = 300 * time.Millisecond
 	maxBlockDuration = 2 * time.Second
@@ -190,15 +193,24 @@
 	case OutcomeFailed, OutcomeConnectionBroken, OutcomeTimedOut:
 		e.failureRate.add(1, now)
 		s.failureRate.add(1, now)
+	case OutcomeUnconfirmed:
+		e.failureRate.add(1, now)
+		s.failureRate.add(1, now)
+		e.block(now)
 	case OutcomeUnreachable:
-		e.blockedUntil = now.Add(min(maxBlockDuration, minBlockDuration<<min(e.unreachableCount, 3)))
-		e.unreachableCount++
+		e.block(now)
 	case OutcomeShed:
 		e.blockedUntil = now.Add(shedBlockDuration)
 	case OutcomeAbandoned:
 	}
 }
 
+// block keeps requests from an endpoint that does not answer on new connections.
+func (e *endpoint) block(now time.Time) {
+	e.blockedUntil = now.Add(min(maxBlockDuration, minBlockDuration<<min(e.unreachableCount, 3)))
+	e.unreachableCount++
+}
+
 // clearPending removes the attempt's pending tokens from its endpoint's load. Only
 // the first call for an attempt has an effect.
 func (f *Fleet) clearPending(c *Choice) {
--- a/internal/serving/clgateway/ending.go
+++ b/internal/serving/clgateway/ending.go
@@ -12,17 +12,26 @@
 	"go.uber.org/zap"
 )
 
+// answerMargin is the part of a request's time that remains for its answer.
+const answerMargin = 10 * time.Millisecond
+
 var (
 	errOtherStart = errors.New("another start of the endpoint answers at its address")
 	errOtherID    = errors.New("another endpoint answers at the address")
 	errEntry      = errors.New("endpoint's entry has changed since the request was sent")
 	errUnnamed    = errors.New("endpoint says neither its ID nor its start")
+	// errUnconfirmed means that the endpoint did not say in time that it lives.
+	errUnconfirmed = errors.New("endpoint does not say in time which start of it lives")
 )
 
 // checkEnd returns an error if the body of a response that has just ended is not known
 // to be whole. A body that ended with its connection is whole only if the process that
 // sent it still lives: the connections of a process that crashes end in the same way. A
 // later start of the endpoint may already accept connections at the same address.
+//
+// The endpoint has until the request's deadline to show that it lives, or less if another
+// endpoint could still answer. A body whose end it does not confirm by then is not passed
+// on as complete: the caller gets a failure, which promises nothing.
 func (g *Gateway) checkEnd(ctx context.Context, a *attempt) error {
 	if !a.response.UntilClose {
 		return nil
@@ -35,8 +44,7 @@
 		return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.New("endpoint ended with a body that has no length")}
 	}
 	askedAt := time.Now()
-	// A body that is ready is delivered even after the deadline.
-	said, err := g.identify(context.WithoutCancel(ctx), a)
+	said, err := g.identify(ctx, a, g.confirmBefore(a, askedAt))
 	if err == nil {
 		err = judgeIdentity(a.choice, said, g.Fleet.EntryUnchanged(a.choice))
 	}
@@ -46,6 +54,9 @@
 		result = "other_start"
 	case errors.Is(err, errNotAsked):
 		result = "not_asked"
+	case errors.Is(err, context.DeadlineExceeded):
+		// A crashed endpoint refuses connections at once.
+		result, err = "timed_out", errUnconfirmed
 	case err != nil:
 		result = "unknown"
 	}
@@ -59,6 +70,16 @@
 	return &clendpoint.Error{Kind: clendpoint.KindBroken, Err: errors.Wrap(err, "body without a length is not known to be whole")}
 }
 
+// confirmBefore returns the time until which an endpoint that is asked now may confirm the
+// end of its response.
+func (g *Gateway) confirmBefore(a *attempt, now time.Time) time.Time {
+	left := a.deadline.Add(-answerMargin).Sub(now)
+	if a.mayReplaceFailure() {
+		left = time.Duration(float64(left) * firstByteFraction)
+	}
+	return now.Add(left)
+}
+
 // judgeIdentity returns an error unless the process that says said of itself is known to
 // be the start of the endpoint to which the choice refers. entryUnchanged reports whether
 // the endpoint's entry is still the one of the choice; it counts only if the process or
--- a/internal/serving/clgateway/forward.go
+++ b/internal/serving/clgateway/forward.go
@@ -269,7 +269,7 @@
 // outcomeLabels maps outcomes to their names in metrics and logs.
 var outcomeLabels = map[clfleet.Outcome]string{
 	clfleet.OutcomeAnswered: "answered", clfleet.OutcomeFailed: "failed", clfleet.OutcomeConnectionBroken: "broken", clfleet.OutcomeTimedOut: "silent",
-	clfleet.OutcomeUnreachable: "unreachable", clfleet.OutcomeShed: "shed", clfleet.OutcomeAbandoned: "abandoned",
+	clfleet.OutcomeUnreachable: "unreachable", clfleet.OutcomeUnconfirmed: "unconfirmed", clfleet.OutcomeShed: "shed", clfleet.OutcomeAbandoned: "abandoned",
 }
 
 // send sends the request to the endpoint of the attempt and relays the response,
@@ -399,6 +399,8 @@
 	case ctx.Err() != nil, errors.Is(err, errNotAsked):
 		result.outcome = clfleet.OutcomeAbandoned
 		return result
+	case errors.Is(err, errUnconfirmed):
+		result.outcome = clfleet.OutcomeUnconfirmed
 	case errors.As(err, &e) && e.Kind == clendpoint.KindSilent:
 		result.outcome = clfleet.OutcomeTimedOut
 	default:
--- a/internal/serving/clgateway/questions.go
+++ b/internal/serving/clgateway/questions.go
@@ -90,8 +90,10 @@
 	g.collectors.questions.WithLabelValues(kind, outcome).Inc()
 }
 
-// identify asks the endpoint of an attempt who it is.
-func (g *Gateway) identify(ctx context.Context, a *attempt) (Identity, error) {
+// identify asks the endpoint of an attempt who it is, until the given time at most.
+func (g *Gateway) identify(ctx context.Context, a *attempt, until time.Time) (Identity, error) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	said, err := g.questions.identities.Do(ctx, identityKey{a.service, a.choice.Address, a.choice.Born})
 	if errors.Is(err, clcall.ErrLimit) {
 		g.collectors.questions.WithLabelValues("identity", "limit").Inc()
--- a/internal/serving/clgateway/questions_test.go
+++ b/internal/serving/clgateway/questions_test.go
@@ -81,6 +81,69 @@
 	require.Eventually(t, func() bool { return env.gateway.memory.budget.Held(clmemory.Questions) == 0 }, 3*time.Second, time.Millisecond)
 }
 
+// Guards against whole responses of an endpoint that answers, which are withheld because
+// the questions to others never end.
+func TestEndlessIdentitiesLeaveOthersAlone(t *testing.T) {
+	var endless sync.Map
+	env := newUnframedEnv(t, 6, func(ctx context.Context, addr netip.AddrPort) (Identity, error) {
+		if _, ok := endless.Load(addr); ok {
+			<-ctx.Done()
+			return Identity{}, ctx.Err()
+		}
+		return Identity{Endpoint: "e5"}, nil
+	})
+	var sound netip.AddrPort
+	for _, e := range env.gateway.Fleet.Endpoints("s") {
+		if e.ID == "e5" {
+			sound = e.Address
+		} else {
+			endless.Store(e.Address, true)
+		}
+	}
+	require.True(t, sound.IsValid())
+	whole := 0
+	for i := range 200 {
+		if status, _ := env.get(fmt.Sprint("/book/", i), 100*time.Millisecond); status == http.StatusOK {
+			whole++
+		}
+	}
+	require.Greater(t, whole, 150, "endpoints that never confirm their responses are avoided")
+}
+
+// Guards against a request that is answered late, or not at another endpoint, because the
+// endpoint of its response does not say that it lives.
+func TestUnconfirmedEndIsAnsweredInTime(t *testing.T) {
+	const deadline = 300 * time.Millisecond
+	var asked atomic.Int64
+	hangs := func(ctx context.Context, _ netip.AddrPort) (Identity, error) {
+		asked.Add(1)
+		<-ctx.Done()
+		return Identity{}, ctx.Err()
+	}
+	env := newUnframedEnv(t, 2, hangs)
+	status, took := env.get("/book/1", deadline)
+	require.Equal(t, http.StatusBadGateway, status, "it has run, and is not known to be whole")
+	require.LessOrEqual(t, took, deadline+50*time.Millisecond)
+	require.EqualValues(t, 1, asked.Load())
+	require.Equal(t, 1, env.recorder.failedAttempts, "the endpoint is at fault")
+
+	first := atomic.Bool{}
+	env = newUnframedEnv(t, 2, func(ctx context.Context, addr netip.AddrPort) (Identity, error) {
+		if first.CompareAndSwap(false, true) {
+			return hangs(ctx, addr)
+		}
+		for _, e := range env.gateway.Fleet.Endpoints("s") {
+			if e.Address == addr {
+				return Identity{Endpoint: e.ID}, nil
+			}
+		}
+		return Identity{}, nil
+	})
+	status, took = env.get("/get/1", deadline)
+	require.Equal(t, http.StatusOK, status, "another endpoint has answered")
+	require.LessOrEqual(t, took, deadline)
+}
+
 // Guards against an endpoint that is avoided although the gateway did not ask it.
 func TestEndThatIsNotAskedFor(t *testing.T) {
 	env := newUnframedEnv(t, 1, nil)
