Check that responses are well-formed before a parser reads them

Callers got answers that were none: an endpoint's status 000 came out as 200; field names with blanks, folded lines and unknown versions were passed on; a response with a length and chunks lost a part of its body and looked whole (MIXED).

Cause: what a server sends was believed before it was a well-formed HTTP/1.1 response. The parsers, fasthttp's and net/http's, are tolerant.

A reader on the connections, in front of the parsers, passes on well-formed responses only, one for each request: informational ones, heads, chunk lines and trailers.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 PROTOC := PATH="$(CURDIR)/$(TOOLS):$$PATH" protoc --go_out=. --go_opt=module=$(MODULE)
 
-.PHONY: help build tools generate generate-check format-check lint test fuzz soak model demo bench
+.PHONY: help build tools generate generate-check format-check lint test fuzz fuzz-responses soak model demo bench
 
 help: ## Lists the targets.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -50,10 +50,14 @@
 	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./clharness
 	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./internal/testing/clflood
 
-fuzz: ## Fuzzes what is decoded from outside, for half a minute; finds go to testdata/fuzz and are tests from then on.
+fuzz: ## Fuzzes what is decoded from outside, for 40 s; finds go to testdata/fuzz and are tests from then on.
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s ./platform/cladapter
 	go test -run '^$$' -fuzz FuzzParseRequest -fuzztime 10s ./platform/cladapter
 	go test -run '^$$' -fuzz FuzzSplitter -fuzztime 10s ./internal/serving/clstream
+	go test -run '^$$' -fuzz FuzzResponses -fuzztime 10s ./internal/serving/clframing
+
+fuzz-responses: ## Fuzzes the check of responses for ten seconds.
+	go test -run '^$$' -fuzz FuzzResponses -fuzztime 10s ./internal/serving/clframing
 
 soak: build ## Runs ten fresh seeds of the soak, about 20 s each.
 	$(BIN)/chestnutload soak --seeds 10 --length 15s
--- a/clcommand/client.go
+++ b/clcommand/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 	"github.com/twitchtv/twirp"
 	"github.com/urfave/cli/v3"
 )
@@ -52,7 +53,8 @@
 // open returns a session with the server and token that the flags name.
 func open(cmd *cli.Command) (*session, error) {
 	server := cmd.String("server")
-	if u, err := url.Parse(server); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	u, err := url.Parse(server)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
 		return nil, usagef("--server %q is not a URL; write one as http://10.0.0.7:8090", server)
 	}
 	token, err := readToken(cmd)
@@ -60,7 +62,11 @@
 		return nil, err
 	}
 	// A redirect is refused, because it would carry the token and a change to another server.
-	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if u.Scheme == "http" {
+		transport.DialContext = clframing.Dial(transport.DialContext)
+	}
+	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return &session{
 		Operator: clwire.NewOperatorProtobufClient(server, client),
 		operator: cmd.String("operator"),
--- a/clendpoint/body.go
+++ b/clendpoint/body.go
@@ -139,7 +139,7 @@
 	if !b.ended.CompareAndSwap(false, true) {
 		return
 	}
-	if b.c.finish() && b.keep && b.c.br.Buffered() == 0 && len(b.c.ids) < maxIDs {
+	if b.c.finish() && b.keep && !b.c.unread() && len(b.c.ids) < maxIDs {
 		if b.h == nil {
 			b.kept = true
 		} else {
--- a/clendpoint/conn.go
+++ b/clendpoint/conn.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -22,13 +23,14 @@
 	conn struct {
 		net.Conn
 		addr   netip.AddrPort
-		boot   string        // boot ID of the process that accepted the connection, if asked for
-		echoes bool          // an answer on it has carried an attempt ID
-		use    ConnUse       // what it had carried before the present attempt
-		sent   int           // requests that it has carried, with the present one
-		ids    idSet         // IDs of these requests
-		br     *bufio.Reader // reads through readLimited
-		out    []byte        // request buffer
+		boot   string           // boot ID of the process that accepted the connection, if asked for
+		echoes bool             // an answer on it has carried an attempt ID
+		use    ConnUse          // what it had carried before the present attempt
+		sent   int              // requests that it has carried, with the present one
+		ids    idSet            // IDs of these requests
+		check  clframing.Reader // reads through readLimited
+		br     *bufio.Reader    // reads through check
+		out    []byte           // request buffer
 
 		ctx       context.Context
 		stop      func() bool // ends the watch on ctx
@@ -47,7 +49,7 @@
 )
 
 // readBufferBytes also limits the header of an answer.
-const readBufferBytes = 8 << 10
+const readBufferBytes = clframing.MaxHeadBytes
 
 var (
 	requestHeaders  = sync.Pool{New: func() any { return new(fasthttp.RequestHeader) }}
@@ -62,7 +64,8 @@
 
 func newConn(nc net.Conn, addr netip.AddrPort) *conn {
 	c := &conn{Conn: nc, addr: addr, use: ConnUse{Number: lastConn.Add(1)}}
-	c.br = bufio.NewReaderSize(readLimited{c}, readBufferBytes)
+	c.check.R = readLimited{c}
+	c.br = bufio.NewReaderSize(&c.check, readBufferBytes)
 	return c
 }
 
@@ -160,6 +163,9 @@
 	return &Error{Kind: kind, Err: err}
 }
 
+// unread reports whether the endpoint has sent bytes that belong to no answer so far.
+func (c *conn) unread() bool { return c.br.Buffered()+c.check.Buffered() > 0 }
+
 // usable reports whether the endpoint has neither closed an idle connection
 // nor sent anything on it.
 func (c *conn) usable() bool {
--- a/clendpoint/http.go
+++ b/clendpoint/http.go
@@ -159,6 +159,7 @@
 // send writes the request and returns the number of bytes that were handed to the kernel.
 func (c *conn) send(call Call) (int64, error) {
 	c.armWrite()
+	c.check.Expect(call.Method == fasthttp.MethodHead)
 	hdr := requestHeaders.Get().(*fasthttp.RequestHeader)
 	defer requestHeaders.Put(hdr)
 	hdr.Reset()
--- a/clload/run.go
+++ b/clload/run.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 	"github.com/go-faster/errors"
 )
 
@@ -86,7 +87,7 @@
 		r.Check = WholeAnswer
 	}
 	r.roundTripper = &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         clframing.Dial((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		MaxIdleConnsPerHost: r.Scenario.MaxInFlight,
 		DisableCompression:  true,
 	}
--- a/clpeer/transport.go
+++ b/clpeer/transport.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 )
 
 const (
@@ -47,11 +48,16 @@
 
 var _ http.RoundTripper = (*authRoundTripper)(nil)
 
-// RoundTrip adds the peer credential to the request.
+// RoundTrip adds the peer credential to the request and limits the response.
 func (t *authRoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", authScheme+t.token)
-	return t.next.RoundTrip(r)
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxPeerBodyBytes)
+	return resp, nil
 }
 
 // Peer returns the client of the process that listens at addr.
@@ -73,7 +79,7 @@
 	t.http = &http.Client{
 		Timeout: t.Timeout,
 		Transport: &authRoundTripper{token: t.Token, next: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         clframing.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     peerIdleTimeout,
 		}},
--- a/clplatform/http.go
+++ b/clplatform/http.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 	"github.com/go-faster/errors"
 )
 
@@ -90,7 +91,7 @@
 		d := &net.Dialer{Timeout: or(h.ConnectTimeout, DefaultConnectTimeout)}
 		h.client = &http.Client{
 			Transport: &http.Transport{
-				DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout,
+				DialContext: clframing.Dial(d.DialContext), MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout,
 				DisableCompression: true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -4,6 +4,7 @@
 package clmirror
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/gob"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
@@ -137,7 +139,7 @@
 	}
 	r.mu.Unlock()
 	r.client.Transport = &http.Transport{
-		DialContext: (&net.Dialer{Timeout: feedTimeoutMargin}).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		DialContext: clframing.Dial((&net.Dialer{Timeout: feedTimeoutMargin}).DialContext), DisableCompression: true, MaxIdleConnsPerHost: 1,
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(r.handleFeed), ReadTimeout: feedTimeoutMargin, WriteTimeout: feedWriteTimeout, IdleTimeout: feedIdleTimeout,
@@ -411,9 +413,13 @@
 	if httpResponse.StatusCode != http.StatusOK {
 		return answer, errors.Errorf("reader responded with HTTP status %d", httpResponse.StatusCode)
 	}
-	if err := gob.NewDecoder(io.LimitReader(httpResponse.Body, maxFeedBytes)).Decode(&answer); err != nil {
+	response := bufio.NewReader(io.LimitReader(httpResponse.Body, maxFeedBytes))
+	if err := gob.NewDecoder(response).Decode(&answer); err != nil {
 		return answer, errors.Wrap(err, "decode the response of the reader")
 	}
+	if n, err := io.Copy(io.Discard, response); n > 0 || err != nil {
+		return answer, errors.Errorf("response of the reader does not end behind its value: %v", err)
+	}
 	return answer, nil
 }
 
