Add late, endless and malformed answers to the soak

The soak had no fault in which an answer of the store is held up while the gateway learns of later changes from another one, none with answers without a length or health checks without end, and none with malformed responses, so that it could not find the three faults that the review and the users have shown. One in five callers now states 0.8 s, and an answer is due half a second later.

Change: the link holds bytes back, the stand-in of endpoints states its health, sends answers without a length and the forms of clmalformed (moved from cltest, since the stand-in must not depend on the test framework).

--- a/clendpoint/malformed_test.go
+++ b/clendpoint/malformed_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 )
 
@@ -32,7 +33,7 @@
 // Guards against malformed responses that callers get as answers: a status such as 000,
 // field names with blanks or control bytes, and lengths that differ.
 func TestMalformedResponsesAreNoAnswers(t *testing.T) {
-	for _, form := range cltest.MalformedResponses("X-Id: 1\r\n", wholeBody) {
+	for _, form := range clmalformed.Responses("X-Id: 1\r\n", wholeBody) {
 		for _, method := range []string{http.MethodPost, http.MethodGet} {
 			addr := cltest.ServeText(t, func() string { return form.Text })
 			h := &HTTP{Timeouts: Timeouts{FirstByte: time.Second, BetweenReads: time.Second}}
--- a/clpeer/malformed_test.go
+++ b/clpeer/malformed_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutlead/chestnutlead/cltest"
 	"github.com/chestnutlead/chestnutlead/clwire"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 )
@@ -24,7 +25,7 @@
 		return err
 	}
 	require.NoError(t, fetch("HTTP/1.1 200 OK\r\n"+fields+"\r\n"+string(body)))
-	for _, form := range cltest.MalformedResponses(fields, string(body)) {
+	for _, form := range clmalformed.Responses(fields, string(body)) {
 		require.Error(t, fetch(form.Text), form.Name)
 	}
 }
--- a/clplatform/malformed_test.go
+++ b/clplatform/malformed_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,7 +19,7 @@
 		return err
 	}
 	require.NoError(t, get("HTTP/1.1 200 OK\r\nETag: \"3\"\r\n\r\nvalue"))
-	for _, form := range cltest.MalformedResponses("ETag: \"3\"\r\n", "value") {
+	for _, form := range clmalformed.Responses("ETag: \"3\"\r\n", "value") {
 		require.Error(t, get(form.Text), form.Name)
 	}
 }
--- a/internal/coordination/clmirror/malformed_test.go
+++ b/internal/coordination/clmirror/malformed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutlead/chestnutlead/cltest"
 	"github.com/chestnutlead/chestnutlead/internal/serving/clframing"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -31,7 +32,7 @@
 		return err
 	}
 	require.NoError(t, ask("HTTP/1.1 200 OK\r\n\r\n"+body.String()))
-	for _, form := range cltest.MalformedResponses("", body.String()) {
+	for _, form := range clmalformed.Responses("", body.String()) {
 		require.Error(t, ask(form.Text), form.Name)
 	}
 }
--- a/internal/serving/clframing/reader_test.go
+++ b/internal/serving/clframing/reader_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -64,7 +64,7 @@
 
 // Guards against malformed responses that a parser behind the reader takes for whole ones.
 func TestMalformedResponses(t *testing.T) {
-	for _, form := range cltest.MalformedResponses("X-Id: 1\r\n", testBody) {
+	for _, form := range clmalformed.Responses("X-Id: 1\r\n", testBody) {
 		_, err := readAll(form.Text, 4096)
 		require.Error(t, err, form.Name)
 		r := Reader{R: iotest.OneByteReader(strings.NewReader(form.Text))}
@@ -229,7 +229,7 @@
 	for _, c := range wellFormed {
 		f.Add([]byte(c.text))
 	}
-	for _, form := range cltest.MalformedResponses("X-Id: 1\r\n", testBody) {
+	for _, form := range clmalformed.Responses("X-Id: 1\r\n", testBody) {
 		f.Add([]byte(form.Text))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/serving/clgateway/malformed_test.go
+++ b/internal/serving/clgateway/malformed_test.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/chestnutlead/chestnutlead/cltest"
+	"github.com/chestnutlead/chestnutlead/internal/testing/clmalformed"
 	"github.com/stretchr/testify/require"
 )
 
@@ -24,7 +24,7 @@
 	}
 	env := newTestEnv(t, answer, answer)
 	for path, body := range map[string]string{"/book/": "hello, world", "/get/": "hello, world", "/stream/": event(1) + event(2)} {
-		for i, form := range cltest.MalformedResponses("X-Seal: s\r\nX-Id: r1\r\n", body) {
+		for i, form := range clmalformed.Responses("X-Seal: s\r\nX-Id: r1\r\n", body) {
 			text.Store(&form.Text)
 			resp, err := http.DefaultClient.Do(env.request(fmt.Sprint(path, i), "f", ""))
 			require.NoError(t, err, form.Name)
--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -21,7 +21,9 @@
 	gateway     *gateway
 	key         accountKey
 	sent, ended time.Time
-	reply       clstandplatform.Reply
+	// slack is how long after its deadline the caller waited.
+	slack time.Duration
+	reply clstandplatform.Reply
 }
 
 // judge checks the promises about one request.
@@ -103,7 +105,7 @@
 	}
 	if errors.Is(a.reply.Err, context.DeadlineExceeded) {
 		if s.inTouch(a) {
-			s.violate("%s had no answer within %s of its deadline, at %s", a.send, callerWait-deadline, a.gateway.name)
+			s.violate("%s had no answer within %s of its deadline, at %s", a.send, a.slack, a.gateway.name)
 		}
 		return
 	}
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -34,6 +34,9 @@
 	saysThatItLeaves = "an endpoint says that it leaves before the store does"
 	copiesRefusals   = "an endpoint sends copies of its refusals"
 	proxyCopies      = "a proxy before an endpoint sends copies of refusals"
+	lateChanges      = "answers of the store are held up while an endpoint leaves"
+	unframedAnswers  = "an endpoint's answers have no length and its health checks may never end"
+	malformedAnswers = "an endpoint sends what is no response"
 	// storeReturn is how long after an outage gateways need to find the store.
 	storeReturn = time.Second
 )
@@ -148,9 +151,58 @@
 			w.leave(e)
 		}
 	}},
+	{unframedAnswers, func(s *Soak, w *world) {
+		e := s.pickEndpoint(w)
+		e.endless.Store(s.chance(0.5))
+		s.spoilOne(e, s.between(longest, 2*longest), clstandplatform.Unframed)
+		e.endless.Store(false)
+	}},
+	{malformedAnswers, func(s *Soak, w *world) { s.spoil(w, clstandplatform.Malformed) }},
+	{lateChanges, func(s *Soak, w *world) { s.holdChanges(w) }},
 	{"the configuration changes", func(s *Soak, _ *world) { s.configure() }},
 }
 
+// holdChanges holds up the answers of the store to the gateways that follow another one,
+// while an endpoint becomes cold and leaves. A gateway that is started again before is
+// followed once more, by gateways whose own watches are in progress. The endpoint serves
+// on for a while, as endpoints that leave may.
+// Only one such fault goes on at a time, so that the gateways are without faults after it.
+func (s *Soak) holdChanges(w *world) {
+	if !w.holding.CompareAndSwap(false, true) {
+		return
+	}
+	defer w.holding.Store(false)
+	e, ok := s.takeEndpoint(w)
+	if !ok {
+		return
+	}
+	first := w.gateways[s.intN(min(len(w.gateways), len(dataCentres)))]
+	s.restartOne(w, first, func(g *gateway) {
+		g.current().Kill()
+		time.Sleep(longest)
+		// The watches that begin with this change last until the answers are held up.
+		w.store.Announce(e.id, e.link.addr(), e.dataCentre, e.born, time.Millisecond)
+		time.Sleep(restartAfter)
+	})
+	time.Sleep(longest)
+	followers := lo.Filter(w.gateways, func(g *gateway, _ int) bool { return g != first })
+	for _, g := range followers {
+		g.trouble(time.Now().Add(longest))
+		g.link.set(modeHold)
+	}
+	w.store.Announce(e.id, e.link.addr(), e.dataCentre, e.born, longest)
+	time.Sleep(s.between(shortest, time.Second))
+	left := w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, true)
+	e.setLeft(left)
+	time.Sleep(s.between(shortest, time.Second))
+	for _, g := range followers {
+		g.link.set(modeOpen)
+		g.over()
+	}
+	time.Sleep(bounds.Drain + 2*contact)
+	w.end(e)
+}
+
 // repeatSignals asks a gateway to stop, and sends it further signals while it drains.
 func (s *Soak) repeatSignals(p *clharness.Process) {
 	p.Signal(syscall.SIGTERM)
--- a/internal/testing/clsoak/link.go
+++ b/internal/testing/clsoak/link.go
@@ -20,6 +20,8 @@
 		mu    sync.Mutex
 		mode  mode
 		conns map[*linkConn]bool
+		// released is closed when modeHold ends.
+		released chan struct{}
 	}
 
 	// mode is what a link does to the bytes of its connections.
@@ -49,6 +51,8 @@
 	modeOneWay
 	// modeCopy sends copies of refusals.
 	modeCopy
+	// modeHold holds all data back until the mode changes.
+	modeHold
 )
 
 const (
@@ -85,7 +89,13 @@
 func (k *link) set(m mode) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.mode = m
+	if k.released != nil {
+		close(k.released)
+		k.released = nil
+	}
+	if k.mode = m; m == modeHold {
+		k.released = make(chan struct{})
+	}
 	if m == modeReset {
 		for c := range k.conns {
 			c.reset()
@@ -93,6 +103,16 @@
 	}
 }
 
+// waitReleased waits while the link holds its data back.
+func (k *link) waitReleased() {
+	k.mu.Lock()
+	released := k.released
+	k.mu.Unlock()
+	if released != nil {
+		<-released
+	}
+}
+
 func (k *link) current() mode {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -128,6 +148,7 @@
 	buf := make([]byte, linkBuffer)
 	for {
 		n, err := from.Read(buf)
+		c.link.waitReleased()
 		if n > 0 && !c.swallows(direction) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -81,6 +81,11 @@
 	// deadline is what callers state, and callerWait how long they wait.
 	deadline   = 3 * time.Second
 	callerWait = 4 * time.Second
+	// shortDeadline is what shortShare of the callers state, and shortWait how long they
+	// wait: an answer is due half a second after the deadline.
+	shortDeadline = 800 * time.Millisecond
+	shortWait     = shortDeadline + 500*time.Millisecond
+	shortShare    = 0.2
 	// recovery bounds the time from the end of the faults to service by all gateways.
 	recovery = 12 * time.Second
 	// oldKeyShare is the part of the requests with a key that was removed.
@@ -242,6 +247,10 @@
 	s.mu.Unlock()
 	call.Gateway, call.Method, call.Host, call.Key = g.callers, http.MethodPost, clstandplatform.Host, a.key.key
 	call.Deadline, call.Wait = deadline, callerWait
+	if call.BodyBytes == 0 && s.chance(shortShare) {
+		call.Deadline, call.Wait = shortDeadline, shortWait
+	}
+	a.slack = call.Wait - call.Deadline
 	// Not bound to ctx: a run that ends lets the last requests end.
 	a.reply = c.Send(context.WithoutCancel(ctx), call)
 	a.ended = time.Now()
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -117,6 +117,34 @@
 	require.Positive(t, report.Answered)
 }
 
+// Guards against gateways that a late answer of the store takes back to an older state
+// (DRAIN), against answers that come after the deadline because an endpoint's health checks
+// never end (CONFIG), and against malformed responses that callers get (MIXED).
+func TestLateEndlessAndMalformedAnswers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := buildBinary(t)
+	for _, tc := range []struct {
+		fault  string
+		length time.Duration
+	}{
+		{lateChanges, time.Second}, {unframedAnswers, 6 * time.Second}, {malformedAnswers, 6 * time.Second},
+	} {
+		t.Run(tc.fault, func(t *testing.T) {
+			s := &Soak{
+				Binary: binary, Dir: t.TempDir(), Seed: 43001, Gateways: 4, Endpoints: 4, Callers: 12, Length: tc.length,
+				Faults: []string{tc.fault}, Logger: zaptest.NewLogger(t),
+			}
+			report, err := s.Run(t.Context())
+			require.NoError(t, err)
+			require.Empty(t, report.Violations)
+			require.NotEmpty(t, report.Faults)
+			require.Positive(t, report.Answered)
+		})
+	}
+}
+
 // buildBinary returns the path of the program under test.
 func buildBinary(t *testing.T) string {
 	t.Helper()
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -40,6 +40,8 @@
 
 		// storeTroubles are those of the store for all.
 		storeTroubles troubles
+		// holding says that answers of the store are being held up.
+		holding atomic.Bool
 	}
 
 	// server is an HTTP server of the world's own.
@@ -87,8 +89,9 @@
 		fault atomic.Int64
 		// saysLeaving makes it say in its answers that it leaves.
 		saysLeaving atomic.Bool
-		// copies makes it send copies of its refusals.
-		copies atomic.Bool
+		// copies makes it send copies of its refusals, and endless answers to health checks
+		// that never end.
+		copies, endless atomic.Bool
 
 		troubles
 
@@ -318,7 +321,7 @@
 	w.mu.Unlock()
 	handler := &clstandplatform.Endpoint{
 		ID: e.id, StreamPrefix: clstandplatform.StreamPrefix, Events: eventCount, Work: 10 * time.Millisecond, Gap: 30 * time.Millisecond,
-		Ran: w.soak.ran, Arrived: w.soak.arrivedAt, Quieted: w.soak.askedForQuiet, Leaving: e.saysLeaving.Load,
+		Ran: w.soak.ran, Arrived: w.soak.arrivedAt, Quieted: w.soak.askedForQuiet, Leaving: e.saysLeaving.Load, Born: e.born, Endless: e.endless.Load,
 		QuietFor: func() time.Duration { return w.soak.between(shortestQuiet, longest) }, Fault: func(r clstandplatform.Run) clstandplatform.Fault {
 			if w.crashesUnder(e, r) {
 				return clstandplatform.AnswerLost
@@ -356,13 +359,21 @@
 	return e.left
 }
 
-// leave takes an endpoint out as a planned stop does.
-func (w *world) leave(e *endpoint) {
-	at := w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, true)
+func (e *endpoint) setLeft(at time.Time) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.left = at
-	e.mu.Unlock()
+}
+
+// leave takes an endpoint out as a planned stop does.
+func (w *world) leave(e *endpoint) {
+	e.setLeft(w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, true))
 	time.Sleep(bounds.Drain + time.Second)
+	w.end(e)
+}
+
+// end ends an endpoint that has left.
+func (w *world) end(e *endpoint) {
 	w.store.Unregister(e.id)
 	e.trouble(time.Now().Add(time.Hour))
 	w.drop(e)
@@ -422,6 +433,7 @@
 		e.link.set(modeOpen)
 		e.fault.Store(int64(clstandplatform.NoFault))
 		e.copies.Store(false)
+		e.endless.Store(false)
 	}
 	return nil
 }
