End questions that nobody waits for, and believe no body without a probe

A part of a body could look whole to its caller if the probe of its endpoint was not made (a limit, or the deadline): the answer then counted as one of an endpoint that lives. And an engine whose report never ends was never asked on its health path, since both shared 1.5 s.

A body counts as whole only after a probe that was answered. A question has 3 s, half of it for the report, ends as soon as nobody waits for it, and does not begin if nobody does, so that it never outlasts the requests that need it.

--- a/internal/limits/clcall/group.go
+++ b/internal/limits/clcall/group.go
@@ -46,13 +46,19 @@
 	}
 
 	// call is a call in progress, or one that has not begun. value and err are set before
-	// done is closed.
+	// done is closed; mu of the Group guards the rest.
 	call[V any] struct {
 		done  chan struct{}
 		value V
 		err   error
 		// late says that the call counts towards Group.late.
 		late bool
+		// waiting is the number of callers of Do that wait for the call, and expired says
+		// that one of them has waited to the end of its time.
+		waiting int
+		expired bool
+		// cancel ends the call; it is nil before the call begins.
+		cancel context.CancelFunc
 	}
 )
 
@@ -64,8 +70,8 @@
 const lateMemory = 30 * time.Second
 
 // Do returns the result of a call that has begun after Do was called. It returns ErrLimit
-// at once if no call can begin, and the error of ctx once ctx has ended; the call then
-// goes on for those that share it.
+// at once if no call can begin, and the error of ctx once ctx has ended. A call for which
+// nobody waits any more ends.
 func (g *Group[K, V]) Do(ctx context.Context, key K) (V, error) {
 	c, err := g.join(key)
 	if err != nil {
@@ -76,11 +82,27 @@
 	case <-c.done:
 		return c.value, c.err
 	case <-ctx.Done():
+		g.leave(key, c, errors.Is(ctx.Err(), context.DeadlineExceeded))
 		var none V
 		return none, ctx.Err()
 	}
 }
 
+// leave ends the wait of one caller of Do for a call.
+func (g *Group[K, V]) leave(key K, c *call[V], expired bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.waiting--
+	c.expired = c.expired || expired
+	switch s := g.keys[key]; {
+	case c.waiting > 0:
+	case c.cancel != nil:
+		c.cancel()
+	case s != nil && s.next == c:
+		s.next = nil
+	}
+}
+
 // InProgress returns the number of calls in progress.
 func (g *Group[K, V]) InProgress() int {
 	g.mu.Lock()
@@ -97,9 +119,10 @@
 		s = &keyState[V]{}
 	}
 	if s.next != nil {
+		s.next.waiting++
 		return s.next, nil
 	}
-	c := &call[V]{done: make(chan struct{})}
+	c := &call[V]{done: make(chan struct{}), waiting: 1}
 	late := time.Since(s.timedOut) < lateMemory
 	if s.running >= g.PerKey || late && s.running > 0 {
 		s.next = c
@@ -120,25 +143,26 @@
 		g.keys = make(map[K]*keyState[V])
 	}
 	g.keys[key] = s
-	c.late = late
+	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
+	c.late, c.cancel = late, cancel
 	g.running++
 	s.running++
 	if late {
 		g.late++
 	}
-	go g.run(key, s, c)
+	go g.run(ctx, key, s, c)
 	return true
 }
 
 // run makes a call, and begins the next one with its key if somebody waits for it.
-func (g *Group[K, V]) run(key K, s *keyState[V], c *call[V]) {
-	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
-	defer cancel()
+func (g *Group[K, V]) run(ctx context.Context, key K, s *keyState[V], c *call[V]) {
 	c.value, c.err = g.Call(ctx, key)
-	timedOut := ctx.Err() != nil
+	ended := ctx.Err()
+	c.cancel()
 	close(c.done)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	timedOut := errors.Is(ended, context.DeadlineExceeded) || ended != nil && c.expired
 	if g.Release != nil {
 		g.Release()
 	}
--- a/internal/serving/clgateway/crash.go
+++ b/internal/serving/clgateway/crash.go
@@ -59,7 +59,10 @@
 // it is assumed that only the connection or the response was lost.
 func (g *Gateway) recordCrash(ctx context.Context, a *attempt) {
 	now := clclock.Now()
-	if g.Probe == nil || g.accepts(ctx, a) {
+	if g.Probe == nil {
+		return
+	}
+	if accepts, err := g.accepts(ctx, a); accepts || err != nil {
 		return
 	}
 	writingFor := time.Duration(0)
--- a/internal/serving/clgateway/metrics.go
+++ b/internal/serving/clgateway/metrics.go
@@ -70,7 +70,7 @@
 		crashes: m.Counter(clobserve.Name{Component: "gateway", What: "crashed_attempts", Unit: "total"},
 			"Attempts that ended because their endpoint crashed, by service.", "service"),
 		ends: m.Counter(clobserve.Name{Component: "gateway", What: "unframed_ends", Unit: "total"},
-			"Responses that ended with their connection, by service and result: whole (the same start of the endpoint still lives), other_start, unknown (it can't be told). Only whole ones are passed on as complete.", "service", "result"),
+			"Responses that ended with their connection, by service and result: whole (the same start of the endpoint still lives), other_start, unknown (it can't be told), timed_out (it did not say so in time), not_asked (too many questions were in progress, or memory was short). Only whole ones are passed on as complete.", "service", "result"),
 		questions: m.Counter(clobserve.Name{Component: "gateway", What: "endpoint_questions", Unit: "total"},
 			"Questions to endpoints of the gateway's own accord, by kind (identity, probe) and outcome: answered, failed, timed_out, limit (not asked: too many are in progress, or no memory).", "kind", "outcome"),
 		work: m.Counter(clobserve.Name{Component: "gateway", What: "work", Unit: "seconds"},
--- a/internal/serving/clgateway/questions.go
+++ b/internal/serving/clgateway/questions.go
@@ -10,7 +10,6 @@
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcall"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clmemory"
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 )
 
 type (
@@ -32,9 +31,10 @@
 	// IdentifyBytes is the memory that is reserved for a call of Gateway.Identify: the
 	// answer, which is copied while its buffer grows, and the buffers of the connection.
 	IdentifyBytes = 128 << 10
-	// identifyTimeout is the maximum time for a call of Gateway.Identify. It covers one
-	// lost packet while connecting, which TCP sends again after a second.
-	identifyTimeout = 1500 * time.Millisecond
+	// identifyTimeout is the maximum time for a call of Gateway.Identify, which may ask
+	// twice. Each half covers one lost packet while connecting, which TCP sends again after
+	// a second.
+	identifyTimeout = 3 * time.Second
 	// probeTimeout is the time after which an endpoint that has not accepted a connection
 	// counts as crashed.
 	probeTimeout = 300 * time.Millisecond
@@ -102,15 +102,15 @@
 	return said, err
 }
 
-// accepts reports whether the endpoint of an attempt is known not to have crashed. It is
-// not if it accepts no connection. An endpoint that can't be asked counts as one that lives.
-func (g *Gateway) accepts(ctx context.Context, a *attempt) bool {
+// accepts reports whether the endpoint of an attempt accepts connections, or returns an
+// error if that is not known by the request's deadline.
+func (g *Gateway) accepts(ctx context.Context, a *attempt) (bool, error) {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	accepts, err := g.questions.probes.Do(ctx, a.choice.Address)
 	if errors.Is(err, clcall.ErrLimit) {
 		g.collectors.questions.WithLabelValues("probe", "limit").Inc()
-		g.Logger.Debug("endpoint is not probed", zap.String("endpoint", a.choice.Endpoint), zap.Error(err))
+		return false, errNotAsked
 	}
-	return err != nil || accepts
+	return accepts, err
 }
--- a/internal/serving/clgateway/questions_test.go
+++ b/internal/serving/clgateway/questions_test.go
@@ -155,6 +155,18 @@
 	require.EqualValues(t, 1, env.counter("chestnutlead_gateway_endpoint_questions_total", map[string]string{"kind": "identity", "outcome": "limit"}))
 }
 
+// Guards against a part of a body that looks whole because it could not be found out whether
+// its endpoint has crashed.
+func TestEndWithoutAProbe(t *testing.T) {
+	env := newTestEnv(t, respond(unframedHello, false))
+	env.gateway.Probe = func(context.Context, netip.AddrPort) bool { return true }
+	status, _ := env.get("/book/1", time.Second)
+	require.Equal(t, http.StatusOK, status)
+	env.gateway.questions.probes.Total = 0
+	status, _ = env.get("/book/2", time.Second)
+	require.Equal(t, http.StatusBadGateway, status)
+}
+
 // Guards against requests that wait beyond their deadline for a connection to an endpoint
 // that may have crashed, and against as many such connections as requests.
 func TestProbesAreLimited(t *testing.T) {
