--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -164,33 +164,6 @@
 	return err
 }
 
-// observeEra records an era of the store that a mirror has learnt of. If it is a new one,
-// the mirrors that read the store list all objects again; followers receive the copies
-// of their readers, so that not all gateways list at once.
-func (r *Replicator) observeEra(era uint64) {
-	r.mu.Lock()
-	earlier, known := r.era, r.eraKnown
-	r.era, r.eraKnown = max(era, earlier), true
-	r.mu.Unlock()
-	if !known || era <= earlier {
-		return
-	}
-	r.Logger.Warn("store returned from an older copy", zap.Uint64("era", era), zap.Uint64("earlier_era", earlier))
-	if !r.readsStore() {
-		return
-	}
-	for _, m := range r.mirrors {
-		m.relist(era)
-	}
-}
-
-// latestEra returns the latest era of the store that a mirror has learnt of.
-func (r *Replicator) latestEra() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.era
-}
-
 // recentlyConfirmed reports whether the copy of the mirror with ProbesStore is not
 // stale.
 func (r *Replicator) recentlyConfirmed() bool {
