Read short responses at once, and log the memory of questions

The checking reader's first buffer of 1 KiB needed a second read for a head with a body of 800 bytes; 2 KiB hold both.

--- a/internal/serving/clframing/reader.go
+++ b/internal/serving/clframing/reader.go
@@ -62,9 +62,9 @@
 const (
 	// MaxHeadBytes is the maximum size of a head, a trailer, and the line of a chunk.
 	MaxHeadBytes = 8 << 10
-	// firstBufferBytes is the size of the buffer of a Reader at first. Most heads are
-	// smaller.
-	firstBufferBytes = 1 << 10
+	// firstBufferBytes is the size of the buffer of a Reader at first. It holds most heads
+	// with a short body, which are then read at once.
+	firstBufferBytes = 2 << 10
 )
 
 var errUnasked = errors.New("peer sends bytes without a request")
--- a/internal/serving/clgateway/body.go
+++ b/internal/serving/clgateway/body.go
@@ -271,7 +271,7 @@
 	b := &g.memory.budget
 	g.Logger.Warn("memory budget is short", zap.String("consequence", consequence), zap.Int("count", n), zap.Int64("limit", b.Limit),
 		zap.Int64("connections", b.Held(clmemory.Connections)), zap.Int64("bodies", b.Held(clmemory.Bodies)),
-		zap.Int64("responses", b.Held(clmemory.Responses)), zap.Int64("events", b.Held(clmemory.Events)))
+		zap.Int64("responses", b.Held(clmemory.Responses)), zap.Int64("events", b.Held(clmemory.Events)), zap.Int64("questions", b.Held(clmemory.Questions)))
 }
 
 // releaseBody releases the memory of the request body.
