Spoil answers of endpoints that get requests in the soak

No promise was broken; the check that the run shows something found nothing.

Cause: the fault is at any endpoint, also at one that says that it leaves, which gets few requests.

Faults of answers are now at endpoints that serve. The check is as it was.

--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -152,7 +152,7 @@
 		}
 	}},
 	{unframedAnswers, func(s *Soak, w *world) {
-		e := s.pickEndpoint(w)
+		e := s.pickServing(w)
 		e.endless.Store(s.chance(0.5))
 		s.spoilOne(e, s.between(longest, 2*longest), clstandplatform.Unframed)
 		e.endless.Store(false)
@@ -216,7 +216,7 @@
 // spoil makes an endpoint treat a part of its requests in one of the given ways for a
 // while.
 func (s *Soak) spoil(w *world, kinds ...clstandplatform.Fault) {
-	s.spoilOne(s.pickEndpoint(w), s.between(shortest, longest), kinds...)
+	s.spoilOne(s.pickServing(w), s.between(shortest, longest), kinds...)
 }
 
 func (s *Soak) spoilOne(e *endpoint, d time.Duration, kinds ...clstandplatform.Fault) {
@@ -275,6 +275,16 @@
 	return live[s.intN(len(live))]
 }
 
+// pickServing returns an endpoint that is not leaving, if there is one: one that leaves gets
+// few requests or none, on which a fault of its answers would have no effect.
+func (s *Soak) pickServing(w *world) *endpoint {
+	serving := lo.Filter(w.live(), func(e *endpoint, _ int) bool { return !e.saysLeaving.Load() && e.leftAt().IsZero() })
+	if len(serving) == 0 {
+		return s.pickEndpoint(w)
+	}
+	return serving[s.intN(len(serving))]
+}
+
 // takeEndpoint adds an endpoint and returns another one that may end, unless
 // too few would be left.
 func (s *Soak) takeEndpoint(w *world) (*endpoint, bool) {
