--- a/internal/limits/clcall/group.go
+++ b/internal/limits/clcall/group.go
@@ -66,7 +66,8 @@
 // or because there is no memory for it.
 var ErrLimit = errors.New("too many calls to peers are in progress")
 
-// lateMemory is how long a call that has timed out counts against its key.
+// lateMemory is how long a call that has timed out counts against its key if no later one
+// ends in time. A peer that is asked rarely is then trusted again.
 const lateMemory = 30 * time.Second
 
 // Do returns the result of a call that has begun after Do was called. It returns ErrLimit
