Log where the fencing token of a call comes from

Callers' side: two gateways sent usage reports with one token, and the log could not tell whether the store had returned from an older copy, whether a late call had taken effect, or whether a process acted on a lease that it no longer held.

The lines "usage report sent", "scaling target sent" and "lease changed" now state the store's era and the lease behind the token: the version and the age of the update that confirmed it, the time left, and the holder, number and version that it replaced. clstore gets the optional interface of stores that return from older copies, and clstore.Memory clients that learn of an era as the platform's do. No decision changes.

--- a/cllease/core.go
+++ b/cllease/core.go
@@ -68,6 +68,9 @@
 		// acquired, and released whether its holder had released it.
 		inherited []byte
 		released  bool
+		// origin describes the lease that this process held last, acquiring the one
+		// that its proposal would acquire.
+		origin, acquiring Origin
 	}
 )
 
@@ -178,7 +181,7 @@
 
 // State returns what is known at now.
 func (c *Core) State(now time.Time) State {
-	s := State{Fencing: c.lease.GetFencing(), Until: c.until, AllowanceHalvings: c.lease.GetAllowanceHalvings()}
+	s := State{Fencing: c.lease.GetFencing(), Until: c.until, AllowanceHalvings: c.lease.GetAllowanceHalvings(), Origin: c.origin}
 	if !c.lease.GetReleased() {
 		s.Holder = c.lease.GetHolder()
 	}
@@ -242,6 +245,7 @@
 		AllowanceHalvings: c.lease.GetAllowanceHalvings(),
 	}
 	c.inherited, c.released = c.lease.GetPayload(), c.lease.GetReleased()
+	c.acquiring = Origin{Replaced: c.version, ReplacedHolder: c.lease.GetHolder(), ReplacedFencing: c.lease.GetFencing()}
 	if c.lease != nil && !c.lease.Released {
 		l.AllowanceHalvings++
 	}
@@ -293,6 +297,10 @@
 	case !c.mine():
 		c.gone, c.outage, c.halvings, c.payload = true, false, nil, nil
 	case ours:
+		if c.fencing != l.Fencing {
+			c.origin = c.acquiring
+		}
+		c.origin.Version, c.origin.ConfirmedFrom = version, c.sentAt
 		c.fencing, c.gone = l.Fencing, false
 		c.until = c.sentAt.Add(c.cfg.TTL - c.cfg.Margin)
 		// A renewal that was sent long ago does not restore the trust yet.
--- a/cllease/lease.go
+++ b/cllease/lease.go
@@ -45,6 +45,22 @@
 		// AllowanceHalvings is the count stored with the lease: how many
 		// holders in a row were succeeded without a release.
 		AllowanceHalvings uint32
+		// Origin says where this process's number comes from; zero if it never held the lease.
+		Origin Origin
+	}
+
+	// Origin says on which content of the object a lease was acquired and last
+	// confirmed, to tell in a log why two processes could get one number.
+	Origin struct {
+		// Version is that of the update last confirmed.
+		Version uint64
+		// ConfirmedFrom is when that update was first sent.
+		ConfirmedFrom time.Time
+		// Replaced is the version of the content on which the lease was acquired, 0 if
+		// there was none; ReplacedHolder and ReplacedFencing are its holder and number.
+		Replaced        uint64
+		ReplacedHolder  string
+		ReplacedFencing uint64
 	}
 
 	// Kind classifies an Error.
--- a/cllease/runner.go
+++ b/cllease/runner.go
@@ -154,11 +154,7 @@
 // loop executes decisions until ctx ends or, when stopping, nothing is left to do.
 func (r *Runner) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		now := r.Now()
-		d, s := r.core.Next(now), r.core.State(now)
-		finished := r.stopping && d.Action == ActionWait && d.Until.IsZero()
-		r.mu.Unlock()
+		now, d, s, finished := r.next()
 		r.notify(s)
 		switch {
 		case finished:
@@ -171,6 +167,16 @@
 	}
 }
 
+// next returns the time, the decision and the state at that time, and whether a runner that
+// is stopping has nothing left to do.
+func (r *Runner) next() (now time.Time, d Decision, s State, finished bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now = r.Now()
+	d, s = r.core.Next(now), r.core.State(now)
+	return now, d, s, r.stopping && d.Action == ActionWait && d.Until.IsZero()
+}
+
 // call executes one call. It outlives ctx by up to CallTimeout, because an
 // abandoned update has an unknown outcome.
 func (r *Runner) call(ctx context.Context, d Decision) {
@@ -210,7 +216,7 @@
 func (r *Runner) notify(s State) {
 	last := r.last
 	r.last = s
-	last.Until = s.Until
+	last.Until, last.Origin = s.Until, s.Origin
 	if r.OnChange != nil && last != s {
 		r.OnChange(s)
 	}
--- a/clstore/memory.go
+++ b/clstore/memory.go
@@ -23,6 +23,7 @@
 		mu      sync.Mutex
 		objects map[string]Object
 		version uint64
+		era     uint64 // the number of calls of Restore
 		reads   int
 		writes  int
 		bytes   int
@@ -79,12 +80,17 @@
 	if m.objects[key].Version != ifVersion {
 		return 0, &Error{Kind: KindConflict, Op: "update", Key: key, Err: errVersion}
 	}
+	return m.put(key, value), m.injected("update", key, f)
+}
+
+// put writes an object and returns its version; the caller holds mu.
+func (m *Memory) put(key string, value []byte) uint64 {
 	if m.objects == nil {
 		m.objects = map[string]Object{}
 	}
 	m.version++
 	m.objects[key] = Object{Key: key, Value: bytes.Clone(value), Version: m.version}
-	return m.version, m.injected("update", key, f)
+	return m.version
 }
 
 // Delete implements Deleter.
--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -180,11 +180,23 @@
 		c.lease.Config = cllease.Config{Key: leaseKey, Holder: c.ProcessID, TTL: c.LeaseTTL}
 		c.lease.Store, c.lease.Now = c.Store, clclock.Now
 		c.lease.OnChange = func(s cllease.State) {
-			c.Logger.Info("lease changed", zap.Bool("held", s.Held), zap.String("holder", s.Holder), zap.Uint64("fencing", s.Fencing))
+			c.Logger.Info("lease changed", zap.Bool("held", s.Held), zap.String("holder", s.Holder), zap.Uint64("fencing", s.Fencing),
+				zap.Uint64("store_era", clstore.EraOf(c.Store)), c.leaseOrigin(s))
 		}
 	})
 }
 
+// leaseOrigin returns the field of a log line that says where this process's token comes
+// from, if it ever held the lease.
+func (c *Coordinator) leaseOrigin(s cllease.State) zap.Field {
+	if s.Origin.ConfirmedFrom.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Dict("lease",
+		zap.Uint64("version", s.Origin.Version), zap.Duration("age", clclock.Now().Sub(s.Origin.ConfirmedFrom)), zap.Duration("left", s.Left(clclock.Now())),
+		zap.Uint64("replaced_version", s.Origin.Replaced), zap.String("replaced_holder", s.Origin.ReplacedHolder), zap.Uint64("replaced_fencing", s.Origin.ReplacedFencing))
+}
+
 func (c *Coordinator) runLease(ctx context.Context, ended chan<- error) { ended <- c.lease.Run(ctx) }
 
 // runTasks runs the enabled tasks once. If the lease is new, it first discards the
@@ -343,14 +355,15 @@
 // whether the cloud API has accepted it. The acceptance is stored with the next
 // new report.
 func (c *Coordinator) sendReport(ctx context.Context, holder Holder, r *Report) bool {
-	if _, ok := c.CurrentLease(); !ok {
+	lease := c.lease.Current(clclock.Now())
+	if !lease.Held {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.Cloud.ReportUsage(ctx, holder, r.GetWindow(), r.GetCounts())
 	c.Logger.Info("usage report sent", zap.Int64("window", r.GetWindow()), zap.Any("counts", r.GetCounts()),
-		zap.Uint64("fencing", holder.Fencing), zap.Error(err))
+		zap.Uint64("fencing", holder.Fencing), zap.Uint64("store_era", clstore.EraOf(c.Store)), c.leaseOrigin(lease), zap.Error(err))
 	if errors.Is(err, ErrRefused) {
 		c.refusedFencing = holder.Fencing
 	}
@@ -412,14 +425,16 @@
 	if last.refused && now.Sub(last.sentAt) < unansweredResendDelay {
 		return
 	}
-	if _, ok := c.CurrentLease(); !ok {
+	lease := c.lease.Current(clclock.Now())
+	if !lease.Held {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.Cloud.SetScalingTarget(ctx, holder, target)
 	c.Logger.Info("scaling target sent", zap.String("service", target.Service), zap.String("data_centre", target.DataCentre), zap.Bool("spot", target.Spot),
-		zap.Int("count", target.Count), zap.Int("have", existing), zap.Float64("load", state.PeakLoad), zap.Uint64("fencing", holder.Fencing), zap.Error(err))
+		zap.Int("count", target.Count), zap.Int("have", existing), zap.Float64("load", state.PeakLoad), zap.Uint64("fencing", holder.Fencing),
+		zap.Uint64("store_era", clstore.EraOf(c.Store)), c.leaseOrigin(lease), zap.Error(err))
 	switch {
 	case errors.Is(err, ErrRefused):
 		if target.Spot {
