Acquire the lease anew in each era of the store

Two gateways sent usage reports with one fencing token, or the duties stopped for good because the token had fallen below one that the cloud API had seen.

Cause: the token is the lease object's plus one, on the condition that the object has not changed. A store that returns from an older copy lacks the latest lease, and accepts the same token again. The condition is a revision, which the store gives out again too.

Change: each era of the store has a lease object of its own, so that neither the copy nor a late call of an earlier era is ever taken for the latest lease; tokens begin with the era and so rise whatever the copy holds. A process that learns of an era, by any call, does not hold the lease until it has acquired it in that era. The process that trusts its lease at that moment acquires at once: all others wait a TTL from when they learnt of the era, after which every lease of an earlier era has lapsed. The outcome of a call during which the era changed is dropped.

Why it works: within an era the store loses nothing, so that its conditional writes count holders without a gap; between eras the era itself counts. Ruled out: continuing from the copy's token plus a margin, which bears a limited loss only and still meets late writes on a revision that is given out again; one object with the era in its content, for the same reason.

--- a/cllease/core.go
+++ b/cllease/core.go
@@ -22,6 +22,8 @@
 		// Until is when to ask again, for ActionWait; zero means that only a
 		// call of SetWanted or SetHalvings changes anything.
 		Until time.Time
+		// Key is the object that is read or updated.
+		Key string
 		// Value and IfVersion are the update's, for ActionUpdate.
 		Value     []byte
 		IfVersion uint64
@@ -58,6 +60,16 @@
 		until   time.Time
 		// gone says that a release was sent or another holder was seen.
 		gone bool
+		// era is the latest era of the store. Leases of different eras are in different
+		// objects.
+		era uint64
+		// freeFrom is when all leases of earlier eras have lapsed, as far as this
+		// process can tell.
+		freeFrom time.Time
+		// earlier is the content last seen in an earlier era, and ownEarlier says that
+		// no other process can hold a lease of an earlier era.
+		earlier    *clstate.Lease
+		ownEarlier bool
 		// outage says that a call failed since the last confirmed renewal. A read
 		// that succeeds in between does not end it: the lease may have lapsed
 		// because of it, and is not held again before a renewal.
@@ -74,6 +86,9 @@
 	}
 )
 
+// eraShift is the number of bits of a fencing number that count the holders of an era.
+const eraShift = 32
+
 // Actions of a Decision.
 const (
 	// ActionWait makes no call until Decision.Until.
@@ -95,6 +110,35 @@
 
 // Next returns the next step at now.
 func (c *Core) Next(now time.Time) Decision {
+	d := c.next(now)
+	if d.Action != ActionWait {
+		d.Key = clstore.KeyInEra(c.cfg.Key, c.era)
+	}
+	return d
+}
+
+// SetEra reports the latest era of the store at now, and whether it is a new one. Then the
+// store may lack the lease last confirmed: it is not held before it is acquired in the new
+// era, and the outcome of a call that was decided before must not be reported.
+func (c *Core) SetEra(now time.Time, era uint64) bool {
+	if era <= c.era {
+		return false
+	}
+	// A lease that was trusted until now excludes others of earlier eras, and no other
+	// process acquires one of this era before it lapses.
+	c.ownEarlier = now.Before(c.until) && (c.wanted && !c.gone || c.ownEarlier && c.lease == nil)
+	if c.lease != nil {
+		c.earlier = c.lease
+	}
+	if !c.ownEarlier {
+		c.freeFrom = now.Add(max(c.earlier.GetTtl().AsDuration(), c.cfg.TTL))
+	}
+	c.era, c.lease, c.version, c.proposal, c.corrupt = era, nil, 0, nil, nil
+	c.gone, c.stale = true, c.wanted
+	return true
+}
+
+func (c *Core) next(now time.Time) Decision {
 	switch {
 	case !c.wanted && !c.mine() && (c.proposal == nil || !c.stale):
 		return Decision{Action: ActionWait}
@@ -181,7 +225,7 @@
 
 // State returns what is known at now.
 func (c *Core) State(now time.Time) State {
-	s := State{Fencing: c.lease.GetFencing(), Until: c.until, AllowanceHalvings: c.lease.GetAllowanceHalvings(), Origin: c.origin}
+	s := State{Era: c.era, Fencing: c.lease.GetFencing(), Until: c.until, AllowanceHalvings: c.lease.GetAllowanceHalvings(), Origin: c.origin}
 	if !c.lease.GetReleased() {
 		s.Holder = c.lease.GetHolder()
 	}
@@ -202,10 +246,13 @@
 	return c.lease != nil && c.lease.Holder == c.cfg.Holder && !c.lease.Released
 }
 
-// free says that the lease may be acquired: it does not exist, was released,
-// or was not renewed for its TTL on this process's clock.
+// free says that the lease may be acquired: it does not exist and those of earlier eras
+// have lapsed, it was released, or it was not renewed for its TTL on this process's clock.
 func (c *Core) free(now time.Time) bool {
-	if c.lease == nil || c.lease.Released {
+	switch {
+	case c.lease == nil:
+		return c.ownEarlier || !now.Before(c.freeFrom)
+	case c.lease.Released:
 		return true
 	}
 	return !now.Before(c.firstSeen.Add(c.ttl()))
@@ -239,14 +286,18 @@
 // successor returns the content with which this process acquires the lease.
 // Without a release the former holder may still act at half of its allowance.
 func (c *Core) successor() *clstate.Lease {
+	former := c.lease
+	if former == nil {
+		former = c.earlier
+	}
 	l := &clstate.Lease{
 		Holder: c.cfg.Holder, Ttl: durationpb.New(c.cfg.TTL),
-		Fencing: c.lease.GetFencing() + 1, Renewal: c.lease.GetRenewal() + 1,
-		AllowanceHalvings: c.lease.GetAllowanceHalvings(),
+		Fencing: max(c.lease.GetFencing(), c.era<<eraShift) + 1, Renewal: c.lease.GetRenewal() + 1,
+		AllowanceHalvings: former.GetAllowanceHalvings(),
 	}
-	c.inherited, c.released = c.lease.GetPayload(), c.lease.GetReleased()
-	c.acquiring = Origin{Replaced: c.version, ReplacedHolder: c.lease.GetHolder(), ReplacedFencing: c.lease.GetFencing()}
-	if c.lease != nil && !c.lease.Released {
+	c.inherited, c.released = former.GetPayload(), former.GetReleased()
+	c.acquiring = Origin{Replaced: c.version, ReplacedHolder: former.GetHolder(), ReplacedFencing: former.GetFencing()}
+	if former != nil && !former.Released && (c.lease != nil || !c.ownEarlier) {
 		l.AllowanceHalvings++
 	}
 	return l
@@ -274,8 +325,12 @@
 // observe waits for the next read, or for the expiry if that is sooner.
 func (c *Core) observe(now time.Time) Decision {
 	next := c.readAt.Add(c.cfg.ObserveEvery)
-	if c.corrupt == nil && c.lease != nil {
-		if expiry := c.firstSeen.Add(c.ttl()); expiry.Before(next) {
+	if c.corrupt == nil {
+		expiry := c.freeFrom
+		if c.lease != nil {
+			expiry = c.firstSeen.Add(c.ttl())
+		}
+		if expiry.Before(next) {
 			next = expiry
 		}
 	}
--- a/cllease/doc.go
+++ b/cllease/doc.go
@@ -9,4 +9,11 @@
 // it from before it sent the renewal and stops trusting the lease a margin
 // earlier. Processes must measure durations at the same rate to within
 // Margin/TTL.
+//
+// A store that returns from an older copy lacks the lease last confirmed, and
+// states a new era (clstore.EraStore). Each era has an object of its own, and
+// the fencing number begins with the era, so that it rises whatever the copy
+// holds. Nobody holds the lease before it is acquired in the new era, which
+// the process that holds it may do at once and others after a TTL. Numbers
+// bear 2^32 holders in an era; how old a copy is does not matter.
 package cllease
--- a/cllease/era_test.go
+++ b/cllease/era_test.go
@@ -108,3 +108,24 @@
 		})
 	}
 }
+
+// Guards against duties that rest for a TTL although their holder lives, and against a
+// successor that acts while the holder does not know of the return yet.
+func TestOnlyHolderGoesOnAtOnceAfterReturn(t *testing.T) {
+	w := newEraWorld(t)
+	w.start("a")
+	w.start("b")
+	snapshot := w.memory.Snapshot()
+	w.pass(testTTL, "a", "b")
+	require.True(t, w.runners["a"].Current(w.now).Held)
+	for range 2 {
+		w.memory.Restore(snapshot)
+		w.pass(testTTL/2, "b", "a")
+		require.True(t, w.runners["a"].Current(w.now).Held)
+	}
+	w.memory.Restore(snapshot)
+	w.pass(testTTL/3, "b")
+	require.False(t, w.runners["b"].Current(w.now).Held)
+	w.pass(2*testTTL, "b")
+	require.True(t, w.runners["b"].Current(w.now).Held)
+}
--- a/cllease/lease.go
+++ b/cllease/lease.go
@@ -35,6 +35,8 @@
 		// Fencing is this process's number while it holds the lease or when it
 		// lapsed without a known successor, and else the last number seen.
 		Fencing uint64
+		// Era is the latest era of the store that is known.
+		Era uint64
 		// Until is when this process stops trusting its lease; zero if it never held it.
 		Until time.Time
 		// Lapsed says that the lease was held, could not be renewed because
--- a/cllease/runner.go
+++ b/cllease/runner.go
@@ -65,6 +65,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.core.SetEra(now, clstore.EraOf(r.Store)) {
+		r.signal()
+	}
 	return r.core.State(now)
 }
 
@@ -145,6 +148,11 @@
 	r.mu.Lock()
 	f()
 	r.mu.Unlock()
+	r.signal()
+}
+
+// signal wakes the loop if it waits.
+func (r *Runner) signal() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -173,6 +181,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now = r.Now()
+	r.core.SetEra(now, clstore.EraOf(r.Store))
 	d, s = r.core.Next(now), r.core.State(now)
 	return now, d, s, r.stopping && d.Action == ActionWait && d.Until.IsZero()
 }
@@ -183,16 +192,23 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.CallTimeout)
 	defer cancel()
 	if d.Action == ActionRead {
-		o, err := r.Store.Get(ctx, r.Config.Key)
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.core.Observed(r.Now(), o, clstore.KindOf(err))
+		o, err := r.Store.Get(ctx, d.Key)
+		r.answered(func(now time.Time) { r.core.Observed(now, o, clstore.KindOf(err)) })
 		return
 	}
-	version, err := r.Store.Update(ctx, r.Config.Key, d.Value, d.IfVersion)
+	version, err := r.Store.Update(ctx, d.Key, d.Value, d.IfVersion)
+	r.answered(func(now time.Time) { r.core.Updated(now, version, clstore.KindOf(err)) })
+}
+
+// answered reports the outcome of a call to the core. It drops the outcome if the store has
+// begun a new era since the call was decided.
+func (r *Runner) answered(report func(now time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Updated(r.Now(), version, clstore.KindOf(err))
+	now := r.Now()
+	if !r.core.SetEra(now, clstore.EraOf(r.Store)) {
+		report(now)
+	}
 }
 
 // wait returns when ctx ends, at until, when the lease lapses, or on a change.
