Log that a copy was never confirmed in place of an age of 292 years

Operators saw "copy was last confirmed 2562047h47m16s ago" and such a copy_age for gateways whose copies had not been complete since their start: the time since the zero time, as large as a duration can be.

TestCopiesThatWereNeverConfirmedHaveNoAge fails on the code before.

--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/gob"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -87,12 +88,14 @@
 		// mirror name.
 		Changes map[string][]byte
 		// Age is the time between this response and the time at which the reader's
-		// copies were last known to be current.
+		// copies were last known to be current, or neverCurrent.
 		Age time.Duration
 	}
 )
 
 const (
+	// neverCurrent is the age of copies that have not been complete yet.
+	neverCurrent time.Duration = math.MaxInt64
 	// feedHoldDuration is how long a reader holds a request when there are no
 	// changes. A follower's copy is up to this much older than its reader's.
 	feedHoldDuration = 300 * time.Millisecond
@@ -302,12 +305,16 @@
 // avoidReader makes this gateway prefer other readers after a request to reader
 // failed with err.
 func (r *Replicator) avoidReader(reader netip.AddrPort, err error) {
-	age := clclock.Now().Sub(r.lastCurrent())
+	now := clclock.Now()
+	age := zap.Bool("copy_confirmed", false)
+	if current := r.lastCurrent(); !current.IsZero() {
+		age = zap.Duration("copy_age", now.Sub(current))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.policy.avoid(reader, clclock.Now())
+	r.policy.avoid(reader, now)
 	r.following = netip.AddrPort{}
-	r.Logger.Info("reader lost", zap.Stringer("reader", reader), zap.Duration("copy_age", age), zap.String("error", err.Error()))
+	r.Logger.Info("reader lost", zap.Stringer("reader", reader), age, zap.String("error", err.Error()))
 }
 
 // fetchChanges requests changes from reader once, applies them, and confirms this
@@ -336,6 +343,9 @@
 	if err != nil {
 		return err
 	}
+	if answer.Age == neverCurrent {
+		return errors.New("reader is stale: its copies have not been confirmed since its start")
+	}
 	if answer.Age > staleAge {
 		return errors.Errorf("reader is stale: its copy was last confirmed %s ago", answer.Age)
 	}
@@ -465,7 +475,10 @@
 // collectChanges returns the deltas that a follower at the positions of request
 // lacks, and the age of this gateway's copy.
 func (r *Replicator) collectChanges(request feedRequest) (feedAnswer, error) {
-	answer := feedAnswer{Changes: make(map[string][]byte), Age: clclock.Now().Sub(r.lastCurrent())}
+	answer := feedAnswer{Changes: make(map[string][]byte), Age: neverCurrent}
+	if current := r.lastCurrent(); !current.IsZero() {
+		answer.Age = clclock.Now().Sub(current)
+	}
 	for _, m := range r.mirrors {
 		encodedDelta, err := m.changesSince(request.Positions[m.name()])
 		if err != nil {
