Soak: one fault at a time has an endpoint

The log of the gateway has the entry as leaving at revision 50, and not leaving, cold for 1 ms, at revision 52, removed at 61.

Cause: the soak. An entry that is cold for 1 ms is written by one place only, the fault that holds up answers of the store, and neither gateways nor stand-ins write entries of endpoints. That fault chose its endpoint when it had not left, then spent 4 s on a restart, and wrote its entry without looking again; meanwhile the fault that lets an endpoint leave had chosen the same one. The check counts from the first of the two entries, and the gateway followed the later one, which the store had acknowledged. So the check was right about what it was told and was told wrongly.

A fault now takes an endpoint before it writes its entry, and another fault cannot take it. The check and its bounds are as they were, and more endpoints than before are left alone, as those that a fault has taken count as such from the start.

--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -285,14 +285,14 @@
 	return serving[s.intN(len(serving))]
 }
 
-// takeEndpoint adds an endpoint and returns another one that may end, unless
-// too few would be left.
+// takeEndpoint adds an endpoint and returns another one that may end, unless another fault
+// has that one or too few would be left.
 func (s *Soak) takeEndpoint(w *world) (*endpoint, bool) {
 	e := s.pickEndpoint(w)
 	if err := w.addEndpoint(); err != nil {
 		s.violate("an endpoint cannot be started: %v", err)
 		return nil, false
 	}
-	free := lo.CountBy(w.live(), func(o *endpoint) bool { return o.leftAt().IsZero() })
-	return e, e.leftAt().IsZero() && free > leastEndpoints
+	free := lo.CountBy(w.live(), func(o *endpoint) bool { return !o.isTaken() })
+	return e, free > leastEndpoints && e.take()
 }
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -98,6 +98,8 @@
 		mu sync.Mutex
 		// left is when the store acknowledged that it leaves.
 		left time.Time
+		// taken says that a fault has it, which alone writes its entry in the store.
+		taken bool
 	}
 )
 
@@ -365,6 +367,23 @@
 	e.left = at
 }
 
+// take claims the endpoint for a fault, unless another one has it or it has left.
+func (e *endpoint) take() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.taken || !e.left.IsZero() {
+		return false
+	}
+	e.taken = true
+	return true
+}
+
+func (e *endpoint) isTaken() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.taken
+}
+
 // leave takes an endpoint out as a planned stop does.
 func (w *world) leave(e *endpoint) {
 	e.setLeft(w.store.Register(e.id, e.link.addr(), e.dataCentre, e.born, true))
