Drop the usage report of the oldest window first

Cause: the store keeps five reports in the order in which they were stored, and dropped the first of the list. A window whose counts came late is stored after later windows, so that the list could drop a window that may still be reported: then it has no stored report, and is reported anew with the counts of that moment.

Change: the report of the oldest window is dropped.

Evidence: TestOldestReportIsDroppedFirst failed before (3 of 3 runs: no report of window 13) and passes.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -325,11 +326,12 @@
 
 // storeReport stores a report that is about to be sent, together with the earlier
 // reports and whether each has been accepted, and reports whether it succeeded. It
-// keeps the last retainedWindows reports.
+// keeps the reports of the last retainedWindows windows.
 func (c *Coordinator) storeReport(ctx context.Context, r *Report) bool {
 	updated := &Reports{Reports: append(slices.Clone(c.reports.GetReports()), r)}
-	if excess := len(updated.Reports) - retainedWindows; excess > 0 {
-		updated.Reports = updated.Reports[excess:]
+	for len(updated.Reports) > retainedWindows {
+		oldest := lo.MinBy(updated.Reports, func(a, b *Report) bool { return a.GetWindow() < b.GetWindow() })
+		updated.Reports = lo.Without(updated.Reports, oldest)
 	}
 	b, err := proto.Marshal(updated)
 	if err != nil {
--- a/internal/coordination/clduty/duties_test.go
+++ b/internal/coordination/clduty/duties_test.go
@@ -250,3 +250,15 @@
 	require.LessOrEqual(t, onDemand, 1+int(3*time.Second/unansweredResendDelay))
 	require.Greater(t, onDemand, 1, "a refused target is sent again")
 }
+
+// Guards against the loss of a recent report when a report of an older window is stored:
+// the window would be reported again, with other counts.
+func TestOldestReportIsDroppedFirst(t *testing.T) {
+	c := newCoordinator("a", &clstore.Memory{}, &recordingCloud{}, &UsageCounter{WindowLength: time.Second})
+	for _, window := range []int64{13, 14, 15, 11, 12, 16, 17} {
+		require.True(t, c.storeReport(t.Context(), &Report{Window: window}))
+	}
+	for window := int64(13); window <= 17; window++ {
+		require.NotNil(t, c.storedReport(window), "window %d", window)
+	}
+}
