Keep usage reports across a return of the store

Cause: a report is stored before it is sent, so that a window has one report whatever becomes of the holder. A store that returns from an older copy lacks the report; the holder read it again for its new lease, found none, and reported the window with the counts of that moment. A successor did the same.

Change: each era has an object of its own for the reports, and the outcome of a call during which the era changed is dropped. The reports that a process has in memory go into the new era's object before anything is sent; from the older copy all but the one written last, which a late call may have brought there after another report of its window was sent. A window that had ended when the process learnt of the era is reported only if its report is known so, or if this process has acted as the holder without a gap and knows that nobody has reported it. Others are logged and counted (chestnutlead_duty_unreported_windows_total). A call is sent only under the lease under which it was decided.

Why it works: a report of an earlier era was stored, and confirmed in that era, no earlier than the gather delay after its window's end; so any window whose report can be lost had ended when the new era was learnt of. Ruled out: to send all that the copy holds; its newest entry may come from a call carried out after the return.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -70,18 +71,38 @@
 		IsCandidate func() bool
 		// ReportsUsage and ScalesEndpoints enable the two tasks.
 		ReportsUsage, ScalesEndpoints bool
-		Logger                        *zap.Logger
+		// UnreportedWindows, if set, counts the windows that are not reported because an
+		// earlier holder may have reported them with other counts.
+		UnreportedWindows prometheus.Counter
+		Logger            *zap.Logger
 
 		lease    cllease.Runner
 		initOnce sync.Once
+		// era is the latest era of the store that the coordinator has seen, and eraSeenAt
+		// the time of day at which it saw it.
+		era       uint64
+		eraSeenAt time.Time
+		// trustedUntil is the time until which no other process can act as the holder,
+		// as this process holds or held the lease. continues says that the latest era
+		// began before that time, so that no other process has acted in between if
+		// this one is the first holder in the era.
+		trustedUntil time.Time
+		continues    bool
 		// stateFencing is the fencing token of the lease to which the fields from
-		// reports to knownLoads belong. They are initialized for each new lease.
+		// reports to knownLoads belong. They are initialized for each new lease, unless
+		// this process has been the holder without a gap.
 		stateFencing uint64
-		// reports holds the stored usage reports, and reportsVersion their version
-		// in the store. Both are valid if reportsLoaded is set.
-		reports        Reports
-		reportsVersion uint64
-		reportsLoaded  bool
+		// reports holds the stored usage reports, also while they must be read again,
+		// and reportsVersion their version in the store, which is valid if
+		// reportsLoaded is set. reportsComplete says that reports lacks no recent
+		// report that this process or an earlier holder has sent.
+		reports         Reports
+		reportsVersion  uint64
+		reportsLoaded   bool
+		reportsComplete bool
+		// unknownUntil is the time of day before which reports may have been stored
+		// that the store has lost.
+		unknownUntil time.Time
 		// sentTargets holds the last scaling target sent for each key.
 		sentTargets map[targetKey]sentTarget
 		// planners holds the planner of each service, by its name.
@@ -98,6 +119,8 @@
 		// for earlier windows, as this process may not know all their counts; stored
 		// reports for them are still sent.
 		firstWindow int64
+		// lastUnreported is the last window that was counted as not reported.
+		lastUnreported int64
 	}
 
 	// targetKey identifies the endpoints that a scaling target is for.
@@ -134,6 +157,8 @@
 	// or two may be lost.
 	minGatherDelay        = 1500 * time.Millisecond
 	gatherDigestIntervals = 3
+	// maxOlderObjects is the number of earlier eras whose reports are looked for.
+	maxOlderObjects = 4
 	// callTimeout limits each call to the cloud API and to the store. It is long
 	// enough for a slow cloud API and short compared with the lease.
 	callTimeout = 1200 * time.Millisecond
@@ -156,7 +181,7 @@
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for ctx.Err() == nil {
-		c.lease.SetWanted(c.IsCandidate())
+		c.observeLease(c.IsCandidate())
 		if holder, ok := c.CurrentLease(); ok {
 			c.runTasks(ctx, holder)
 		}
@@ -176,6 +201,31 @@
 	return Holder{Name: c.Name, Fencing: s.Fencing}, s.Held
 }
 
+// observeLease says whether this process competes for the lease, and learns of a new era
+// of the store.
+func (c *Coordinator) observeLease(isCandidate bool) {
+	c.lease.SetWanted(isCandidate)
+	if !isCandidate {
+		c.trustedUntil = time.Time{} // the lease is released
+	}
+	now := clclock.Now()
+	s := c.lease.Current(now)
+	if s.Era != c.era {
+		c.era, c.eraSeenAt = s.Era, c.Now()
+		c.continues = now.Before(c.trustedUntil)
+	}
+	if s.Held {
+		c.trustedUntil = s.Until
+	}
+}
+
+// holds returns the state of the lease and reports whether this process still has the
+// lease that holder describes.
+func (c *Coordinator) holds(holder Holder) (cllease.State, bool) {
+	s := c.lease.Current(clclock.Now())
+	return s, s.Held && s.Fencing == holder.Fencing
+}
+
 func (c *Coordinator) initLease() {
 	c.initOnce.Do(func() {
 		c.lease.Config = cllease.Config{Key: leaseKey, Holder: c.ProcessID, TTL: c.LeaseTTL}
@@ -200,13 +250,10 @@
 
 func (c *Coordinator) runLease(ctx context.Context, ended chan<- error) { ended <- c.lease.Run(ctx) }
 
-// runTasks runs the enabled tasks once. If the lease is new, it first discards the
-// state of this process's earlier lease.
+// runTasks runs the enabled tasks once.
 func (c *Coordinator) runTasks(ctx context.Context, holder Holder) {
-	if c.stateFencing != holder.Fencing {
-		c.takeOverLoads()
-		c.stateFencing, c.reportsLoaded = holder.Fencing, false
-		c.sentTargets, c.planners = map[targetKey]sentTarget{}, map[string]*Planner{}
+	if c.stateFencing != holder.Fencing && !c.takeOver(holder) {
+		return
 	}
 	if c.refusedFencing >= holder.Fencing {
 		return // another holder has a newer lease, which this process will soon see
@@ -219,6 +266,28 @@
 	}
 }
 
+// takeOver initializes the state for a new lease, and reports whether this process still
+// has the lease.
+func (c *Coordinator) takeOver(holder Holder) bool {
+	s, ok := c.holds(holder)
+	if !ok || s.Era != c.era {
+		return false
+	}
+	c.takeOverLoads()
+	c.sentTargets, c.planners = map[targetKey]sentTarget{}, map[string]*Planner{}
+	if !c.continues || s.Origin.Replaced != 0 {
+		c.reportsComplete = false
+	}
+	if !c.reportsComplete {
+		c.unknownUntil = time.Time{}
+		if c.era > 0 {
+			c.unknownUntil = c.eraSeenAt
+		}
+	}
+	c.stateFencing, c.reportsLoaded, c.continues = holder.Fencing, false, false
+	return true
+}
+
 // takeOverLoads replaces the known loads by those that the previous lease holder
 // stored with the lease.
 func (c *Coordinator) takeOverLoads() {
@@ -250,7 +319,10 @@
 // cloud API accepts it, or until twice ReportDeadline after the end of the window.
 // Each report is stored before it is sent: the cloud API may accept a call whose
 // answer is lost, and must not receive another report of that window with
-// different counts.
+// different counts. If the store has returned from an older copy, it may have lost the
+// report of a window that had ended by then. Such a window is reported only if its report
+// is known. Later windows are safe: a report is not stored before gatherDelay after the
+// window's end, which also exceeds the difference between the clocks of the holders.
 func (c *Coordinator) reportUsage(ctx context.Context, holder Holder) {
 	if !c.reportsLoaded && !c.loadReports(ctx) {
 		return
@@ -268,6 +340,10 @@
 		if len(counts) == 0 {
 			continue
 		}
+		if !c.Usage.WindowEnd(window).After(c.unknownUntil) {
+			c.recordUnreported(window)
+			continue
+		}
 		if !c.storeReport(ctx, &Report{Window: window, Counts: counts}) {
 			return
 		}
@@ -292,9 +368,27 @@
 	return min(c.ReportDeadline/2, max(minGatherDelay, gatherDigestIntervals*c.DigestInterval()))
 }
 
+// recordUnreported logs and counts, once, a window that is not reported.
+func (c *Coordinator) recordUnreported(window int64) {
+	if window <= c.lastUnreported {
+		return
+	}
+	c.lastUnreported = window
+	if c.UnreportedWindows != nil {
+		c.UnreportedWindows.Inc()
+	}
+	c.Logger.Warn("usage window is not reported: the store may have lost a report of it", zap.Int64("window", window),
+		zap.Uint64("store_era", c.era), zap.Time("unknown_until", c.unknownUntil))
+}
+
 // storedReport returns the stored report of a window, or nil if there is none.
 func (c *Coordinator) storedReport(window int64) *Report {
-	for _, r := range c.reports.GetReports() {
+	return findReport(c.reports.GetReports(), window)
+}
+
+// findReport returns the report of a window, or nil if there is none.
+func findReport(reports []*Report, window int64) *Report {
+	for _, r := range reports {
 		if r.GetWindow() == window {
 			return r
 		}
@@ -303,44 +397,127 @@
 }
 
 // loadReports reads the usage reports from the store and reports whether it
-// succeeded. If none are stored, it succeeds and leaves c.reports empty.
+// succeeded. If none are stored, it succeeds. Reports that this process knows, but
+// that the store has lost, are stored again.
 func (c *Coordinator) loadReports(ctx context.Context) bool {
+	stored, version, err := c.readReports(ctx, c.era)
+	var older []*Report
+	if err == nil && version == 0 && !c.reportsComplete {
+		older, err = c.readOlderReports(ctx)
+	}
+	if err != nil {
+		c.Logger.Warn("cannot read the stored usage reports", zap.Error(err))
+		return false
+	}
+	for _, r := range stored {
+		r.Accepted = r.GetAccepted() || c.storedReport(r.GetWindow()).GetAccepted()
+	}
+	merged := stored
+	if c.era > 0 {
+		merged = c.addMissing(stored, c.reports.GetReports(), older)
+	}
+	if len(merged) > len(stored) {
+		version, err = c.writeReports(ctx, merged, version)
+		if err != nil {
+			c.Logger.Warn("cannot store the usage reports again", zap.Error(err))
+			return false
+		}
+		c.Logger.Info("stored usage reports of earlier eras again", zap.Uint64("store_era", c.era), zap.Int("reports", len(merged)-len(stored)))
+	}
+	c.reports.Reports, c.reportsVersion = merged, version
+	c.reportsLoaded, c.reportsComplete = true, true
+	return true
+}
+
+// addMissing returns the reports in stored and those of the other lists whose windows are
+// recent and have none yet. Earlier lists take precedence.
+func (c *Coordinator) addMissing(stored []*Report, others ...[]*Report) []*Report {
+	oldest := c.Usage.WindowAt(c.Now()) - retainedWindows + 1
+	var missing []*Report
+	for _, reports := range others {
+		for _, r := range reports {
+			if r.GetWindow() >= oldest && findReport(stored, r.GetWindow()) == nil && findReport(missing, r.GetWindow()) == nil {
+				missing = append(missing, r)
+			}
+		}
+	}
+	return append(missing, stored...)
+}
+
+// readOlderReports returns the reports that the store's older copy holds of earlier eras.
+// It leaves out the one written last, which may be from a call that was carried out only
+// after the return: its holder may since have stored and sent another report of that
+// window.
+func (c *Coordinator) readOlderReports(ctx context.Context) ([]*Report, error) {
+	for era := c.era; era > 0 && c.era-era < maxOlderObjects; {
+		era--
+		reports, version, err := c.readReports(ctx, era)
+		switch {
+		case err != nil:
+			return nil, err
+		case len(reports) > 0:
+			return reports[:len(reports)-1], nil
+		case version != 0:
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// readReports reads the reports of an era and their version in the store, 0 if there are
+// none.
+func (c *Coordinator) readReports(ctx context.Context, era uint64) ([]*Report, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	object, err := c.Store.Get(ctx, reportsKey)
+	object, err := c.Store.Get(ctx, clstore.KeyInEra(reportsKey, era))
 	if clstore.KindOf(err) == clstore.KindNotFound {
-		c.reports.Reset()
-		c.reportsVersion, c.reportsLoaded = 0, true
-		return true
+		object, err = clstore.Object{}, nil
+	}
+	if err == nil {
+		err = c.checkEra()
 	}
+	var reports Reports
 	if err == nil {
-		err = proto.Unmarshal(object.Value, &c.reports)
+		err = proto.Unmarshal(object.Value, &reports)
 	}
+	return reports.GetReports(), object.Version, err
+}
+
+// writeReports replaces the stored reports of the current era and returns their new
+// version.
+func (c *Coordinator) writeReports(ctx context.Context, reports []*Report, version uint64) (uint64, error) {
+	b, err := proto.Marshal(&Reports{Reports: reports})
 	if err != nil {
-		c.Logger.Warn("cannot read the stored usage reports", zap.Error(err))
-		return false
+		return 0, errors.Wrap(err, "encode the usage reports")
 	}
-	c.reportsVersion, c.reportsLoaded = object.Version, true
-	return true
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err = c.Store.Update(ctx, clstore.KeyInEra(reportsKey, c.era), b, version)
+	if err == nil {
+		err = c.checkEra()
+	}
+	return version, err
+}
+
+// checkEra returns an error if the store has begun a new era: then it may have lost what
+// a call of the era before has read or written.
+func (c *Coordinator) checkEra() error {
+	if era := clstore.EraOf(c.Store); era != c.era {
+		return errors.Errorf("store began era %d during a call in era %d", era, c.era)
+	}
+	return nil
 }
 
 // storeReport stores a report that is about to be sent, together with the earlier
 // reports and whether each has been accepted, and reports whether it succeeded. It
 // keeps the reports of the last retainedWindows windows.
 func (c *Coordinator) storeReport(ctx context.Context, r *Report) bool {
-	updated := &Reports{Reports: append(slices.Clone(c.reports.GetReports()), r)}
-	for len(updated.Reports) > retainedWindows {
-		oldest := lo.MinBy(updated.Reports, func(a, b *Report) bool { return a.GetWindow() < b.GetWindow() })
-		updated.Reports = lo.Without(updated.Reports, oldest)
-	}
-	b, err := proto.Marshal(updated)
-	if err != nil {
-		c.Logger.Error("cannot encode the usage reports", zap.Error(err))
-		return false
+	updated := append(slices.Clone(c.reports.GetReports()), r)
+	for len(updated) > retainedWindows {
+		oldest := lo.MinBy(updated, func(a, b *Report) bool { return a.GetWindow() < b.GetWindow() })
+		updated = lo.Without(updated, oldest)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	version, err := c.Store.Update(ctx, reportsKey, b, c.reportsVersion)
+	version, err := c.writeReports(ctx, updated, c.reportsVersion)
 	if err != nil {
 		// The failed update or another holder's may have taken effect, so that the
 		// stored reports must be read again.
@@ -348,8 +525,7 @@
 		c.Logger.Warn("cannot store the usage report", zap.Int64("window", r.GetWindow()), zap.Error(err))
 		return false
 	}
-	c.reportsVersion = version
-	c.reports.Reports = updated.Reports
+	c.reports.Reports, c.reportsVersion = updated, version
 	return true
 }
 
@@ -357,8 +533,8 @@
 // whether the cloud API has accepted it. The acceptance is stored with the next
 // new report.
 func (c *Coordinator) sendReport(ctx context.Context, holder Holder, r *Report) bool {
-	lease := c.lease.Current(clclock.Now())
-	if !lease.Held {
+	lease, ok := c.holds(holder)
+	if !ok {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -427,8 +603,8 @@
 	if last.refused && now.Sub(last.sentAt) < unansweredResendDelay {
 		return
 	}
-	lease := c.lease.Current(clclock.Now())
-	if !lease.Held {
+	lease, ok := c.holds(holder)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/internal/coordination/clduty/era_test.go
@@ -0,0 +1,172 @@
+// This file tests the coordinator on a store that returns from an older copy.
+
+package clduty
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+// eraWorld has a store that returns from older copies, and coordinators that report to
+// one cloud API.
+type eraWorld struct {
+	t      *testing.T
+	memory clstore.Memory
+	cloud  recordingCloud
+	// unreported counts the windows that coordinators did not report.
+	unreported prometheus.Counter
+}
+
+func newEraWorld(t *testing.T) *eraWorld {
+	return &eraWorld{t: t, unreported: prometheus.NewCounter(prometheus.CounterOpts{Name: "unreported"})}
+}
+
+// unreportedWindows returns the number of windows that coordinators did not report.
+func (w *eraWorld) unreportedWindows() float64 {
+	w.t.Helper()
+	r := prometheus.NewRegistry()
+	require.NoError(w.t, r.Register(w.unreported))
+	families, err := r.Gather()
+	require.NoError(w.t, err)
+	return families[0].GetMetric()[0].GetCounter().GetValue()
+}
+
+// start runs a coordinator with the given usage and candidacy until the returned function
+// is called.
+func (w *eraWorld) start(name string, usage *UsageCounter, isCandidate func() bool) (stop func()) {
+	c := newCoordinator(name, w.memory.Client(), &w.cloud, usage)
+	c.IsCandidate, c.UnreportedWindows = isCandidate, w.unreported
+	ctx, cancel := context.WithCancel(w.t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	return func() {
+		cancel()
+		require.NoError(w.t, <-ended)
+	}
+}
+
+// waitForReports waits until the cloud API has accepted reports of n windows.
+func (w *eraWorld) waitForReports(n int) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool { reported, _, _, _ := w.cloud.counters(); return reported >= n }, 15*time.Second, 5*time.Millisecond)
+}
+
+// usageOf returns counts of requests in the windows from the current one on, for as long
+// as a test lasts.
+func usageOf(count uint64) *UsageCounter {
+	u := &UsageCounter{WindowLength: time.Second}
+	addUsage(u, "p", count)
+	return u
+}
+
+// addUsage sets a peer's count of requests in the last windows, the current one and the
+// next ones.
+func addUsage(u *UsageCounter, peer string, count uint64) {
+	for n := int64(-3); n < 12; n++ {
+		counts := map[int64]map[string]uint64{u.WindowAt(time.Now()) + n: {"x": count}}
+		u.UpdatePeer(peer+string(rune('a'+n+3)), 1, counts)
+	}
+}
+
+func always() bool { return true }
+
+// Guards against a second report of a window, with other counts, by a holder that goes on
+// after the store has lost the first one.
+func TestHolderKeepsReportsThatStoreHasLost(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	empty := w.memory.Snapshot()
+	usage := usageOf(1)
+	stop := w.start("a", usage, always)
+	w.waitForReports(2)
+	for returns := range 2 {
+		before, _, _, _ := w.cloud.counters()
+		w.memory.Restore(empty)
+		addUsage(usage, "late"+string(rune('a'+returns)), 1)
+		w.waitForReports(before + 2)
+	}
+	stop()
+	_, _, differing, shared := w.cloud.counters()
+	require.Zero(t, differing, "reports of one window with different counts")
+	require.Zero(t, shared, "calls with the fencing token of another holder")
+	require.Zero(t, w.unreportedWindows(), "windows that the holder knows not to have reported")
+}
+
+// Guards against a second report of a window, with other counts, by a successor to which
+// nothing tells of the first one, and against a successor that reports no later windows
+// either.
+func TestSuccessorDoesNotReportWindowsThatMayHaveBeenReported(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	empty := w.memory.Snapshot()
+	stopFirst := w.start("a", usageOf(1), always)
+	promoted := make(chan struct{})
+	stopSecond := w.start("b", usageOf(2), func() bool {
+		select {
+		case <-promoted:
+			return true
+		default:
+			return false
+		}
+	})
+	w.waitForReports(2)
+	stopFirst()
+	w.memory.Restore(empty)
+	close(promoted)
+	w.waitForReports(4)
+	stopSecond()
+	_, _, differing, shared := w.cloud.counters()
+	require.Zero(t, differing, "reports of one window with different counts")
+	require.Zero(t, shared, "calls with the fencing token of another holder")
+	require.Positive(t, w.unreportedWindows())
+}
+
+// Guards against a successor that does not resend a report which the store's older copy
+// still has.
+func TestSuccessorResendsReportOfOlderCopy(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	w.cloud.refuseReports = true
+	usage := usageOf(2)
+	c := newCoordinator("a", w.memory.Client(), &w.cloud, usage)
+	c.initLease()
+	window := usage.WindowAt(time.Now()) - 1
+	for _, n := range []int64{window - 1, window} {
+		require.True(t, c.storeReport(t.Context(), &Report{Window: n, Counts: map[string]uint64{"x": 1}}))
+	}
+	w.memory.Restore(w.memory.Snapshot())
+	w.cloud.refuseReports = false
+	stop := w.start("b", usage, always)
+	w.waitForReports(2)
+	stop()
+	require.Equal(t, map[string]uint64{"x": 1}, w.cloud.reports[window-1])
+	require.NotContains(t, w.cloud.reports, window, "the report written last may have been replaced by another one")
+	require.Contains(t, w.cloud.reports, window+1)
+}
+
+// Guards against a report of an earlier era that is taken for stored, although the store
+// has begun a new era during the call.
+func TestReportIsNotStoredAcrossReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		version bool
+	}{{"created", false}, {"updated", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newEraWorld(t)
+			client := w.memory.Client()
+			c := newCoordinator("a", client, &w.cloud, usageOf(1))
+			c.initLease()
+			if tc.version {
+				require.True(t, c.storeReport(t.Context(), &Report{Window: 1}))
+			}
+			w.memory.Restore(w.memory.Snapshot())
+			require.False(t, c.storeReport(t.Context(), &Report{Window: 2}))
+			require.Nil(t, c.storedReport(2))
+		})
+	}
+}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -257,6 +257,8 @@
 		Name: settings.Name, ProcessID: processID, LeaseTTL: settings.LeaseTTL, Store: n.Store, Cloud: n.Cloud, Usage: n.usageCounter, ReportDeadline: settings.UsageDue,
 		DigestInterval: func() time.Duration { return clgossip.DigestInterval(len(n.registeredGateways())) },
 		Now:            n.clock.Now, ServiceStates: n.serviceStates, IsCandidate: n.isDutyCandidate, ReportsUsage: settings.ReportsUsage, ScalesEndpoints: settings.OrdersEndpoints,
+		UnreportedWindows: n.Metrics.Counter(clobserve.Name{Component: "duty", What: "unreported_windows", Unit: "total"},
+			"Usage windows that this process did not report, because the store may have lost a report of them.").WithLabelValues(),
 		Logger: component("duty"),
 	}
 	n.gateway = &clgateway.Gateway{
