Tell other gateways of usage reports that are not accepted yet

Callers' side: a usage window that nobody reports, which is priced. A holder stored a report that the cloud API had not accepted, then the store returned from an older copy without it, and the holder's successor must not report that window anew, as the report may have been sent.

Cause: the store was the only place from which a successor could learn of the report.

Change: the holder's digest carries the stored reports that the cloud API has not accepted (window, counts); accepted ones need not be sent again, so that nothing is added in the usual case. Gateways remember those of the last five windows, and a coordinator that loads its reports in a later era adds them to the era's object, whose own entries and the process's memory take precedence.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -121,6 +122,15 @@
 		firstWindow int64
 		// lastUnreported is the last window that was counted as not reported.
 		lastUnreported int64
+
+		// mu guards the fields that follow it.
+		mu sync.Mutex
+		// unaccepted holds the counts of the stored reports that the cloud API has not
+		// accepted, by window.
+		unaccepted map[int64]map[string]uint64
+		// peerReports holds the counts of reports that other holders have stored, by
+		// window.
+		peerReports windowCounts
 	}
 
 	// targetKey identifies the endpoints that a scaling target is for.
@@ -348,6 +358,8 @@
 			return
 		}
 	}
+	defer c.publishReports()
+	c.publishReports()
 	for _, r := range c.reports.GetReports() {
 		if r.GetAccepted() || now.After(c.Usage.WindowEnd(r.GetWindow()).Add(2*c.ReportDeadline)) {
 			continue
@@ -368,6 +380,64 @@
 	return min(c.ReportDeadline/2, max(minGatherDelay, gatherDigestIntervals*c.DigestInterval()))
 }
 
+// publishReports makes the stored reports that have not been accepted available to
+// UnacceptedReports.
+func (c *Coordinator) publishReports() {
+	unaccepted := make(map[int64]map[string]uint64)
+	for _, r := range c.reports.GetReports() {
+		if !r.GetAccepted() {
+			unaccepted[r.GetWindow()] = r.GetCounts()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unaccepted = unaccepted
+}
+
+// UnacceptedReports returns the counts of the usage reports, by window, that this process
+// has stored as the lease holder and that the cloud API has not accepted. The other
+// gateways are told of them, because the store may lose them. The maps must not be
+// changed.
+func (c *Coordinator) UnacceptedReports() map[int64]map[string]uint64 {
+	if _, ok := c.CurrentLease(); !ok {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unaccepted
+}
+
+// RecordPeerReports remembers, for the case that the store loses them, the usage reports
+// that the lease holder has stored, by window. It keeps those of the last retainedWindows
+// windows.
+func (c *Coordinator) RecordPeerReports(reports map[int64]map[string]uint64) {
+	if len(reports) == 0 {
+		return
+	}
+	current := c.Usage.WindowAt(c.Now())
+	isRecent := func(window int64) bool { return window > current-retainedWindows && window <= current }
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.peerReports == nil {
+		c.peerReports = make(windowCounts)
+	}
+	for window, counts := range reports {
+		if c.peerReports[window] == nil && isRecent(window) {
+			c.peerReports[window] = counts
+		}
+	}
+	maps.DeleteFunc(c.peerReports, func(window int64, _ map[string]uint64) bool { return !isRecent(window) })
+}
+
+// reportsOfPeers returns what RecordPeerReports has remembered.
+func (c *Coordinator) reportsOfPeers() []*Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lo.MapToSlice(c.peerReports, func(window int64, counts map[string]uint64) *Report {
+		return &Report{Window: window, Counts: counts}
+	})
+}
+
 // recordUnreported logs and counts, once, a window that is not reported.
 func (c *Coordinator) recordUnreported(window int64) {
 	if window <= c.lastUnreported {
@@ -414,7 +484,7 @@
 	}
 	merged := stored
 	if c.era > 0 {
-		merged = c.addMissing(stored, c.reports.GetReports(), older)
+		merged = c.addMissing(stored, c.reports.GetReports(), c.reportsOfPeers(), older)
 	}
 	if len(merged) > len(stored) {
 		version, err = c.writeReports(ctx, merged, version)
--- a/internal/coordination/clduty/era_test.go
+++ b/internal/coordination/clduty/era_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,13 +41,13 @@
 
 // start runs a coordinator with the given usage and candidacy until the returned function
 // is called.
-func (w *eraWorld) start(name string, usage *UsageCounter, isCandidate func() bool) (stop func()) {
-	c := newCoordinator(name, w.memory.Client(), &w.cloud, usage)
+func (w *eraWorld) start(name string, usage *UsageCounter, isCandidate func() bool) (c *Coordinator, stop func()) {
+	c = newCoordinator(name, w.memory.Client(), &w.cloud, usage)
 	c.IsCandidate, c.UnreportedWindows = isCandidate, w.unreported
 	ctx, cancel := context.WithCancel(w.t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
-	return func() {
+	return c, func() {
 		cancel()
 		require.NoError(w.t, <-ended)
 	}
@@ -82,7 +85,7 @@
 	w := newEraWorld(t)
 	empty := w.memory.Snapshot()
 	usage := usageOf(1)
-	stop := w.start("a", usage, always)
+	_, stop := w.start("a", usage, always)
 	w.waitForReports(2)
 	for returns := range 2 {
 		before, _, _, _ := w.cloud.counters()
@@ -104,20 +107,13 @@
 	t.Parallel()
 	w := newEraWorld(t)
 	empty := w.memory.Snapshot()
-	stopFirst := w.start("a", usageOf(1), always)
-	promoted := make(chan struct{})
-	stopSecond := w.start("b", usageOf(2), func() bool {
-		select {
-		case <-promoted:
-			return true
-		default:
-			return false
-		}
-	})
+	_, stopFirst := w.start("a", usageOf(1), always)
+	var promoted atomic.Bool
+	_, stopSecond := w.start("b", usageOf(2), promoted.Load)
 	w.waitForReports(2)
 	stopFirst()
 	w.memory.Restore(empty)
-	close(promoted)
+	promoted.Store(true)
 	w.waitForReports(4)
 	stopSecond()
 	_, _, differing, shared := w.cloud.counters()
@@ -141,7 +137,7 @@
 	}
 	w.memory.Restore(w.memory.Snapshot())
 	w.cloud.refuseReports = false
-	stop := w.start("b", usage, always)
+	_, stop := w.start("b", usage, always)
 	w.waitForReports(2)
 	stop()
 	require.Equal(t, map[string]uint64{"x": 1}, w.cloud.reports[window-1])
@@ -170,3 +166,48 @@
 		})
 	}
 }
+
+// Guards against a window that is not reported because the store has lost its report,
+// although the holder had told the other gateways of it.
+func TestSuccessorResendsReportThatHolderHasTold(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	empty := w.memory.Snapshot()
+	w.cloud.refuseReports = true
+	first, stopFirst := w.start("a", usageOf(1), always)
+	var promoted atomic.Bool
+	second, stopSecond := w.start("b", usageOf(2), promoted.Load)
+	require.Eventually(t, func() bool { return len(first.UnacceptedReports()) > 0 }, 10*time.Second, time.Millisecond)
+	told := first.UnacceptedReports()
+	second.RecordPeerReports(told)
+	require.Empty(t, second.UnacceptedReports(), "this process does not hold the lease")
+	stopFirst()
+	w.memory.Restore(empty)
+	w.cloud.mu.Lock()
+	w.cloud.refuseReports = false
+	w.cloud.mu.Unlock()
+	promoted.Store(true)
+	w.waitForReports(2)
+	stopSecond()
+	for window, counts := range told {
+		require.Equal(t, map[string]uint64{"x": 1}, counts)
+		require.Equal(t, counts, w.cloud.reports[window])
+	}
+}
+
+// Guards against a digest that repeats reports which need not be sent again, and against
+// reports of long ago that are remembered.
+func TestOnlyRecentUnacceptedReportsAreTold(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	c, stop := w.start("a", usageOf(1), always)
+	w.waitForReports(2)
+	require.Eventually(t, func() bool { return len(c.UnacceptedReports()) == 0 }, time.Second, time.Millisecond)
+	stop()
+	current := c.Usage.WindowAt(c.Now())
+	for _, window := range []int64{current - 100, current - 1, current - 2, current + 100, current - retainedWindows} {
+		c.RecordPeerReports(map[int64]map[string]uint64{window: {"x": 1}})
+	}
+	require.Subset(t, []int64{current - 1, current - 2}, slices.Collect(maps.Keys(c.peerReports)))
+	require.NotEmpty(t, c.peerReports)
+}
--- a/internal/coordination/clgossip/exchange_test.go
+++ b/internal/coordination/clgossip/exchange_test.go
@@ -249,3 +249,28 @@
 	require.NoError(t, err)
 	require.Less(t, len(b), maxDatagramBytes)
 }
+
+// BenchmarkReportsInDigest measures the bytes that usage reports with 20 accounts each add
+// to a digest: none in the usual case, one while the platform has not accepted the latest
+// report, and as many as are stored at most.
+func BenchmarkReportsInDigest(b *testing.B) {
+	for _, reports := range []int{0, 1, 5} {
+		b.Run(fmt.Sprint(reports), func(b *testing.B) {
+			d := &Digest{Name: "edge-a-1", Boot: uint64(time.Now().UnixNano()), Sequence: 1 << 20, WallUs: time.Now().UnixMicro(), DataCentre: "a"}
+			empty := proto.Size(d)
+			for n := range reports {
+				w := &Window{Number: int64(353_445_120 + n), Counts: map[string]uint64{}}
+				for account := range 20 {
+					w.Counts[fmt.Sprintf("acct%03d", account)] = 400
+				}
+				d.Reports = append(d.Reports, w)
+			}
+			for b.Loop() {
+				if _, err := proto.Marshal(d); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(proto.Size(d)-empty), "bytes/digest")
+		})
+	}
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -255,6 +255,9 @@
 	for windowNumber, counts := range n.usageCounter.LocalCounts() {
 		d.Windows = append(d.Windows, &clgossip.Window{Number: windowNumber, Counts: counts})
 	}
+	for windowNumber, counts := range n.coordinator.UnacceptedReports() {
+		d.Reports = append(d.Reports, &clgossip.Window{Number: windowNumber, Counts: counts})
+	}
 	for key, c := range n.rolloutController.LocalCounts() {
 		d.Trials = append(d.Trials, &clgossip.Trial{
 			Service: key.Service, Version: key.Version, Route: key.Route, Sent: c.Sent, Answered: c.Answered, Failed: c.Failed,
@@ -288,9 +291,9 @@
 		return clfleet.EndpointLoad{EndpointHash: b.GetEndpoint(), Load: clfleet.Load{Running: int(b.GetRunning()), Pending: clfleet.DecodePendingTokens(b.GetPendingTokens()), Memory: float64(b.GetMemoryTokens())}}
 	}))
 	n.fleet.RecordPeerStatements(decodeStatements(d.GetStatements()), time.Now())
-	n.usageCounter.UpdatePeer(d.GetName(), d.GetBoot(), lo.SliceToMap(d.GetWindows(), func(w *clgossip.Window) (int64, map[string]uint64) {
-		return w.GetNumber(), w.GetCounts()
-	}))
+	windowCounts := func(w *clgossip.Window) (int64, map[string]uint64) { return w.GetNumber(), w.GetCounts() }
+	n.usageCounter.UpdatePeer(d.GetName(), d.GetBoot(), lo.SliceToMap(d.GetWindows(), windowCounts))
+	n.coordinator.RecordPeerReports(lo.SliceToMap(d.GetReports(), windowCounts))
 	n.rolloutController.UpdatePeer(d.GetName(), lo.SliceToMap(d.GetTrials(), func(t *clgossip.Trial) (clmove.AttemptKey, clmove.AttemptCounts) {
 		return clmove.AttemptKey{Service: t.GetService(), Version: t.GetVersion(), Route: t.GetRoute()}, clmove.AttemptCounts{
 			Sent: t.GetSent(), Answered: t.GetAnswered(), Failed: t.GetFailed(),
