Count changes of the lease and outcomes of usage reports

Operators' side: whether the duties are done could only be seen from the lines of all gateways' logs, and not at all why a gateway had ceased to do them: a lease that lapsed and one that was dropped because the store returned from an older copy look alike.

New metrics: chestnutlead_duty_lease_held_count, lease_acquisitions_total, lease_losses_total by reason (new_era, lapsed, replaced, released), usage_reports_total by outcome (accepted, refused, unanswered), and chestnutlead_node_store_era_count. The line "lease changed" states the reason as well, and the era that the lease itself knows. No decision changes.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/cllease"
+	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/clstore"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
@@ -70,6 +71,9 @@
 		ServiceStates func() []ServiceState
 		// IsCandidate reports whether this gateway competes for the lease.
 		IsCandidate func() bool
+		// Metrics is the registry for the coordinator's metrics; if it is nil, they are
+		// not registered.
+		Metrics *clobserve.Metrics
 		// ReportsUsage and ScalesEndpoints enable the two tasks.
 		ReportsUsage, ScalesEndpoints bool
 		// UnreportedWindows, if set, counts the windows that are not reported because an
@@ -77,8 +81,9 @@
 		UnreportedWindows prometheus.Counter
 		Logger            *zap.Logger
 
-		lease    cllease.Runner
-		initOnce sync.Once
+		lease      cllease.Runner
+		initOnce   sync.Once
+		collectors *collectors
 		// era is the latest era of the store that the coordinator has seen, and eraSeenAt
 		// the time of day at which it saw it.
 		era       uint64
@@ -240,9 +245,11 @@
 	c.initOnce.Do(func() {
 		c.lease.Config = cllease.Config{Key: leaseKey, Holder: c.ProcessID, TTL: c.LeaseTTL}
 		c.lease.Store, c.lease.Now = c.Store, clclock.Now
+		c.collectors = c.newCollectors()
+		var last cllease.State
 		c.lease.OnChange = func(s cllease.State) {
-			c.Logger.Info("lease changed", zap.Bool("held", s.Held), zap.String("holder", s.Holder), zap.Uint64("fencing", s.Fencing),
-				zap.Uint64("store_era", clstore.EraOf(c.Store)), c.leaseOrigin(s))
+			c.leaseChanged(last, s)
+			last = s
 		}
 	})
 }
@@ -612,6 +619,7 @@
 	err := c.Cloud.ReportUsage(ctx, holder, r.GetWindow(), r.GetCounts())
 	c.Logger.Info("usage report sent", zap.Int64("window", r.GetWindow()), zap.Any("counts", r.GetCounts()),
 		zap.Uint64("fencing", holder.Fencing), zap.Uint64("store_era", clstore.EraOf(c.Store)), c.leaseOrigin(lease), zap.Error(err))
+	c.countReport(err)
 	if errors.Is(err, ErrRefused) {
 		c.refusedFencing = holder.Fencing
 	}
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -247,6 +247,8 @@
 		"Entries of endpoints that were read and can't be used.").WithLabelValues()
 	n.connections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "endpoint_connections", Unit: "total"},
 		"Requests to endpoints by connection: kept, or new because none was idle (none_idle), all idle ones were closed, too old or had unread bytes (unusable), they had carried a request with the same ID (had_id), or the request needs one of its own (asked_for).", "choice")
+	n.Metrics.GaugeFunc(clobserve.Name{Component: "node", What: "store_era", Unit: "count"},
+		"How often the store has returned from an older copy, as its latest answer to this process states.", func() float64 { return float64(clstore.EraOf(n.Store)) })
 	n.gatewayEntries, n.silenceStart = map[string]clcatalog.Member{}, map[string]time.Time{}
 	n.requestedRollouts, n.evacuatedDataCentres = map[string]clcatalog.Rollout{}, map[string]bool{}
 	n.exchange = &clgossip.Exchange{
@@ -256,7 +258,7 @@
 	n.coordinator = &clduty.Coordinator{
 		Name: settings.Name, ProcessID: processID, LeaseTTL: settings.LeaseTTL, Store: n.Store, Cloud: n.Cloud, Usage: n.usageCounter, ReportDeadline: settings.UsageDue,
 		DigestInterval: func() time.Duration { return clgossip.DigestInterval(len(n.registeredGateways())) },
-		Now:            n.clock.Now, ServiceStates: n.serviceStates, IsCandidate: n.isDutyCandidate, ReportsUsage: settings.ReportsUsage, ScalesEndpoints: settings.OrdersEndpoints,
+		Now:            n.clock.Now, ServiceStates: n.serviceStates, IsCandidate: n.isDutyCandidate, Metrics: n.Metrics, ReportsUsage: settings.ReportsUsage, ScalesEndpoints: settings.OrdersEndpoints,
 		UnreportedWindows: n.Metrics.Counter(clobserve.Name{Component: "duty", What: "unreported_windows", Unit: "total"},
 			"Usage windows that this process did not report, because the store may have lost a report of them.").WithLabelValues(),
 		Logger: component("duty"),
