Soak: the store returns from an older copy

No run lost what the store had acknowledged, and who acts as the holder of the duties was judged by names alone.

New faults: the store goes away for up to 3 s and returns from a copy up to 8 s old, at times twice in a row, at times without a lease in it, and beside the end or a pause of the gateway that called the cloud API last; and answers of the cloud API that are lost, with calls that are carried out late. New checks: one fencing number at two machines, each of which now calls at an address of its own; A, B, A within a lease, in touch; nobody with an accepted call within two leases and a window of the last fault. The report counts windows that nobody reported. Changes of the configuration no longer hold the lock of the run, as they wait while the store is away; a key whose removal is not acknowledged yet is neither sent as a valid nor as a removed one.

--- a/internal/testing/clsoak/check.go
+++ b/internal/testing/clsoak/check.go
@@ -173,6 +173,7 @@
 	for _, text := range append(often, s.world.cloud.Faults()...) {
 		s.violate("%s", text)
 	}
+	s.checkHolders()
 	s.world.checkBadParts()
 	s.checkQuietTimes()
 	for _, g := range s.world.gateways {
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -37,6 +37,7 @@
 	lateChanges      = "answers of the store are held up while an endpoint leaves"
 	unframedAnswers  = "an endpoint's answers have no length and its health checks may never end"
 	malformedAnswers = "an endpoint sends what is no response"
+	returnsOlder     = "the store returns from an older copy"
 	// storeReturn is how long after an outage gateways need to find the store.
 	storeReturn = time.Second
 )
@@ -53,38 +54,10 @@
 		all.Wait()
 	}},
 	{stopsAsPlanned, func(s *Soak, w *world) {
-		g := w.gateways[s.intN(len(w.gateways))]
-		if !g.begin() {
-			return
-		}
-		defer g.end()
-		g.setStopping()
-		// A signal that comes before the process handles signals ends it at
-		// once, when it has not served anybody.
-		p := g.current()
-		if p.Logged("started") {
-			s.repeatSignals(p)
-		}
-		if err := p.Stop(bounds.Grace + time.Second); err != nil && p.Logged("started") {
-			s.violate("%s: %v", g.name, err)
-		}
-		g.setStopping()
-		time.Sleep(restartAfter)
-		s.startAgain(w, g)
+		s.stopAsPlanned(w, w.gateways[s.intN(len(w.gateways))])
 	}},
 	{"a gateway is paused", func(s *Soak, w *world) {
-		g := w.gateways[s.intN(len(w.gateways))]
-		if !g.begin() {
-			return
-		}
-		defer g.end()
-		d := s.between(shortest, 2*longest)
-		g.trouble(time.Now().Add(d))
-		g.current().Pause()
-		time.Sleep(d)
-		g.trouble(time.Now())
-		g.setResumed()
-		g.current().Continue()
+		s.pause(w.gateways[s.intN(len(w.gateways))])
 	}},
 	{"the store is down", func(s *Soak, w *world) {
 		d := s.between(shortest, 2*longest)
@@ -160,6 +133,44 @@
 	{malformedAnswers, func(s *Soak, w *world) { s.spoil(w, clstandplatform.Malformed) }},
 	{lateChanges, func(s *Soak, w *world) { s.holdChanges(w) }},
 	{"the configuration changes", func(s *Soak, _ *world) { s.configure() }},
+	{returnsOlder, func(s *Soak, w *world) { s.returnFromOlder(w) }},
+	{"answers of the cloud API are lost, some calls late", func(s *Soak, w *world) { s.loseCalls(w) }},
+}
+
+// stopAsPlanned stops a gateway with signals and starts it again.
+func (s *Soak) stopAsPlanned(w *world, g *gateway) {
+	if !g.begin() {
+		return
+	}
+	defer g.end()
+	g.setStopping()
+	// A signal that comes before the process handles signals ends it at
+	// once, when it has not served anybody.
+	p := g.current()
+	if p.Logged("started") {
+		s.repeatSignals(p)
+	}
+	if err := p.Stop(bounds.Grace + time.Second); err != nil && p.Logged("started") {
+		s.violate("%s: %v", g.name, err)
+	}
+	g.setStopping()
+	time.Sleep(restartAfter)
+	s.startAgain(w, g)
+}
+
+// pause freezes a gateway's process for a while.
+func (s *Soak) pause(g *gateway) {
+	if !g.begin() {
+		return
+	}
+	defer g.end()
+	d := s.between(shortest, 2*longest)
+	g.trouble(time.Now().Add(d))
+	g.current().Pause()
+	time.Sleep(d)
+	g.trouble(time.Now())
+	g.setResumed()
+	g.current().Continue()
 }
 
 // holdChanges holds up the answers of the store to the gateways that follow another one,
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -28,9 +28,14 @@
 		Length time.Duration
 		// Faults are the names of the faults that are injected; empty means all.
 		Faults []string
+		// Dose says how the store returns from older copies.
+		Dose   Dose
 		Logger *zap.Logger
 
 		world *world
+		acts  acts
+		// configuring lets configurations change one after the other.
+		configuring sync.Mutex
 
 		mu  sync.Mutex
 		rnd *rand.Rand
@@ -51,8 +56,10 @@
 	// accountKey is a key of the account.
 	accountKey struct {
 		key string
-		// added and removed are when the store acknowledged the changes.
+		// added and removed are when the store acknowledged the changes. While removing
+		// is set, the removal is not acknowledged.
 		added, removed time.Time
+		removing       bool
 	}
 
 	// Report is what came of a run.
@@ -66,11 +73,23 @@
 		// Again counts the sends of IDs that had been sent before, Copies the copies of
 		// refusals, and CopiesUnderWay those that were sent while the ID was under way
 		// again on their connection.
-		Again          int      `json:"again"`
-		Copies         int      `json:"copies"`
-		CopiesUnderWay int      `json:"copies_under_way"`
-		Faults         []string `json:"faults"`
-		Violations     []string `json:"violations"`
+		Again          int `json:"again"`
+		Copies         int `json:"copies"`
+		CopiesUnderWay int `json:"copies_under_way"`
+		// DutyCalls are the calls of the cloud API that were accepted, and DutyCallsRefused
+		// those whose fencing number was too low.
+		DutyCalls        int `json:"duty_calls"`
+		DutyCallsRefused int `json:"duty_calls_refused"`
+		// Windows are those in which requests ran and whose report was due, and
+		// WindowsUnreported those of them that nobody has reported.
+		Windows           int `json:"windows"`
+		WindowsUnreported int `json:"windows_unreported"`
+		// StoreReturns counts the returns from older copies, and MostMsToCall is the longest
+		// time from one to the next accepted call, if there was one.
+		StoreReturns int      `json:"store_returns"`
+		MostMsToCall int64    `json:"most_ms_to_call"`
+		Faults       []string `json:"faults"`
+		Violations   []string `json:"violations"`
 	}
 )
 
@@ -114,7 +133,9 @@
 	if err := w.heal(); err != nil {
 		return s.report, err
 	}
+	healed := time.Now()
 	s.checkRecovery(ctx)
+	s.checkDutiesGoOn(ctx, healed)
 	stopCalls()
 	callers.Wait()
 	s.checkEnd()
@@ -123,28 +144,39 @@
 
 // configure adds a key and removes the oldest but one.
 func (s *Soak) configure() {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	version, keys := s.nextKeys()
+	// The store may be away for a while.
+	at := s.world.store.Configure(version, account, keys)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.keys {
+		if s.keys[i].removing {
+			s.keys[i].removing, s.keys[i].removed = false, at
+		}
+	}
+	s.keys = append(s.keys, accountKey{key: keys[len(keys)-1], added: at})
+}
+
+// nextKeys returns the next version of the configuration and its keys, of which the last one
+// is new.
+func (s *Soak) nextKeys() (version int, keys []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 1 + s.rnd.IntN(3)
-	now := accountKey{key: fmt.Sprintf("key-%d", s.version)}
-	var valid []string
 	for _, k := range s.keys {
 		if k.removed.IsZero() {
-			valid = append(valid, k.key)
+			keys = append(keys, k.key)
 		}
 	}
-	dropped := ""
-	if len(valid) > 1 {
-		dropped, valid = valid[0], valid[1:]
-	}
-	at := s.world.store.Configure(s.version, account, append(valid, now.key))
-	now.added = at
-	for i := range s.keys {
-		if s.keys[i].key == dropped {
-			s.keys[i].removed = at
+	if len(keys) > 1 {
+		for i := range s.keys {
+			s.keys[i].removing = s.keys[i].key == keys[0]
 		}
+		keys = keys[1:]
 	}
-	s.keys = append(s.keys, now)
+	return s.version, append(keys, fmt.Sprintf("key-%d", s.version))
 }
 
 // pickKey returns a key that is valid, or now and then one that was removed.
@@ -152,7 +184,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.rnd.Float64() < oldKeyShare
-	keys := slices.DeleteFunc(slices.Clone(s.keys), func(k accountKey) bool { return k.removed.IsZero() == old })
+	keys := slices.DeleteFunc(slices.Clone(s.keys), func(k accountKey) bool { return k.removing || k.removed.IsZero() == old })
 	if len(keys) == 0 {
 		return s.keys[len(s.keys)-1]
 	}
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -231,7 +231,7 @@
 				p.arrived(true, time.Now())
 			}
 		}},
-	}, sendChecks...) {
+	}, append(sendChecks, dutyChecks...)...) {
 		s := newChecks(t)
 		tc.do(s)
 		s.checkEnd()
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -25,7 +25,6 @@
 		store     *clstandplatform.Store
 		cloud     *clstandplatform.Cloud
 		storeAddr netip.AddrPort
-		cloudAddr netip.AddrPort
 		gateways  []*gateway
 		servers   []*server
 
@@ -40,8 +39,13 @@
 
 		// storeTroubles are those of the store for all.
 		storeTroubles troubles
-		// holding says that answers of the store are being held up.
-		holding atomic.Bool
+		// holding says that answers of the store are being held up, and returning that it
+		// returns from an older copy.
+		holding, returning atomic.Bool
+		// whole is when all gateways served.
+		whole time.Time
+		// staysUntil is when the store may go away next; it belongs to who has set returning.
+		staysUntil time.Time
 	}
 
 	// server is an HTTP server of the world's own.
@@ -124,16 +128,13 @@
 
 // newWorld starts the system and waits until it serves.
 func newWorld(s *Soak) (*world, error) {
-	w := &world{soak: s, store: clstandplatform.NewStore(), cloud: &clstandplatform.Cloud{}, byID: map[string]*endpoint{}}
+	w := &world{soak: s, store: clstandplatform.NewStore(), cloud: &clstandplatform.Cloud{Called: s.acted}, byID: map[string]*endpoint{}}
 	s.world = w
 	s.configure()
 	var err error
 	if w.storeAddr, err = w.serve(w.store); err != nil {
 		return w, err
 	}
-	if w.cloudAddr, err = w.serve(w.cloud); err != nil {
-		return w, err
-	}
 	for range s.Endpoints {
 		if err := w.addEndpoint(); err != nil {
 			return w, err
@@ -151,6 +152,7 @@
 			}
 		}
 	}
+	w.whole = time.Now()
 	return w, nil
 }
 
@@ -193,15 +195,22 @@
 		name: fmt.Sprintf("gateway-%d", i+1), link: k,
 		callers: netip.AddrPortFrom(ip, basePort), ready: netip.AddrPortFrom(ip, basePort+1),
 	}
+	// An address of its own tells the machine of a call, whatever name it bears.
+	cloud, err := w.serve(w.cloud.From(g.name))
+	if err != nil {
+		return err
+	}
 	g.settings = filepath.Join(w.soak.Dir, g.name+".yaml")
 	text := clstandplatform.Gateway{
 		Name: g.name, DataCentre: dataCentres[i%len(dataCentres)], Callers: g.callers, Readiness: g.ready, PeerPort: basePort + 2,
-		Store: k.addr(), Cloud: w.cloudAddr, Bounds: bounds,
+		Store: k.addr(), Cloud: cloud, Bounds: bounds,
 	}.Settings()
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
+	w.mu.Lock()
 	w.gateways = append(w.gateways, g)
+	w.mu.Unlock()
 	return w.start(g)
 }
 
@@ -420,6 +429,18 @@
 	}
 }
 
+// gateway returns the gateway of a name, or nil.
+func (w *world) gateway(name string) *gateway {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, g := range w.gateways {
+		if g.name == name {
+			return g
+		}
+	}
+	return nil
+}
+
 func (w *world) find(id string) *endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -437,6 +458,7 @@
 func (w *world) heal() error {
 	w.store.SetDown(false)
 	w.store.SetLoss(clstandplatform.Loss{})
+	w.cloud.SetLoss(clstandplatform.Loss{})
 	for _, g := range w.gateways {
 		g.link.set(modeOpen)
 		p := g.current()
