--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -145,6 +145,37 @@
 	}
 }
 
+// Guards against two holders of the duties, and none, after a return of the store from an older
+// copy (ONE), and against what was revoked, drained or changed and comes back with the copy
+// (CONFIG, DRAIN).
+func TestReturnsFromOlderCopies(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := buildBinary(t)
+	for _, tc := range []struct {
+		name string
+		seed uint64
+		dose Dose
+	}{
+		{"copies without a lease", 47001, Dose{NoLease: 1, Again: -1}},
+		{"copies with a lease, twice in a row", 47003, Dose{NoLease: -1, Again: 0.7, EndHolder: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Soak{
+				Binary: binary, Dir: t.TempDir(), Seed: tc.seed, Gateways: 4, Endpoints: 4, Callers: 8, Length: 6 * time.Second,
+				Faults: []string{returnsOlder}, Dose: tc.dose, Logger: zaptest.NewLogger(t),
+			}
+			report, err := s.Run(t.Context())
+			require.NoError(t, err)
+			require.Empty(t, report.Violations)
+			require.Positive(t, report.StoreReturns, "the fault has had no effect")
+			require.Positive(t, report.DutyCalls)
+			require.Positive(t, report.Answered)
+		})
+	}
+}
+
 // buildBinary returns the path of the program under test.
 func buildBinary(t *testing.T) string {
 	t.Helper()
