Keep orders and loads of a holder across a return of the store

Callers' side: orders for endpoints were given again while those of the earlier ones were booting; calls to the cloud API are charged, and its rate is limited.

Cause: the holder's state belongs to a fencing token, and its new lease in the store's new era has a new one. What it had ordered was forgotten.

Change: a process that has acted as the holder without a gap across the era (it trusted its lease when it learnt of the era, and is the first holder in it) keeps the targets sent, the planners and the loads. A process that takes over without a predecessor's loads keeps those of its own earlier lease.

TestStoreCallsOfReports: one read a lease and one update a window; a return costs one more of each.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -290,9 +290,9 @@
 	if !ok || s.Era != c.era {
 		return false
 	}
-	c.takeOverLoads()
-	c.sentTargets, c.planners = map[targetKey]sentTarget{}, map[string]*Planner{}
 	if !c.continues || s.Origin.Replaced != 0 {
+		c.takeOverLoads()
+		c.sentTargets, c.planners = map[targetKey]sentTarget{}, map[string]*Planner{}
 		c.reportsComplete = false
 	}
 	if !c.reportsComplete {
@@ -306,12 +306,14 @@
 }
 
 // takeOverLoads replaces the known loads by those that the previous lease holder
-// stored with the lease.
+// stored with the lease. If there are none, as the store has lost them, it keeps those of
+// this process's earlier lease.
 func (c *Coordinator) takeOverLoads() {
-	c.knownLoads.Reset()
-	payload, _ := c.lease.Inherited()
-	if err := proto.Unmarshal(payload, &c.knownLoads); err != nil {
-		c.Logger.Warn("cannot decode the loads of the previous lease holder", zap.Error(err))
+	if payload, _ := c.lease.Inherited(); len(payload) > 0 {
+		c.knownLoads.Reset()
+		if err := proto.Unmarshal(payload, &c.knownLoads); err != nil {
+			c.Logger.Warn("cannot decode the loads of the previous lease holder", zap.Error(err))
+		}
 	}
 	if c.knownLoads.Busy == nil {
 		c.knownLoads.Busy = make(map[string]float64)
--- a/internal/coordination/clduty/era_test.go
+++ b/internal/coordination/clduty/era_test.go
@@ -6,11 +6,13 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 )
@@ -44,10 +46,15 @@
 func (w *eraWorld) start(name string, usage *UsageCounter, isCandidate func() bool) (c *Coordinator, stop func()) {
 	c = newCoordinator(name, w.memory.Client(), &w.cloud, usage)
 	c.IsCandidate, c.UnreportedWindows = isCandidate, w.unreported
+	return c, w.run(c)
+}
+
+// run runs a coordinator until the returned function is called.
+func (w *eraWorld) run(c *Coordinator) (stop func()) {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
-	return c, func() {
+	return func() {
 		cancel()
 		require.NoError(w.t, <-ended)
 	}
@@ -211,3 +218,93 @@
 	require.Subset(t, []int64{current - 1, current - 2}, slices.Collect(maps.Keys(c.peerReports)))
 	require.NotEmpty(t, c.peerReports)
 }
+
+// Guards against orders that are given again after the store has returned, although the
+// endpoints of the earlier ones are booting, and against services that shrink because
+// the loads stored with the lease are gone.
+func TestOrdersAcrossReturn(t *testing.T) {
+	t.Parallel()
+	scaling := clcatalog.Scaling{Min: 1, Max: 12, Boot: 4 * time.Second, SpotPrice: 0.2, Prices: map[string]float64{"a": 1, "b": 1, "c": 1}}
+	for _, tc := range []struct {
+		name string
+		// goesOn says that the holder lives on; otherwise a process that has seen no
+		// requests succeeds it.
+		goesOn bool
+	}{{"the holder goes on", true}, {"a successor", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			w := newEraWorld(t)
+			empty := w.memory.Snapshot()
+			start := func(name string, load float64) (stop func()) {
+				c := newCoordinator(name, w.memory.Client(), &w.cloud, usageOf(1))
+				c.ReportsUsage, c.ScalesEndpoints = false, true
+				c.ServiceStates = func() []ServiceState {
+					return []ServiceState{{Service: "s", Scaling: scaling, Endpoints: []clcatalog.Endpoint{{DataCentre: "a", Spot: true}}, PeakLoad: load, CurrentLoad: load}}
+				}
+				return w.run(c)
+			}
+			stop := start("a", 8)
+			require.Eventually(t, func() bool { return len(w.cloud.sentTargets()) >= 3 }, 5*time.Second, time.Millisecond)
+			stopSecond := func() {}
+			if !tc.goesOn {
+				stopSecond = start("b", -1)
+			}
+			time.Sleep(time.Second) // renewals store the loads, and b reads them
+			before := w.cloud.sentTargets()
+			if !tc.goesOn {
+				stop()
+			}
+			w.memory.Restore(empty)
+			time.Sleep(2500 * time.Millisecond)
+			if tc.goesOn {
+				stop()
+			}
+			stopSecond()
+			after := w.cloud.sentTargets()[len(before):]
+			if tc.goesOn {
+				require.Empty(t, after, "orders given again")
+				return
+			}
+			require.NotEmpty(t, after)
+			wanted := map[targetKey]int{}
+			for _, target := range before {
+				wanted[targetKey{target.Service, target.DataCentre, target.Spot}] = target.Count
+			}
+			for _, target := range after {
+				require.GreaterOrEqual(t, target.Count, wanted[targetKey{target.Service, target.DataCentre, target.Spot}], "%+v", target)
+			}
+		})
+	}
+}
+
+// Guards against store calls that the reports cost beyond one read for each lease and one
+// update for each window: calls are charged.
+func TestStoreCallsOfReports(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	var reads, updates atomic.Int64
+	w.memory.Fault = func(op, key string) clstore.Fault {
+		switch {
+		case !strings.HasPrefix(key, reportsKey):
+		case op == "get":
+			reads.Add(1)
+		default:
+			updates.Add(1)
+		}
+		return clstore.FaultNone
+	}
+	// A report is stored just before it is sent, so the counts agree most of the time.
+	requireCalls := func(wantReads, wantOtherUpdates int64, when string) {
+		require.Eventually(t, func() bool {
+			windows, _, _, _ := w.cloud.counters()
+			return reads.Load() == wantReads && updates.Load() == int64(windows)+wantOtherUpdates
+		}, 5*time.Second, 5*time.Millisecond, when)
+	}
+	_, stop := w.start("a", usageOf(1), always)
+	w.waitForReports(4)
+	requireCalls(1, 0, "in calm")
+	w.memory.Restore(w.memory.Snapshot())
+	w.waitForReports(6)
+	requireCalls(2, 1, "after a return")
+	stop()
+}
