--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -158,12 +158,12 @@
 		seed uint64
 		dose Dose
 	}{
-		{"copies without a lease", 47001, Dose{NoLease: 1, Again: -1}},
-		{"copies with a lease, twice in a row", 47003, Dose{NoLease: -1, Again: 0.7, EndHolder: 1}},
+		{"copies without a lease", 47402, Dose{Away: 500 * time.Millisecond, NoLease: 1, Again: 0.5, EndHolder: -1}},
+		{"in a row, and the holder ends", 47412, Dose{Away: 500 * time.Millisecond, NoLease: 0.3, Again: 0.7, EndHolder: 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := &Soak{
-				Binary: binary, Dir: t.TempDir(), Seed: tc.seed, Gateways: 4, Endpoints: 4, Callers: 8, Length: 6 * time.Second,
+				Binary: binary, Dir: t.TempDir(), Seed: tc.seed, Gateways: 4, Endpoints: 4, Callers: 8, Length: 8 * time.Second,
 				Faults: []string{returnsOlder}, Dose: tc.dose, Logger: zaptest.NewLogger(t),
 			}
 			report, err := s.Run(t.Context())
