--- a/internal/testing/clsoak/command.go
+++ b/internal/testing/clsoak/command.go
@@ -28,7 +28,7 @@
 			&cli.IntFlag{Name: "gateways", Value: 4, Usage: "gateway processes"},
 			&cli.IntFlag{Name: "endpoints", Value: 5, Usage: "endpoints"},
 			&cli.IntFlag{Name: "callers", Value: 12, Usage: "callers"},
-			&cli.StringSliceFlag{Name: "fault", Usage: "the name of a fault, to inject only those that are named"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "the name of a fault, to inject only those that are named, each as often as it is named"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "how long faults are injected"},
 			&cli.DurationFlag{Name: "away", Value: DefaultDose.Away, Usage: "how long the store is away at most before it returns from an older copy"},
 			&cli.DurationFlag{Name: "age", Value: DefaultDose.Age, Usage: "the age of that copy at most"},
--- a/internal/testing/clsoak/faults.go
+++ b/internal/testing/clsoak/faults.go
@@ -243,7 +243,7 @@
 	var running sync.WaitGroup
 	drawn := faults
 	if len(s.Faults) > 0 {
-		drawn = lo.Filter(faults, func(f fault, _ int) bool { return slices.Contains(s.Faults, f.name) })
+		drawn = lo.FlatMap(faults, func(f fault, _ int) []fault { return slices.Repeat([]fault{f}, lo.Count(s.Faults, f.name)) })
 	}
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(s.between(200*time.Millisecond, 1500*time.Millisecond))
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -26,7 +26,8 @@
 		Gateways, Endpoints, Callers int
 		// Length is how long faults are injected.
 		Length time.Duration
-		// Faults are the names of the faults that are injected; empty means all.
+		// Faults are the names of the faults that are injected, more often those that are
+		// named more often; empty means all.
 		Faults []string
 		// Dose says how the store returns from older copies.
 		Dose   Dose
