Keep the outcome of a rollout that the store has lost

Callers' side: after the store had returned from an older copy, a rollout that operators had read as completed or reverted could start again, or become the other of the two; old workers are stopped at completed. One whose request the copy lacked began anew when the operator had written it again, with its time and its counts lost.

Cause: the outcome was read from the store's status alone, and a request missing from a complete copy ended the rollout.

Change: a gateway keeps an outcome that it has read or reported, or may have reported, for the same service, version and time allowed, and reports it again if the store does not have it. Digests tell of completed rollouts, as they do of bad versions. A gateway that has just learnt of a rollout does not report it as running until the others have had time to tell. A version that another gateway finds bad after the rollout was reported as done is not rolled back. A rollout missing from a complete copy goes on if its request is back within ten seconds; removals by operators that are read as such end it as before. Errors of ReportRollout are classified like the store's others, to tell a report that was refused from one whose answer was lost.

--- a/internal/coordination/clmove/moves.go
+++ b/internal/coordination/clmove/moves.go
@@ -4,6 +4,7 @@
 package clmove
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 		mu sync.Mutex
 		// rollouts holds the rollout of each service with an intent, by its name.
 		rollouts map[string]*rollout
+		// missing holds the rollouts that a complete copy of the store lacked lately, by
+		// the request for them.
+		missing map[request]missingRollout
 		// local holds this gateway's counts, and peers those of the other gateways,
 		// by gateway name.
 		local map[AttemptKey]AttemptCounts
@@ -61,6 +65,10 @@
 		// could not be tested; Reason then says why.
 		Bad    bool
 		Reason string
+		// Settled is set if Outcome has been reported, so that it does not change.
+		Settled bool
+		// StartedAt is when this process learned of the rollout.
+		StartedAt time.Time
 	}
 
 	// rollout is the state of a service's rollout.
@@ -73,9 +81,24 @@
 		// are copies of them.
 		bad    bool
 		reason string
+		// settled is the last RolloutDone or RolloutRolledBack that operators may have
+		// read, whatever the store holds now; it is empty if there is none.
+		settled clcatalog.RolloutOutcome
 		// baseline holds the counts of all gateways at the start of the rollout.
 		baseline map[AttemptKey]AttemptCounts
 	}
+
+	// request identifies an operator's request for a rollout.
+	request struct {
+		service, version string
+		within           time.Duration
+	}
+
+	// missingRollout is a rollout that a complete copy of the store lacked at a time.
+	missingRollout struct {
+		rollout *rollout
+		since   time.Time
+	}
 )
 
 const (
@@ -97,25 +120,85 @@
 	// minTrialAnswers is the number of answers that the new version needs before it
 	// may receive all requests. Without them it is rolled back at the end.
 	minTrialAnswers = 8
+	// missingLifetime is how long a rollout is remembered that a complete copy lacks. After
+	// the store has returned from an older copy, operators write their requests again
+	// within a few seconds.
+	missingLifetime = 10 * time.Second
 )
 
 // SetIntents replaces the operators' intents. A changed version or deadline
-// starts a new rollout. A version that is already reported as rolled back is bad.
-func (ctl *Controller) SetIntents(intents []clcatalog.Rollout, now time.Time) {
+// starts a new rollout. A version that is already reported as rolled back is bad. If
+// complete is set, the intents come from a complete copy of the store, which may lack
+// recent requests because the store has returned from an older copy: a rollout that is
+// not among them goes on if its request is back soon.
+func (ctl *Controller) SetIntents(intents []clcatalog.Rollout, complete bool, now time.Time) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
+	maps.DeleteFunc(ctl.missing, func(_ request, m missingRollout) bool { return now.Sub(m.since) > missingLifetime })
 	previous := ctl.rollouts
 	ctl.rollouts = make(map[string]*rollout, len(intents))
 	for _, intent := range intents {
+		key := requestOf(intent)
 		r := previous[intent.Service]
-		if r == nil || r.intent.Version != intent.Version || r.intent.Within != intent.Within {
+		if r == nil || requestOf(r.intent) != key {
+			r = ctl.missing[key].rollout
+		}
+		if r == nil {
 			r = &rollout{startedAt: now, baseline: ctl.total()}
 		}
 		r.intent = intent
-		if intent.OutcomeVersion == intent.Version && intent.Outcome == clcatalog.RolloutRolledBack && !r.bad {
-			r.bad, r.reason = true, "already rolled back"
+		if intent.OutcomeVersion == intent.Version {
+			r.settle(intent.Outcome)
 		}
 		ctl.rollouts[intent.Service] = r
+		delete(ctl.missing, key)
+	}
+	for service, r := range previous {
+		if complete && r != ctl.rollouts[service] {
+			if ctl.missing == nil {
+				ctl.missing = make(map[request]missingRollout)
+			}
+			ctl.missing[requestOf(r.intent)] = missingRollout{r, now}
+		}
+	}
+}
+
+func requestOf(intent clcatalog.Rollout) request {
+	return request{intent.Service, intent.Version, intent.Within}
+}
+
+// settle records an outcome that operators may have read, unless it is RolloutRunning or
+// empty.
+func (r *rollout) settle(outcome clcatalog.RolloutOutcome) {
+	switch outcome {
+	case clcatalog.RolloutDone:
+		r.settled, r.bad, r.reason = outcome, false, ""
+	case clcatalog.RolloutRolledBack:
+		r.settled = outcome
+		if !r.bad {
+			r.bad, r.reason = true, "already rolled back"
+		}
+	}
+}
+
+// Settle records that the outcome of a rollout has been reported, or may have been: the
+// outcome stays even if the store loses it.
+func (ctl *Controller) Settle(intent clcatalog.Rollout, outcome clcatalog.RolloutOutcome) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	if r := ctl.rollouts[intent.Service]; r != nil && requestOf(r.intent) == requestOf(intent) {
+		r.settle(outcome)
+	}
+}
+
+// MarkDone records that another gateway knows the rollout to a version within a time to
+// have been reported as done. It does nothing if the service has another rollout, or if
+// another outcome of it is known.
+func (ctl *Controller) MarkDone(service, version string, within time.Duration) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	if r := ctl.rollouts[service]; r != nil && requestOf(r.intent) == (request{service, version, within}) && r.settled == "" {
+		r.settle(clcatalog.RolloutDone)
 	}
 }
 
@@ -177,11 +260,11 @@
 
 // MarkBad marks the new version of a service as bad because another gateway has
 // found it bad, so that it is rolled back. It does nothing if the service's rollout
-// is to another version.
+// is to another version, or its outcome has been reported.
 func (ctl *Controller) MarkBad(service, version string) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	if r := ctl.rollouts[service]; r != nil && r.intent.Version == version && !r.bad {
+	if r := ctl.rollouts[service]; r != nil && r.intent.Version == version && !r.bad && r.settled == "" {
 		r.bad, r.reason = true, "found bad by another gateway"
 	}
 }
@@ -198,16 +281,15 @@
 	return decisions
 }
 
-// decide returns the decision for one rollout. A rollout reported as done stays
-// so unless its version is marked bad, and a bad version gets no requests until the
-// rollout is replaced by a new one.
+// decide returns the decision for one rollout. A reported outcome stays, and a bad
+// version gets no requests, until the rollout is replaced by a new one.
 func (ctl *Controller) decide(r *rollout, total map[AttemptKey]AttemptCounts, now time.Time) Decision {
 	intent := r.intent
-	d := Decision{Intent: intent, Split: clfleet.Split{Version: intent.Version, Active: true}, Outcome: intent.Outcome}
-	if intent.OutcomeVersion != intent.Version {
-		d.Outcome = ""
+	d := Decision{
+		Intent: intent, Split: clfleet.Split{Version: intent.Version, Active: true}, Outcome: r.settled,
+		Settled: r.settled != "", StartedAt: r.startedAt,
 	}
-	if d.Outcome == clcatalog.RolloutDone && !r.bad {
+	if d.Outcome == clcatalog.RolloutDone {
 		d.Split.Share = 1
 		return d
 	}
--- a/internal/coordination/clmove/moves_test.go
+++ b/internal/coordination/clmove/moves_test.go
@@ -59,7 +59,7 @@
 	controllers := make([]*Controller, gateways)
 	for i := range controllers {
 		controllers[i] = &Controller{TrialShare: 0.1, TrialFloor: 50}
-		controllers[i].SetIntents([]clcatalog.Rollout{intent}, start)
+		controllers[i].SetIntents([]clcatalog.Rollout{intent}, false, start)
 	}
 	shares := make([]float64, gateways)
 	var result rolloutResult
@@ -187,14 +187,110 @@
 	}{{clcatalog.RolloutDone, 1}, {clcatalog.RolloutRolledBack, 0}} {
 		ctl := &Controller{TrialShare: 0.1, TrialFloor: 50}
 		intent := clcatalog.Rollout{Service: "s", Version: "v2", Within: rolloutDuration, Outcome: tc.outcome, OutcomeVersion: "v2"}
-		ctl.SetIntents([]clcatalog.Rollout{intent}, now)
+		ctl.SetIntents([]clcatalog.Rollout{intent}, false, now)
 		for elapsed := time.Duration(0); elapsed < 2*rolloutDuration; elapsed += time.Second {
 			decision := ctl.Decide(now.Add(elapsed))[0]
 			require.Equal(t, tc.share, decision.Split.Share)
 			require.Equal(t, tc.outcome, decision.Outcome)
 		}
 		intent.Version = "v3"
-		ctl.SetIntents([]clcatalog.Rollout{intent}, now)
+		ctl.SetIntents([]clcatalog.Rollout{intent}, false, now)
 		require.Equal(t, clcatalog.RolloutRunning, ctl.Decide(now)[0].Outcome, "another version starts another rollout")
 	}
 }
+
+// Guards against a rollout that starts again, or whose outcome changes, after operators
+// have read its outcome: the store may return from an older copy without it.
+func TestOutcomeStaysAfterStoreHasLostIt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	intent := clcatalog.Rollout{Service: "s", Version: "v2", Within: rolloutDuration}
+	seen := func(outcome clcatalog.RolloutOutcome) func(*Controller) {
+		return func(ctl *Controller) {
+			reported := intent
+			reported.Outcome, reported.OutcomeVersion = outcome, "v2"
+			ctl.SetIntents([]clcatalog.Rollout{reported}, false, start)
+		}
+	}
+	markBad := func(ctl *Controller) { ctl.MarkBad("s", "v2") }
+	markDone := func(ctl *Controller) { ctl.MarkDone("s", "v2", rolloutDuration) }
+	for _, tc := range []struct {
+		name  string
+		learn func(*Controller)
+		want  clcatalog.RolloutOutcome
+		// contradict is what another gateway tells later.
+		contradict func(*Controller)
+	}{
+		{"done, read from the store", seen(clcatalog.RolloutDone), clcatalog.RolloutDone, markBad},
+		{"done, reported by this gateway", func(ctl *Controller) { ctl.Settle(intent, clcatalog.RolloutDone) }, clcatalog.RolloutDone, markBad},
+		{"done, told by another gateway", markDone, clcatalog.RolloutDone, markBad},
+		{"rolled back, read from the store", seen(clcatalog.RolloutRolledBack), clcatalog.RolloutRolledBack, markDone},
+		{"rolled back, reported by this gateway", func(ctl *Controller) { ctl.Settle(intent, clcatalog.RolloutRolledBack) }, clcatalog.RolloutRolledBack, markDone},
+		{"rolled back, told by another gateway", markBad, clcatalog.RolloutRolledBack, markBad},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, older := range []struct {
+				name    string
+				outcome clcatalog.RolloutOutcome
+			}{{"none", ""}, {"running", clcatalog.RolloutRunning}} {
+				ctl := &Controller{TrialShare: 0.1, TrialFloor: 50}
+				ctl.SetIntents([]clcatalog.Rollout{intent}, true, start)
+				tc.learn(ctl)
+				returned := intent
+				returned.Outcome, returned.OutcomeVersion = older.outcome, "v2"
+				ctl.SetIntents([]clcatalog.Rollout{returned}, true, start.Add(time.Second))
+				tc.contradict(ctl)
+				for elapsed := time.Second; elapsed < 2*rolloutDuration; elapsed += time.Second {
+					require.Equal(t, tc.want, ctl.Decide(start.Add(elapsed))[0].Outcome, "after %v, older copy: %s", elapsed, older.name)
+				}
+				returned.Within *= 2
+				ctl.SetIntents([]clcatalog.Rollout{returned}, false, start)
+				require.Equal(t, clcatalog.RolloutRunning, ctl.Decide(start)[0].Outcome, "another request")
+			}
+		})
+	}
+}
+
+// Guards against a rollout that starts again because an older copy of the store lacked
+// its request, or had an earlier one, until the operator had written it again.
+func TestRolloutGoesOnWhenItsRequestIsBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	intent := clcatalog.Rollout{Service: "s", Version: "v2", Within: rolloutDuration}
+	earlier := clcatalog.Rollout{Service: "s", Version: "v1", Within: time.Minute}
+	for _, tc := range []struct {
+		name string
+		// copied is what the store has while the request is away, and complete says that
+		// it is read as a complete copy.
+		copied   []clcatalog.Rollout
+		complete bool
+		away     time.Duration
+		back     clcatalog.Rollout
+		goesOn   bool
+	}{
+		{"no request in the copy", nil, true, 3 * time.Second, intent, true},
+		{"an earlier request in the copy", []clcatalog.Rollout{earlier}, true, 3 * time.Second, intent, true},
+		{"not written again in time", nil, true, missingLifetime + time.Second, intent, false},
+		{"removed by the operator", nil, false, 3 * time.Second, intent, false},
+		{"another time allowed", nil, true, 3 * time.Second, clcatalog.Rollout{Service: "s", Version: "v2", Within: time.Minute}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctl := &Controller{TrialShare: 0.1, TrialFloor: 50}
+			ctl.SetIntents([]clcatalog.Rollout{intent}, true, start)
+			for range 2 * minTrialAnswers {
+				key := AttemptKey{Service: "s", Version: "v2", Route: "r"}
+				ctl.RecordAttempt(key)
+				ctl.RecordOutcome(key, false, true, time.Millisecond)
+			}
+			lost := start.Add(time.Second)
+			ctl.SetIntents(tc.copied, tc.complete, lost)
+			ctl.SetIntents([]clcatalog.Rollout{tc.back}, false, lost.Add(tc.away))
+			decision := ctl.Decide(start.Add(rolloutDuration - finishMargin))[0]
+			if tc.goesOn {
+				require.Equal(t, clcatalog.RolloutDone, decision.Outcome, "in time, with the answers counted before")
+				require.Equal(t, start, decision.StartedAt)
+			} else {
+				require.Equal(t, clcatalog.RolloutRunning, decision.Outcome)
+				require.Equal(t, lost.Add(tc.away), decision.StartedAt)
+			}
+		})
+	}
+}
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -194,7 +194,7 @@
 	requested := n.listRequestedRollouts()
 	removed = lo.Reject(removed, func(service string, _ int) bool { _, ok := n.requestedRollouts[service]; return ok })
 	n.mu.Unlock()
-	n.rolloutController.SetIntents(requested, clclock.Now())
+	n.rolloutController.SetIntents(requested, complete, clclock.Now())
 	for _, service := range removed {
 		n.fleet.SetSplit(service, clfleet.Split{})
 	}
@@ -268,6 +268,11 @@
 		if decision.Bad {
 			d.Verdicts = append(d.Verdicts, &clgossip.Verdict{Service: decision.Intent.Service, Version: decision.Intent.Version})
 		}
+		if decision.Settled && decision.Outcome == clcatalog.RolloutDone {
+			d.Completions = append(d.Completions, &clgossip.Completion{
+				Service: decision.Intent.Service, Version: decision.Intent.Version, WithinNs: uint64(decision.Intent.Within),
+			})
+		}
 	}
 	n.fillCrashEvidence(d)
 	n.fillServiceCosts(d, clclock.Now())
@@ -303,6 +308,9 @@
 	for _, v := range d.GetVerdicts() {
 		n.rolloutController.MarkBad(v.GetService(), v.GetVersion())
 	}
+	for _, c := range d.GetCompletions() {
+		n.rolloutController.MarkDone(c.GetService(), c.GetVersion(), time.Duration(c.GetWithinNs()))
+	}
 	n.mergeCrashEvidence(d)
 	n.applyServiceCosts(d, now)
 	for _, demand := range d.GetDemand() {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -53,7 +53,8 @@
 		// Unregister removes the entry of the gateway with the given name.
 		Unregister(ctx context.Context, name string) error
 		blockStore
-		// ReportRollout writes the outcome of a rollout for operators to read.
+		// ReportRollout writes the outcome of a rollout for operators to read. Its
+		// errors are classified like those of the embedded Store.
 		ReportRollout(ctx context.Context, r clcatalog.Rollout, outcome clcatalog.RolloutOutcome) error
 	}
 
@@ -376,10 +377,11 @@
 	}
 	n.updateShares(n.registeredGateways(), clclock.Now())
 	_, holdsLease := n.coordinator.CurrentLease()
-	for _, decision := range n.rolloutController.Decide(clclock.Now()) {
+	now := clclock.Now()
+	for _, decision := range n.rolloutController.Decide(now) {
 		n.fleet.SetSplit(decision.Intent.Service, decision.Split)
 		if holdsLease {
-			n.reportRollout(ctx, decision)
+			n.reportRollout(ctx, decision, now)
 		}
 	}
 	if holdsLease {
@@ -403,34 +405,6 @@
 	n.quotaLimiter.SetReachableShare(n.partitionDetector.reachableShare(n.measureConnectivity(gatewayCount, now), now))
 }
 
-// reportRollout writes the outcome of a rollout to the store if there is one and
-// it differs from the outcome that operators see there.
-func (n *Node) reportRollout(ctx context.Context, decision clmove.Decision) {
-	reported := decision.Intent.Outcome
-	if decision.Intent.OutcomeVersion != decision.Intent.Version {
-		reported = ""
-	}
-	if reported == decision.Outcome || decision.Outcome == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
-	defer cancel()
-	err := n.Store.ReportRollout(ctx, decision.Intent, decision.Outcome)
-	n.Logger.Info("rollout reported", zap.String("service", decision.Intent.Service), zap.String("version", decision.Intent.Version),
-		zap.String("outcome", string(decision.Outcome)), zap.String("why", decision.Reason), zap.Error(err))
-	if err == nil {
-		n.mu.Lock()
-		request := n.requestedRollouts[decision.Intent.Service]
-		if request.Version == decision.Intent.Version {
-			request.Outcome, request.OutcomeVersion = decision.Outcome, decision.Intent.Version
-			n.requestedRollouts[decision.Intent.Service] = request
-		}
-		requested := n.listRequestedRollouts()
-		n.mu.Unlock()
-		n.rolloutController.SetIntents(requested, clclock.Now())
-	}
-}
-
 // listRequestedRollouts returns the rollouts that operators have requested, in no
 // particular order. n.mu must be held.
 func (n *Node) listRequestedRollouts() []clcatalog.Rollout {
--- /dev/null
+++ b/internal/serving/clnode/rollouts_test.go
@@ -0,0 +1,117 @@
+// This file tests the reports of rollouts.
+
+package clnode
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chestnutlead/chestnutlead/clobserve"
+	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// rolloutStore is a store that only takes reports of rollouts.
+type rolloutStore struct {
+	Store
+	// kind is the kind of failure of the next calls.
+	kind    clstore.Kind
+	reports []clcatalog.RolloutOutcome
+}
+
+func (s *rolloutStore) Configuration() clmirror.Source[*clcatalog.Catalog] { return nil }
+func (s *rolloutStore) Endpoints() clmirror.Source[clcatalog.Endpoint]     { return nil }
+func (s *rolloutStore) Rollouts() clmirror.Source[clcatalog.Rollout]       { return nil }
+func (s *rolloutStore) Evacuations() clmirror.Source[clcatalog.Evacuation] { return nil }
+func (s *rolloutStore) Gateways() clmirror.Source[clcatalog.Member]        { return nil }
+func (s *rolloutStore) CrashBlocks() clmirror.Source[clcatalog.CrashBlock] { return nil }
+
+func (s *rolloutStore) ReportRollout(_ context.Context, r clcatalog.Rollout, outcome clcatalog.RolloutOutcome) error {
+	s.reports = append(s.reports, outcome)
+	if s.kind != clstore.KindNone {
+		return &clstore.Error{Kind: s.kind, Op: "report rollout", Key: r.Service}
+	}
+	return nil
+}
+
+// newRolloutNode returns a node that is not running, and its store.
+func newRolloutNode(name string) (*Node, *rolloutStore) {
+	s := &rolloutStore{}
+	n := &Node{Settings: Settings{Name: name, TrialShare: 0.1}.withDefaults(), Store: s, Logger: zap.NewNop(), Metrics: clobserve.NewMetrics()}
+	n.buildComponents()
+	return n, s
+}
+
+// request applies a request for a rollout, as a complete copy of the store has it.
+func request(n *Node, revision uint64, outcome clcatalog.RolloutOutcome) {
+	n.applyRollouts([]clmirror.Change[clcatalog.Rollout]{{Name: "s", Value: clcatalog.Rollout{
+		Service: "s", Version: "v2", Within: time.Minute, Revision: revision, Outcome: outcome, OutcomeVersion: "v2",
+	}}}, true)
+}
+
+// report reports what the node has decided, if anything, at the given time.
+func report(t *testing.T, n *Node, now time.Time) {
+	for _, decision := range n.rolloutController.Decide(now) {
+		n.reportRollout(t.Context(), decision, now)
+	}
+}
+
+// Guards against an outcome that operators have read and that the store has lost: it must
+// be reported again, and not as another one, also if the answer to its report was lost.
+func TestLostOutcomeIsReportedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kind clstore.Kind
+		want clcatalog.RolloutOutcome
+	}{
+		{"reported", clstore.KindNone, clcatalog.RolloutDone},
+		{"perhaps reported", clstore.KindUnknown, clcatalog.RolloutDone},
+		{"not reported", clstore.KindConflict, clcatalog.RolloutRolledBack},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n, store := newRolloutNode("a")
+			request(n, 1, clcatalog.RolloutRunning)
+			now := clclock.Now()
+			for range 20 {
+				n.AttemptStarted("s", "v2", "r")
+				n.AttemptSampled("s", "v2", "r", false, true, time.Millisecond)
+			}
+			now = now.Add(time.Minute)
+			store.kind = tc.kind
+			report(t, n, now)
+			require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutDone}, store.reports)
+			store.kind = clstore.KindNone
+			request(n, 2, clcatalog.RolloutRunning) // as the older copy has it
+			n.rolloutController.MarkBad("s", "v2")
+			report(t, n, now.Add(time.Second))
+			require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutDone, tc.want}, store.reports)
+		})
+	}
+}
+
+// Guards against a completed rollout that a gateway starts again which has just started
+// and knows the store's older copy only.
+func TestNewGatewayHearsOfCompletedRollout(t *testing.T) {
+	first, _ := newRolloutNode("a")
+	request(first, 1, clcatalog.RolloutDone)
+	second, store := newRolloutNode("b")
+	request(second, 2, "")
+	report(t, second, clclock.Now())
+	require.Empty(t, store.reports, "others have not been heard")
+	d := &clgossip.Digest{Name: "a", Boot: 1, Sequence: 1}
+	first.fillDigest(d)
+	second.applyDigest(d)
+	report(t, second, clclock.Now())
+	require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutDone}, store.reports)
+
+	third, store := newRolloutNode("c")
+	request(third, 2, "")
+	report(t, third, clclock.Now().Add(time.Second))
+	require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutRunning}, store.reports, "nobody knows of an outcome")
+}
