Wait before a failed report of a rollout is tried again

Callers' side: calls of the store, which are charged. A report of a rollout is conditional on the revision of its request; after the store has returned from an older copy it fails with a conflict until the request has been read anew, and it was tried again at every step of the control loop, ten times a second.

Change: a report that failed waits 200 ms, then twice as long each time up to a second, before it is tried again; a request that has been read anew is reported on at once.

--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -122,11 +122,14 @@
 		connections *prometheus.CounterVec
 
 		loadEstimator loadEstimator
-		// partitionDetector and grantedGatewayCount are used only by the control loop.
+		// partitionDetector, grantedGatewayCount and rolloutReports are used only by the
+		// control loop.
 		// grantedGatewayCount is the number of gateways for which the control loop last
 		// applied the quotas.
 		partitionDetector   partitionDetector
 		grantedGatewayCount int
+		// rolloutReports holds the reports that failed last, by service.
+		rolloutReports map[string]failedReport
 	}
 )
 
--- a/internal/serving/clnode/rollouts_test.go
+++ b/internal/serving/clnode/rollouts_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// Guards against a report at every step of the control loop while the store refuses it:
+// after the store has returned from an older copy it does so until the request has been
+// read anew, and calls are charged.
+func TestRefusedReportsAreNotRetriedAtEveryStep(t *testing.T) {
+	for _, kind := range []clstore.Kind{clstore.KindConflict, clstore.KindUnavailable, clstore.KindUnknown} {
+		n, store := newRolloutNode("a")
+		store.kind = kind
+		request(n, 1, clcatalog.RolloutRunning)
+		n.rolloutController.MarkBad("s", "v2")
+		now := clclock.Now()
+		for range 50 {
+			report(t, n, now)
+			now = now.Add(controlInterval)
+		}
+		require.LessOrEqual(t, len(store.reports), 8, "%s: calls in 5 s", kind)
+		require.Greater(t, len(store.reports), 4, "%s: calls in 5 s", kind)
+		calls := len(store.reports)
+		store.kind = clstore.KindNone
+		request(n, 2, clcatalog.RolloutRunning)
+		for range 20 {
+			report(t, n, now)
+			now = now.Add(controlInterval)
+		}
+		require.Equal(t, calls+1, len(store.reports), "%s: one report of the request read anew", kind)
+	}
+}
+
 // Guards against an outcome that operators have read and that the store has lost: it must
 // be reported again, and not as another one, also if the answer to its report was lost.
 func TestLostOutcomeIsReportedAgain(t *testing.T) {
