Copies: hold what was known when the store returns from an older copy

Callers saw, after the store had returned from a copy that lacked the entry of an endpoint, 503 at all gateways until the endpoint had written it again; an endpoint that had left got requests again at once if the copy still had it as ready; and a gateway that started then accepted a key that had been revoked for as long as the operator did not write the configuration again.

Cause: the first list of a new era replaced the copy and was believed. It may lack any change that the store had acknowledged, and what lacks there is no removal.

A mirror now holds what it knew for 3 s from when the era became known: objects that the list lacks stay, removed ones that it has stay hidden, and of two versions the known one counts, unless the revision is above all that the mirror has ever seen or the kind says otherwise (Mirror.Recover). What a watch of the new era reports ends the hold of that object at once. An endpoint that was known to leave, and a configuration of a higher version, outlast the hold. The copy itself, its order and what followers get of it are as before; what is held is a layer on top of it that followers receive with the complete copy, so that one that has just started or was behind takes over what its reader knows. Any call to the store tells the mirrors of an era now, not only their own. A log line says what became of what was held, a metric how long it took until all copies were of the era.

Ruled out: taking revisions between that of the known object and the cursor as written since. After two returns in a row a copy of the first era may be the later one, whose revisions are above those of the second.

--- a/internal/coordination/clmirror/delta.go
+++ b/internal/coordination/clmirror/delta.go
@@ -36,6 +36,8 @@
 		// Position is the reader's position, which the follower reaches by
 		// applying Changes.
 		Position Position
+		// Held is what the reader holds, with its complete copy.
+		Held *heldDelta[T]
 	}
 )
 
@@ -77,7 +79,7 @@
 	switch {
 	case ok:
 	case missing == completeDelta:
-		d.Complete = true
+		d.Complete, d.Held = true, m.encodeHeld()
 		for name, o := range m.objects {
 			d.Changes = append(d.Changes, Change[T]{Name: name, Value: o.value, Revision: o.revision})
 		}
@@ -116,7 +118,8 @@
 		}
 		return completeDelta
 	}
-	if p.Cursor == 0 || p.Era != m.era || p.Cursor < m.logStart {
+	// A follower of another reader lacks what is held here.
+	if len(m.held) > 0 || p.Cursor == 0 || p.Era != m.era || p.Cursor < m.logStart {
 		return completeDelta
 	}
 	first, _ := slices.BinarySearchFunc(m.changeLog, p.Cursor, func(c loggedChange[T], cursor uint64) int {
@@ -174,7 +177,14 @@
 		changes = m.selectNewer(changes)
 	}
 	m.mu.Unlock()
-	m.applyChanges(changes, d.Complete, d.Position, time.Time{})
-	m.replicator.observeEra(d.Position.Era)
+	returned := m.replicator.learnEra(d.Position.Era)
+	if d.Held != nil {
+		d.Held.copy = d.Changes
+		m.replicator.ensureHold()
+	}
+	m.applyChanges(changes, d.Complete, d.Position, d.Held, time.Time{})
+	if returned {
+		m.replicator.relistAll(d.Position.Era)
+	}
 	return d.Position, nil
 }
--- a/internal/coordination/clmirror/hub.go
+++ b/internal/coordination/clmirror/hub.go
@@ -46,7 +46,13 @@
 		// OnStoreLostChange, if set, is called when the outcome of a store call
 		// changes StoreLost. It is not called when storeLostDuration elapses.
 		OnStoreLostChange func()
-		Logger            *zap.Logger
+		// StoreEra, if set, returns the latest era that any answer of the store has stated,
+		// or 0.
+		StoreEra func() uint64
+		// OnEra, if set, is called when this gateway learns that the store has returned from
+		// an older copy. It must not block.
+		OnEra  func(era uint64)
+		Logger *zap.Logger
 
 		mirrors []anyMirror
 		// probe is the mirror with ProbesStore.
@@ -72,6 +78,16 @@
 		// with the first one.
 		era      uint64
 		eraKnown bool
+		// eraLearnedAt is when the store was found to have returned, and eraDelay how long
+		// it took from then until all copies were of the era, once eraReached is set.
+		eraLearnedAt time.Time
+		eraDelay     time.Duration
+		eraReached   bool
+		// holding is set while mirrors hold what was known before the store returned, at
+		// least until holdUntil; holdTotal counts what has become of it.
+		holding   bool
+		holdUntil time.Time
+		holdTotal holdCounts
 	}
 
 	// feedRequest asks a reader for the changes after Positions, which are keyed
@@ -90,6 +106,9 @@
 		// Age is the time between this response and the time at which the reader's
 		// copies were last known to be current, or neverCurrent.
 		Age time.Duration
+		// HoldLeft is for how long the reader still holds what was known before the store
+		// returned from an older copy.
+		HoldLeft time.Duration
 	}
 )
 
@@ -153,6 +172,7 @@
 		g.Go(func() error { m.run(ctx); return nil })
 	}
 	g.Go(func() error { r.followReaders(ctx); return nil })
+	g.Go(func() error { r.holdLoop(ctx); return nil })
 	g.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "change feed server stopped")
@@ -349,6 +369,7 @@
 	if answer.Age > staleAge {
 		return errors.Errorf("reader is stale: its copy was last confirmed %s ago", answer.Age)
 	}
+	r.adoptHold(answer.HoldLeft)
 	for _, m := range r.mirrors {
 		encodedDelta, ok := answer.Changes[m.name()]
 		if !ok {
@@ -475,7 +496,7 @@
 // collectChanges returns the deltas that a follower at the positions of request
 // lacks, and the age of this gateway's copy.
 func (r *Replicator) collectChanges(request feedRequest) (feedAnswer, error) {
-	answer := feedAnswer{Changes: make(map[string][]byte), Age: neverCurrent}
+	answer := feedAnswer{Changes: make(map[string][]byte), Age: neverCurrent, HoldLeft: r.holdLeft()}
 	if current := r.lastCurrent(); !current.IsZero() {
 		answer.Age = clclock.Now().Sub(current)
 	}
--- a/internal/coordination/clmirror/merge.go
+++ b/internal/coordination/clmirror/merge.go
@@ -24,8 +24,9 @@
 	changes := batch.Changes
 	switch {
 	case outdated:
-	case complete:
+	case complete && batch.Era == m.era:
 		m.cursor, m.newestRevision = 0, 0
+	case complete:
 	default:
 		changes = m.selectNewer(changes)
 	}
@@ -37,8 +38,12 @@
 	if outdated {
 		return
 	}
-	m.applyChanges(changes, complete, Position{Era: batch.Era, Cursor: batch.Cursor}, sentAt)
-	m.replicator.observeEra(batch.Era)
+	// The hold begins before anything of the new era is applied.
+	returned := m.replicator.learnEra(batch.Era)
+	m.applyChanges(changes, complete, Position{Era: batch.Era, Cursor: batch.Cursor}, nil, sentAt)
+	if returned {
+		m.replicator.relistAll(batch.Era)
+	}
 }
 
 // selectNewer returns the changes that are newer than the copy, which is of the same era.
@@ -88,10 +93,11 @@
 
 // applyChanges applies changes, which reach the era and cursor of p, to the copy,
 // passes them to Apply and notifies the followers. If complete is set, changes
-// replaces the whole copy. confirmed is the time at which the copy with these
+// replaces the whole copy. held is what a reader holds, or nil. confirmed is the time at which the copy with these
 // changes was current, or zero if that is not known. The caller holds applyMu.
-func (m *Mirror[T]) applyChanges(changes []Change[T], complete bool, p Position, confirmed time.Time) {
+func (m *Mirror[T]) applyChanges(changes []Change[T], complete bool, p Position, held *heldDelta[T], confirmed time.Time) {
 	m.mu.Lock()
+	before, base, newEra := m.objects, copyPosition{m.era, m.cursor}, m.objects != nil && p.Era > m.era
 	if complete || m.objects == nil {
 		m.objects = make(map[string]object[T], len(changes))
 	}
@@ -109,6 +115,18 @@
 	}
 	m.sequence += uint64(len(changes))
 	m.listed, m.cursor = true, max(p.Cursor, m.cursor)
+	shown := changes
+	switch {
+	case newEra:
+		m.beginHold(before, base)
+	case len(m.held) > 0:
+		m.releaseWritten(before, changes, complete)
+	}
+	m.reached = max(m.reached, m.cursor)
+	if complete {
+		m.takeHeld(held)
+		shown = m.withHeld(changes)
+	}
 	for _, c := range changes {
 		m.changeLog = append(m.changeLog, loggedChange[T]{c, m.cursor})
 	}
@@ -129,7 +147,7 @@
 		m.lastConfirmed = confirmed
 	}
 	m.mu.Unlock()
-	m.Apply(changes, complete)
+	m.Apply(shown, complete)
 	if len(changes) > 0 || complete {
 		m.replicator.notifyFollowers()
 	}
--- a/internal/coordination/clmirror/mirror.go
+++ b/internal/coordination/clmirror/mirror.go
@@ -93,7 +93,11 @@
 		// store, and the other mirrors wait until its copy is confirmed again. Its
 		// lists are fresh, so that they confirm the copy.
 		ProbesStore bool
-		Logger      *zap.Logger
+		// Recover, if set, decides between an object as it was known before the store
+		// returned from an older copy, and the same object in the first list of the new
+		// era. Without it, the known one is held.
+		Recover func(known, listed T) Recovery
+		Logger  *zap.Logger
 
 		// replicator is the Replicator that this mirror belongs to; Add sets it.
 		replicator *Replicator
@@ -135,6 +139,15 @@
 		// changes up to it. newestRevision is the revision of the last change in the copy,
 		// and era the era of both.
 		cursor, newestRevision, era uint64
+		// reached is the highest cursor of all eras.
+		reached uint64
+		// held holds what is passed to Apply in place of what the copy has, by object
+		// name, after the store has returned from an older copy; heldBase is the position
+		// of the copy of the earlier era from which it comes. holdCounts is what has become
+		// of it.
+		held       map[string]heldObject[T]
+		heldBase   copyPosition
+		holdCounts holdCounts
 		// sequence is the number of changes that the copy has received so far; a
 		// list counts as one more. changeLog holds the most recent of these changes,
 		// the oldest first, at most maxLoggedChanges and none from before the last
@@ -176,6 +189,9 @@
 		lastAnswerTime() time.Duration
 		// relist makes the mirror list all objects again if its copy is of an earlier era.
 		relist(era uint64)
+		// endHold passes the objects of the new era on in place of those that are held,
+		// and returns what has become of those since the era began.
+		endHold() holdCounts
 		// currentAsOf returns the latest time as of which the copy is known to hold all
 		// changes, or zero if that is not known. probed is when the mirror with
 		// ProbesStore sent its last call that the store answered.
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/clobserve"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmove"
@@ -24,7 +25,7 @@
 // names, so the names must not change.
 func (n *Node) buildMirrors(logger *zap.Logger) {
 	n.endpointMirror = &clmirror.Mirror[clcatalog.Endpoint]{
-		Name: "endpoints", Source: n.Store.Endpoints(), WatchWait: maxWatchWait, Apply: n.applyEndpoints, Logger: logger,
+		Name: "endpoints", Source: n.Store.Endpoints(), WatchWait: maxWatchWait, Apply: n.applyEndpoints, Recover: recoverEndpoint, Logger: logger,
 	}
 	n.rolloutMirror = &clmirror.Mirror[clcatalog.Rollout]{
 		Name: "version moves", Source: n.Store.Rollouts(), WatchWait: maxWatchWait, Apply: n.applyRollouts, Logger: logger,
@@ -33,17 +34,22 @@
 		Name: "data centres out", Source: n.Store.Evacuations(), WatchWait: maxWatchWait, Apply: n.applyEvacuations, Logger: logger,
 	}
 	n.gatewayMirror = &clmirror.Mirror[clcatalog.Member]{
-		Name: "gateways", Source: n.Store.Gateways(), WatchWait: maxWatchWait, Apply: n.applyGateways, Logger: logger,
+		Name: "gateways", Source: n.Store.Gateways(), WatchWait: maxWatchWait, Apply: n.applyGateways, Recover: recoverMember, Logger: logger,
 	}
 	// The configuration is polled: its watch returns almost at once.
 	n.configMirror = &clmirror.Mirror[*clcatalog.Catalog]{
-		Name: "configuration", Source: n.Store.Configuration(), WatchWait: time.Millisecond, WatchPause: n.configPollInterval(), Apply: n.applyConfig, ProbesStore: true, Logger: logger,
+		Name: "configuration", Source: n.Store.Configuration(), WatchWait: time.Millisecond, WatchPause: n.configPollInterval(), Apply: n.applyConfig, Recover: recoverConfig, ProbesStore: true, Logger: logger,
 	}
 	n.replicator = &clmirror.Replicator{
 		BootID: n.exchange.Self.Boot, ListenAddress: n.Settings.PeerAddress, Readers: n.readerAddresses,
 		GatewayCount: func() int { return len(n.registeredGateways()) }, ChangeDeadline: n.Settings.ChangeDeadline,
-		OnStoreLostChange: n.exchange.SendToDataCentre, Logger: logger,
+		OnStoreLostChange: n.exchange.SendToDataCentre, StoreEra: n.storeEra, Logger: logger,
 	}
+	n.Metrics.GaugeFunc(clobserve.Name{Component: "mirror", What: "new_era", Unit: "seconds"},
+		"Time from when the latest return of the store became known until all copies had begun again.", func() float64 {
+			_, delay := n.replicator.Era()
+			return delay.Seconds()
+		})
 	clmirror.Add(n.replicator, n.configMirror)
 	clmirror.Add(n.replicator, n.endpointMirror)
 	clmirror.Add(n.replicator, n.rolloutMirror)
--- /dev/null
+++ b/internal/serving/clnode/recover.go
@@ -0,0 +1,42 @@
+// This file decides what a gateway keeps of what it knew when the store returns from an
+// older copy.
+
+package clnode
+
+import (
+	"github.com/chestnutlead/chestnutlead/clstore"
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
+	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+)
+
+// storeEra returns the latest era that an answer of the store has stated.
+func (n *Node) storeEra() uint64 { return clstore.EraOf(n.Store) }
+
+// recoverEndpoint decides about an entry of an endpoint. A start of an endpoint that leaves
+// does not change its mind, and requests that reach it later may be lost.
+func recoverEndpoint(known, listed clcatalog.Endpoint) clmirror.Recovery {
+	switch {
+	case listed.Born > known.Born, listed.Born == known.Born && listed.Leaving:
+		return clmirror.TakeListed
+	case listed.Born == known.Born && known.Leaving:
+		return clmirror.KeepKnown
+	default:
+		return clmirror.HoldKnown
+	}
+}
+
+// recoverConfig decides about a configuration, whose version never falls.
+func recoverConfig(known, listed *clcatalog.Catalog) clmirror.Recovery {
+	if listed.Version >= known.Version {
+		return clmirror.TakeListed
+	}
+	return clmirror.KeepKnown
+}
+
+// recoverMember decides about an entry of a gateway: that of its latest start counts.
+func recoverMember(known, listed clcatalog.Member) clmirror.Recovery {
+	if listed.Boot > known.Boot {
+		return clmirror.TakeListed
+	}
+	return clmirror.HoldKnown
+}
