Gateways register again when the store returns from an older copy

After a return to a copy without them, gateways did not know each other for up to 5 s and longer: the entry was checked every 5 s, and the check itself waits for a copy that is recent. Meanwhile each of them granted quotas and retries for fewer gateways, and sent no digests to the others. The holder of the duties also went on counting the silence of a gateway whose entry in the older copy may name an address of a former start, and removed it after the rest of 40 s.

A gateway that learns of an era writes its entry after a random pause of up to 1.5 s, 200 writes a second with 300 gateways, and begins to count the silence of all others anew.

--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -43,7 +43,7 @@
 	n.replicator = &clmirror.Replicator{
 		BootID: n.exchange.Self.Boot, ListenAddress: n.Settings.PeerAddress, Readers: n.readerAddresses,
 		GatewayCount: func() int { return len(n.registeredGateways()) }, ChangeDeadline: n.Settings.ChangeDeadline,
-		OnStoreLostChange: n.exchange.SendToDataCentre, StoreEra: n.storeEra, Logger: logger,
+		OnStoreLostChange: n.exchange.SendToDataCentre, StoreEra: n.storeEra, OnEra: n.beginEra, Logger: logger,
 	}
 	n.Metrics.GaugeFunc(clobserve.Name{Component: "mirror", What: "new_era", Unit: "seconds"},
 		"Time from when the latest return of the store became known until all copies had begun again.", func() float64 {
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -121,6 +121,9 @@
 		// connections counts the requests to endpoints by the choice of a connection.
 		connections *prometheus.CounterVec
 
+		// eraBegun receives a value when the store has returned from an older copy.
+		eraBegun chan struct{}
+
 		loadEstimator loadEstimator
 		// partitionDetector, grantedGatewayCount and rolloutReports are used only by the
 		// control loop.
@@ -246,7 +249,7 @@
 	n.retryBudget = &clretry.Budget{Ratio: settings.RetryRatio, Floor: settings.RetryFloor, Window: settings.RetryWindow}
 	n.rolloutController = &clmove.Controller{TrialShare: settings.TrialShare, TrialFloor: settings.TrialFloor}
 	n.usageCounter = &clduty.UsageCounter{WindowLength: settings.UsageWindow}
-	n.rejectedEntries = map[string]string{}
+	n.rejectedEntries, n.eraBegun = map[string]string{}, make(chan struct{}, 1)
 	n.rejections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "rejected_entries", Unit: "total"},
 		"Entries of endpoints that were read and can't be used.").WithLabelValues()
 	n.connections = n.Metrics.Counter(clobserve.Name{Component: "node", What: "endpoint_connections", Unit: "total"},
--- a/internal/serving/clnode/recover.go
+++ b/internal/serving/clnode/recover.go
@@ -12,6 +12,18 @@
 // storeEra returns the latest era that an answer of the store has stated.
 func (n *Node) storeEra() uint64 { return clstore.EraOf(n.Store) }
 
+// beginEra makes this gateway write its entry again, which the older copy may lack, and
+// counts the silence of the others from now on: their entries may be outdated.
+func (n *Node) beginEra(uint64) {
+	n.mu.Lock()
+	clear(n.silenceStart)
+	n.mu.Unlock()
+	select {
+	case n.eraBegun <- struct{}{}:
+	default:
+	}
+}
+
 // recoverEndpoint decides about an entry of an endpoint. A start of an endpoint that leaves
 // does not change its mind, and requests that reach it later may be lost.
 func recoverEndpoint(known, listed clcatalog.Endpoint) clmirror.Recovery {
--- a/internal/serving/clnode/registry.go
+++ b/internal/serving/clnode/registry.go
@@ -51,18 +51,34 @@
 
 // runRegistration keeps this gateway registered in the store until ctx ends. The entry
 // of a gateway that was cut off for long may have been removed although its process
-// goes on.
+// goes on, and the store may have returned from an older copy that lacks it.
 func (n *Node) runRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.register(ctx)
-		for ctx.Err() == nil && !n.unregistered() {
-			if clwait.Pause(ctx, registrationCheckInterval) != nil {
-				return
+		for !n.awaitEra(ctx, registrationCheckInterval) {
+			if ctx.Err() != nil || n.unregistered() {
+				break
 			}
 		}
 	}
 }
 
+// awaitEra waits for d, and reports whether the store has returned from an older copy
+// meanwhile. It then waits for a while that differs between gateways, so that they do not
+// write all at once.
+func (n *Node) awaitEra(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-n.eraBegun:
+		return clwait.Pause(ctx, rand.N(eraWriteSpread)) == nil
+	}
+}
+
 // unregistered reports whether the copy of the store, if it is recent, lacks this
 // gateway.
 func (n *Node) unregistered() bool {
@@ -82,7 +98,6 @@
 		cancel()
 		if err == nil {
 			n.Logger.Info("registered", zap.Stringer("peer_address", n.Settings.PeerAddress))
-			_ = clwait.Pause(ctx, registrationCheckInterval) // the copy follows
 			return
 		}
 		n.Logger.Warn("registration failed", zap.Error(err))
@@ -100,4 +115,7 @@
 	// registrationCheckInterval is the time between two checks of the own entry, and
 	// longer than it takes until a new entry has reached the copy.
 	registrationCheckInterval = 5 * time.Second
+	// eraWriteSpread is the time over which gateways write their entries again after the
+	// store has returned. 300 of them write 200 times a second, half of what it bears.
+	eraWriteSpread = 1500 * time.Millisecond
 )
