Blocked traits: all writers learn that the store has returned

Only the first gateway of a data centre follows the records of blocked traits, and only it learnt from its list that the store had returned from an older copy and forgotten some. If the store did not serve that gateway, the other two that write records did not write them again, and a gateway that started would have sent the requests to endpoints until the digests told it.

Each writer now forgets which records the store holds as soon as any of its calls tells of a new era, and writes what is missing. TestWritersLearnOfAReturn fails without it.

TestRemovedRecordDoesNotComeBack guards what held before: a record that the older copy still has, of a part that turned out to be sound or of one whose time is over, refuses nothing and is removed again.

--- a/internal/serving/clnode/blocks_test.go
+++ b/internal/serving/clnode/blocks_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -157,6 +158,54 @@
 	require.Eventually(t, func() bool { return store.len() == 3 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// Guards against the loss of records if the one gateway that follows them cannot read the
+// store: those that only write them learn of the return by other calls.
+func TestWritersLearnOfAReturn(t *testing.T) {
+	store := &recordStore{}
+	tracker := &clcrash.Tracker{}
+	k := &blockKeeper{
+		store: store, tracker: tracker, follows: func() bool { return false }, writes: func() bool { return true }, now: time.Now, logger: zap.NewNop(),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { k.run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	block(tracker, 1, 0)
+	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	store.mu.Lock()
+	store.records, store.changes, store.era = nil, nil, store.era+1
+	store.mu.Unlock()
+	n := &Node{blockKeeper: k, eraBegun: make(chan struct{}, 1)}
+	n.beginEra(store.era)
+	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a sound part that is refused because an older copy of the store still has
+// the record that was removed.
+func TestRemovedRecordDoesNotComeBack(t *testing.T) {
+	store := &recordStore{}
+	tracker, _ := startKeeper(t, store)
+	block(tracker, 1, time.Minute)
+	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	store.mu.Lock()
+	older := maps.Clone(store.records)
+	older[2] = clcatalog.CrashBlock{Trait: 2, Depth: 1, LastCrash: time.Now().Add(-clcrash.Retention - time.Second)}
+	store.mu.Unlock()
+	now := clclock.Now()
+	tracker.Merge(clcrash.Evidence{SoundRuns: []clcrash.SoundRun{{TraitID: 1, BeganAt: now}}}, now)
+	require.Eventually(t, func() bool { return store.len() == 0 }, 5*time.Second, 10*time.Millisecond)
+	store.mu.Lock()
+	store.records, store.changes, store.era = older, nil, store.era+1
+	store.mu.Unlock()
+	// The changes of another trait show the new era.
+	for range 2 {
+		require.NoError(t, store.RecordCrashBlock(t.Context(), clcatalog.CrashBlock{Trait: 3, Depth: 1, LastCrash: time.Now()}))
+	}
+	require.Eventually(t, func() bool { return refuses(tracker, 3) && store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
+	require.False(t, refuses(tracker, 1))
+	require.False(t, refuses(tracker, 2))
+}
+
 // Guards against records that count for longer than their time, and that stay for ever.
 func TestOutdatedRecordsDoNotCount(t *testing.T) {
 	store := &recordStore{}
--- a/internal/serving/clnode/recover.go
+++ b/internal/serving/clnode/recover.go
@@ -12,9 +12,11 @@
 // storeEra returns the latest era that an answer of the store has stated.
 func (n *Node) storeEra() uint64 { return clstore.EraOf(n.Store) }
 
-// beginEra makes this gateway write its entry again, which the older copy may lack, and
-// counts the silence of the others from now on: their entries may be outdated.
+// beginEra makes this gateway write its entry and the records of blocked traits again, which
+// the older copy may lack, and counts the silence of the others from now on: their entries
+// may be outdated.
 func (n *Node) beginEra(uint64) {
+	n.blockKeeper.forgetRecords()
 	n.mu.Lock()
 	clear(n.silenceStart)
 	n.mu.Unlock()
--- a/internal/serving/clnode/recover_test.go
+++ b/internal/serving/clnode/recover_test.go
@@ -45,6 +45,7 @@
 func newMember(s *memberStore) *Node {
 	n := newTestNode()
 	n.Store, n.Settings.Name, n.eraBegun = s, "g", make(chan struct{}, 1)
+	n.blockKeeper = &blockKeeper{}
 	n.exchange = &clgossip.Exchange{Self: clcatalog.Member{Name: "g"}}
 	return n
 }
