Experiment on what the duties cost the store

Operators' side: the store's rate and calls are charged, and usage is reported late while nobody acts as the holder; neither was measured for a return of the store from an older copy.

`chestnutload experiment duties` runs the coordinators of 8, 60 and 300 gateways on a store in memory.

--- a/clbench/command.go
+++ b/clbench/command.go
@@ -45,6 +45,7 @@
 	{"routing", "choice of an endpoint among 15, 150 and 600", runRouting},
 	{"failure", "loss of a data centre, in virtual time", runFailure},
 	{"control_process", "plan sweeps and evidence reports", runControlProcess},
+	{"duties", "store calls of the duties of gateways, in calm and after a return from an older copy", runDuties},
 }
 
 // Command returns the subcommand `experiment`.
