Lease: drop the outcome of an earlier era also if Current learned of the new one

Callers' side: after a return of the store a gateway could name the holder of an earlier era as the present one, and wait for that lease to lapse. Two holders or an old token did not follow from it: the versions of the store's client carry the era, so that an update on such content is a conflict.

Cause: Runner.answered dropped the outcome of a call only if it learned of the era itself. Current, which is asked at any time, may have told the core of it during the call; then the outcome of the earlier era was reported to a core that was in the new one already.

Change: the outcome is reported if the call's key is that of the core's era. The safety of the lease no longer rests on versions that differ between eras.

--- a/cllease/era_test.go
+++ b/cllease/era_test.go
@@ -3,6 +3,7 @@
 package cllease
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -24,8 +25,21 @@
 		highest uint64
 		latest  string
 	}
+
+	// learningStore lets other things happen between a read and its answer.
+	learningStore struct {
+		*clstore.Client
+		beforeAnswer func()
+	}
 )
 
+// Get implements clstore.Store.
+func (s *learningStore) Get(ctx context.Context, key string) (clstore.Object, error) {
+	o, err := s.Client.Get(ctx, key)
+	s.beforeAnswer()
+	return o, err
+}
+
 func newEraWorld(t *testing.T) *eraWorld {
 	return &eraWorld{t: t, now: time.Now(), runners: map[string]*Runner{}, users: map[uint64]string{}}
 }
@@ -129,3 +143,31 @@
 	w.pass(2*testTTL, "b")
 	require.True(t, w.runners["b"].Current(w.now).Held)
 }
+
+// Guards against a lease of an earlier era that is taken for the present one because its
+// answer came after the process had learnt of the return by another call.
+func TestOutcomeOfEarlierEraIsDropped(t *testing.T) {
+	var memory clstore.Memory
+	now := time.Now()
+	copied := memory.Snapshot()
+	other := &Runner{Config: Config{Key: "lease/x", Holder: "other", TTL: testTTL}, Store: memory.Client(), Now: func() time.Time { return now }}
+	require.NoError(t, other.init())
+	for _, d, _, _ := other.next(); d.Action != ActionWait; _, d, _, _ = other.next() {
+		other.call(t.Context(), d)
+	}
+	require.True(t, other.Current(now).Held)
+
+	store := &learningStore{Client: memory.Client()}
+	r := &Runner{Config: Config{Key: "lease/x", Holder: "me", TTL: testTTL}, Store: store, Now: other.Now}
+	require.NoError(t, r.init())
+	store.beforeAnswer = func() {
+		memory.Restore(copied)
+		_, err := store.Client.Get(t.Context(), "other")
+		require.Equal(t, clstore.KindNotFound, clstore.KindOf(err))
+		require.EqualValues(t, 1, r.Current(now).Era)
+	}
+	_, d, _, _ := r.next()
+	require.Equal(t, ActionRead, d.Action)
+	r.call(t.Context(), d)
+	require.Empty(t, r.Current(now).Holder)
+}
--- a/cllease/runner.go
+++ b/cllease/runner.go
@@ -193,20 +193,21 @@
 	defer cancel()
 	if d.Action == ActionRead {
 		o, err := r.Store.Get(ctx, d.Key)
-		r.answered(func(now time.Time) { r.core.Observed(now, o, clstore.KindOf(err)) })
+		r.answered(d, func(now time.Time) { r.core.Observed(now, o, clstore.KindOf(err)) })
 		return
 	}
 	version, err := r.Store.Update(ctx, d.Key, d.Value, d.IfVersion)
-	r.answered(func(now time.Time) { r.core.Updated(now, version, clstore.KindOf(err)) })
+	r.answered(d, func(now time.Time) { r.core.Updated(now, version, clstore.KindOf(err)) })
 }
 
 // answered reports the outcome of a call to the core. It drops the outcome if the store has
-// begun a new era since the call was decided.
-func (r *Runner) answered(report func(now time.Time)) {
+// begun a new era since the call was decided, which Current may have told the core already.
+func (r *Runner) answered(d Decision, report func(now time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
-	if !r.core.SetEra(now, clstore.EraOf(r.Store)) {
+	r.core.SetEra(now, clstore.EraOf(r.Store))
+	if d.Key == clstore.KeyInEra(r.Config.Key, r.core.era) {
 		report(now)
 	}
 }
