Learn of a new era while a call of a task is under way

Callers' side: usage windows that nobody reported after the store had returned, which is priced, and orders given again.

Cause: whether the holder has acted without a gap was decided by the loop that runs the tasks. A slow call to the cloud API holds the loop up for as long as the lease may be trusted, so that the holder took itself for a successor.

Change: the era is recorded with the change of the lease, which the lease's own loop announces before a release and before the lease is acquired in a new era.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -84,16 +84,12 @@
 		lease      cllease.Runner
 		initOnce   sync.Once
 		collectors *collectors
-		// era is the latest era of the store that the coordinator has seen, and eraSeenAt
-		// the time of day at which it saw it.
+		// era is the latest era of the store that the tasks have seen, and eraSeenAt
+		// the time of day at which this process learned of it. continues is as in
+		// eraState.
 		era       uint64
 		eraSeenAt time.Time
-		// trustedUntil is the time until which no other process can act as the holder,
-		// as this process holds or held the lease. continues says that the latest era
-		// began before that time, so that no other process has acted in between if
-		// this one is the first holder in the era.
-		trustedUntil time.Time
-		continues    bool
+		continues bool
 		// stateFencing is the fencing token of the lease to which the fields from
 		// reports to knownLoads belong. They are initialized for each new lease, unless
 		// this process has been the holder without a gap.
@@ -130,6 +126,10 @@
 
 		// mu guards the fields that follow it.
 		mu sync.Mutex
+		// latest is the latest era, and leaseHeld is set if this process held the lease
+		// at the last change of the lease's state.
+		latest    eraState
+		leaseHeld bool
 		// unaccepted holds the counts of the stored reports that the cloud API has not
 		// accepted, by window.
 		unaccepted map[int64]map[string]uint64
@@ -138,6 +138,19 @@
 		peerReports windowCounts
 	}
 
+	// eraState is what a process knows of an era of the store.
+	eraState struct {
+		era uint64
+		// seenAt is the time of day at which the process learned of the era.
+		seenAt time.Time
+		// continues is set if the process trusted its lease when it learned of the era.
+		// No other process has acted as the holder in between if this one is the first
+		// holder in the era.
+		continues bool
+		// acquired is set if the process has held the lease in the era.
+		acquired bool
+	}
+
 	// targetKey identifies the endpoints that a scaling target is for.
 	targetKey struct {
 		service, dataCentre string
@@ -220,18 +233,31 @@
 // of the store.
 func (c *Coordinator) observeLease(isCandidate bool) {
 	c.lease.SetWanted(isCandidate)
-	if !isCandidate {
-		c.trustedUntil = time.Time{} // the lease is released
-	}
-	now := clclock.Now()
-	s := c.lease.Current(now)
-	if s.Era != c.era {
-		c.era, c.eraSeenAt = s.Era, c.Now()
-		c.continues = now.Before(c.trustedUntil)
+	if latest := c.learnEra(c.lease.Current(clclock.Now())); latest.era != c.era {
+		c.era, c.eraSeenAt, c.continues = latest.era, latest.seenAt, latest.continues
 	}
-	if s.Held {
-		c.trustedUntil = s.Until
+}
+
+// learnEra records the era that the state of the lease names, if it is a new one, and
+// returns what is known of the latest era.
+func (c *Coordinator) learnEra(s cllease.State) eraState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Era > c.latest.era {
+		trusted := c.leaseHeld || c.latest.continues && !c.latest.acquired
+		c.latest = eraState{era: s.Era, seenAt: c.Now(), continues: trusted && clclock.Now().Before(s.Until)}
 	}
+	return c.latest
+}
+
+// recordLease records a change of the lease's state. It is called before the lease is
+// released, and before it is acquired in a new era, even while a task waits for a call.
+func (c *Coordinator) recordLease(s cllease.State) {
+	c.learnEra(s)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaseHeld = s.Held
+	c.latest.acquired = c.latest.acquired || s.Held
 }
 
 // holds returns the state of the lease and reports whether this process still has the
@@ -248,6 +274,7 @@
 		c.collectors = c.newCollectors()
 		var last cllease.State
 		c.lease.OnChange = func(s cllease.State) {
+			c.recordLease(s)
 			c.leaseChanged(last, s)
 			last = s
 		}
--- a/internal/coordination/clduty/duties_test.go
+++ b/internal/coordination/clduty/duties_test.go
@@ -39,11 +39,14 @@
 	sharedFencing int
 	// targets holds the scaling targets in the order of the calls.
 	targets []ScalingTarget
+	// reportDelay is how long a call of ReportUsage takes.
+	reportDelay time.Duration
 	// refuseTargets makes SetScalingTarget refuse all targets.
 	refuseTargets bool
 }
 
 func (c *recordingCloud) ReportUsage(_ context.Context, holder Holder, window int64, counts map[string]uint64) error {
+	time.Sleep(c.reportDelay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reportCalls++
--- a/internal/coordination/clduty/era_test.go
+++ b/internal/coordination/clduty/era_test.go
@@ -89,22 +89,33 @@
 // after the store has lost the first one.
 func TestHolderKeepsReportsThatStoreHasLost(t *testing.T) {
 	t.Parallel()
-	w := newEraWorld(t)
-	empty := w.memory.Snapshot()
-	usage := usageOf(1)
-	_, stop := w.start("a", usage, always)
-	w.waitForReports(2)
-	for returns := range 2 {
-		before, _, _, _ := w.cloud.counters()
-		w.memory.Restore(empty)
-		addUsage(usage, "late"+string(rune('a'+returns)), 1)
-		w.waitForReports(before + 2)
+	for _, tc := range []struct {
+		name string
+		// reportDelay is how long the cloud API takes; the lease lasts 600 ms.
+		reportDelay time.Duration
+	}{{"fast cloud API", 0}, {"slow cloud API", 800 * time.Millisecond}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			w := newEraWorld(t)
+			w.cloud.reportDelay = tc.reportDelay
+			empty := w.memory.Snapshot()
+			usage := usageOf(1)
+			_, stop := w.start("a", usage, always)
+			w.waitForReports(2)
+			for returns := range 2 {
+				before, _, _, _ := w.cloud.counters()
+				time.Sleep(tc.reportDelay / 4)
+				w.memory.Restore(empty)
+				addUsage(usage, "late"+string(rune('a'+returns)), 1)
+				w.waitForReports(before + 2)
+			}
+			stop()
+			_, _, differing, shared := w.cloud.counters()
+			require.Zero(t, differing, "reports of one window with different counts")
+			require.Zero(t, shared, "calls with the fencing token of another holder")
+			require.Zero(t, w.unreportedWindows(), "windows that the holder knows not to have reported")
+		})
 	}
-	stop()
-	_, _, differing, shared := w.cloud.counters()
-	require.Zero(t, differing, "reports of one window with different counts")
-	require.Zero(t, shared, "calls with the fencing token of another holder")
-	require.Zero(t, w.unreportedWindows(), "windows that the holder knows not to have reported")
 }
 
 // Guards against a second report of a window, with other counts, by a successor to which
