--- a/cllease/era_property_test.go
+++ b/cllease/era_property_test.go
@@ -54,6 +54,8 @@
 		contenders []*contender
 		snapshots  []*clstore.Snapshot
 		late       []lateUpdate
+		// bareVersions says that versions do not differ between eras.
+		bareVersions bool
 		// depth is the number of calls on their way of which one contains the other;
 		// quiet says that nothing goes wrong any more.
 		depth int
@@ -88,7 +90,8 @@
 	fates = 14
 
 	// memoryVersion selects the Memory's part of a client's version.
-	memoryVersion = 1<<48 - 1
+	memoryVersion     = 1<<memoryVersionBits - 1
+	memoryVersionBits = 48
 )
 
 var (
@@ -101,14 +104,21 @@
 
 // Get implements clstore.Store.
 func (l *eraLink) Get(ctx context.Context, key string) (o clstore.Object, err error) {
-	l.call(func(bool) { o, err = l.client.Get(ctx, key) })
+	l.call(func(bool) {
+		o, err = l.client.Get(ctx, key)
+		o.Version = l.world.fromClient(o.Version)
+	})
 	return o, err
 }
 
 // Update implements clstore.Store.
 func (l *eraLink) Update(ctx context.Context, key string, value []byte, ifVersion uint64) (version uint64, err error) {
 	l.call(func(late bool) {
+		if l.world.bareVersions && ifVersion != 0 {
+			ifVersion |= l.client.Era() << memoryVersionBits
+		}
 		version, err = l.client.Update(ctx, key, value, ifVersion)
+		version = l.world.fromClient(version)
 		if late && clstore.KindOf(err) == clstore.KindUnknown {
 			l.world.late = append(l.world.late, lateUpdate{key, value, ifVersion & memoryVersion})
 		}
@@ -144,6 +154,7 @@
 
 func newReturningWorld(t *rapid.T, n int) *returningWorld {
 	w := &returningWorld{t: t, now: time.Unix(1_000_000, 0), users: map[uint64]numberUser{}}
+	w.bareVersions = rapid.Bool().Draw(t, "bare versions")
 	for i := range n {
 		c := &contender{offset: time.Duration(rapid.IntRange(-3600, 3600).Draw(t, "offset")) * time.Second}
 		w.boot(c, i)
@@ -153,6 +164,14 @@
 	return w
 }
 
+// fromClient returns the version that contenders get for one of a client.
+func (w *returningWorld) fromClient(version uint64) uint64 {
+	if w.bareVersions {
+		return version & memoryVersion
+	}
+	return version
+}
+
 func (w *returningWorld) boot(c *contender, i int) {
 	c.boots++
 	c.link = &eraLink{world: w, client: w.memory.Client()}
