--- a/internal/serving/clnode/recover.go
+++ b/internal/serving/clnode/recover.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// recoverEndpoint decides about an entry of an endpoint. A start of an endpoint that leaves
-// does not change its mind, and requests that reach it later may be lost.
+// recoverEndpoint decides about an entry of an endpoint. One that leaves is not ready again
+// before it has restarted, and requests that reach it later may be lost.
 func recoverEndpoint(known, listed clcatalog.Endpoint) clmirror.Recovery {
 	switch {
 	case listed.Born > known.Born, listed.Born == known.Born && listed.Leaving:
