Keep the time of a return of the store by the boot clock

Cause: a window that had ended when the process learnt of the era is reported only if its report is known. That moment was kept as a time of day. A process to which no digests have come goes by its own clock; when the digests come the clock is corrected, and the moment kept was too early by as much, or too late.

Change: the moment is kept by the boot clock and converted when windows are compared with it.

Evidence: found by review. Not covered: a median clock that itself steps back by more than the gather delay between a report and the return.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -84,9 +84,8 @@
 		lease      cllease.Runner
 		initOnce   sync.Once
 		collectors *collectors
-		// era is the latest era of the store that the tasks have seen, and eraSeenAt
-		// the time of day at which this process learned of it. continues is as in
-		// eraState.
+		// era is the latest era of the store that the tasks have seen; eraSeenAt and
+		// continues are those of its eraState.
 		era       uint64
 		eraSeenAt time.Time
 		continues bool
@@ -102,8 +101,8 @@
 		reportsVersion  uint64
 		reportsLoaded   bool
 		reportsComplete bool
-		// unknownUntil is the time of day before which reports may have been stored
-		// that the store has lost.
+		// unknownUntil is the time before which reports may have been stored that the
+		// store has lost; it is a value of clclock.Now.
 		unknownUntil time.Time
 		// sentTargets holds the last scaling target sent for each key.
 		sentTargets map[targetKey]sentTarget
@@ -126,10 +125,10 @@
 
 		// mu guards the fields that follow it.
 		mu sync.Mutex
-		// latest is the latest era, and leaseHeld is set if this process held the lease
-		// at the last change of the lease's state.
-		latest    eraState
-		leaseHeld bool
+		// latest is the latest era. heldFencing is the fencing token that this process
+		// held at the last change of the lease's state, or 0.
+		latest      eraState
+		heldFencing uint64
 		// unaccepted holds the counts of the stored reports that the cloud API has not
 		// accepted, by window.
 		unaccepted map[int64]map[string]uint64
@@ -141,7 +140,8 @@
 	// eraState is what a process knows of an era of the store.
 	eraState struct {
 		era uint64
-		// seenAt is the time of day at which the process learned of the era.
+		// seenAt is when the process learned of the era. It is a value of clclock.Now, as
+		// the time of day may be corrected when digests of other gateways arrive.
 		seenAt time.Time
 		// continues is set if the process trusted its lease when it learned of the era.
 		// No other process has acted as the holder in between if this one is the first
@@ -244,8 +244,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Era > c.latest.era {
-		trusted := c.leaseHeld || c.latest.continues && !c.latest.acquired
-		c.latest = eraState{era: s.Era, seenAt: c.Now(), continues: trusted && clclock.Now().Before(s.Until)}
+		trusted := c.heldFencing != 0 || c.latest.continues && !c.latest.acquired
+		now := clclock.Now()
+		c.latest = eraState{era: s.Era, seenAt: now, continues: trusted && now.Before(s.Until)}
 	}
 	return c.latest
 }
@@ -256,7 +257,10 @@
 	c.learnEra(s)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaseHeld = s.Held
+	c.heldFencing = 0
+	if s.Held {
+		c.heldFencing = s.Fencing
+	}
 	c.latest.acquired = c.latest.acquired || s.Held
 }
 
@@ -368,12 +372,16 @@
 // different counts. If the store has returned from an older copy, it may have lost the
 // report of a window that had ended by then. Such a window is reported only if its report
 // is known. Later windows are safe: a report is not stored before gatherDelay after the
-// window's end, which also exceeds the difference between the clocks of the holders.
+// window's end, as long as the clocks of the holders differ by less.
 func (c *Coordinator) reportUsage(ctx context.Context, holder Holder) {
 	if !c.reportsLoaded && !c.loadReports(ctx) {
 		return
 	}
 	now := c.Now()
+	var unknownUntil time.Time
+	if !c.unknownUntil.IsZero() {
+		unknownUntil = now.Add(c.unknownUntil.Sub(clclock.Now()))
+	}
 	currentWindow := c.Usage.WindowAt(now)
 	for window := max(c.firstWindow, currentWindow-retainedWindows+1); window < currentWindow; window++ {
 		if now.Before(c.Usage.WindowEnd(window).Add(c.gatherDelay())) || c.storedReport(window) != nil {
@@ -386,8 +394,8 @@
 		if len(counts) == 0 {
 			continue
 		}
-		if !c.Usage.WindowEnd(window).After(c.unknownUntil) {
-			c.recordUnreported(window)
+		if !c.Usage.WindowEnd(window).After(unknownUntil) {
+			c.recordUnreported(window, unknownUntil)
 			continue
 		}
 		if !c.storeReport(ctx, &Report{Window: window, Counts: counts}) {
@@ -475,7 +483,7 @@
 }
 
 // recordUnreported logs and counts, once, a window that is not reported.
-func (c *Coordinator) recordUnreported(window int64) {
+func (c *Coordinator) recordUnreported(window int64, unknownUntil time.Time) {
 	if window <= c.lastUnreported {
 		return
 	}
@@ -484,7 +492,7 @@
 		c.UnreportedWindows.Inc()
 	}
 	c.Logger.Warn("usage window is not reported: the store may have lost a report of it", zap.Int64("window", window),
-		zap.Uint64("store_era", c.era), zap.Time("unknown_until", c.unknownUntil))
+		zap.Uint64("store_era", c.era), zap.Time("unknown_until", unknownUntil))
 }
 
 // storedReport returns the stored report of a window, or nil if there is none.
