Do not go on across a return before the tasks are taken over

Cause: a process that held the lease when it learnt of an era took its reports for complete. If it had only just acquired that lease, as the successor of a holder whose reports it did not know, it had not taken over yet, and its reports were those of an earlier term.

Change: it goes on only if it has taken over under the lease that it held.

Evidence: found by review. TestReportsAreIncompleteBeforeTakeOver failed before in 7 of 7 runs (2 differing reports each) and passes; the package passes once with the race detector.

--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -126,9 +126,10 @@
 		// mu guards the fields that follow it.
 		mu sync.Mutex
 		// latest is the latest era. heldFencing is the fencing token that this process
-		// held at the last change of the lease's state, or 0.
-		latest      eraState
-		heldFencing uint64
+		// held at the last change of the lease's state, or 0, and takenOver the one for
+		// which it has initialized its state last.
+		latest                 eraState
+		heldFencing, takenOver uint64
 		// unaccepted holds the counts of the stored reports that the cloud API has not
 		// accepted, by window.
 		unaccepted map[int64]map[string]uint64
@@ -143,9 +144,9 @@
 		// seenAt is when the process learned of the era. It is a value of clclock.Now, as
 		// the time of day may be corrected when digests of other gateways arrive.
 		seenAt time.Time
-		// continues is set if the process trusted its lease when it learned of the era.
-		// No other process has acted as the holder in between if this one is the first
-		// holder in the era.
+		// continues is set if the process trusted its lease when it learned of the era,
+		// and had taken over the tasks under it. No other process has acted as the
+		// holder in between if this one is the first holder in the era.
 		continues bool
 		// acquired is set if the process has held the lease in the era.
 		acquired bool
@@ -244,7 +245,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Era > c.latest.era {
-		trusted := c.heldFencing != 0 || c.latest.continues && !c.latest.acquired
+		trusted := c.heldFencing != 0 && c.heldFencing == c.takenOver || c.latest.continues && !c.latest.acquired
 		now := clclock.Now()
 		c.latest = eraState{era: s.Era, seenAt: now, continues: trusted && now.Before(s.Until)}
 	}
@@ -333,6 +334,9 @@
 		}
 	}
 	c.stateFencing, c.reportsLoaded, c.continues = holder.Fencing, false, false
+	c.mu.Lock()
+	c.takenOver = holder.Fencing
+	c.mu.Unlock()
 	return true
 }
 
--- a/internal/coordination/clduty/era_clock_test.go
+++ b/internal/coordination/clduty/era_clock_test.go
@@ -4,13 +4,66 @@
 package clduty
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 	"github.com/stretchr/testify/require"
 )
 
+// step runs the tasks of a coordinator once, as Run does.
+func step(ctx context.Context, c *Coordinator, wanted bool) {
+	c.observeLease(wanted)
+	if holder, ok := c.CurrentLease(); ok {
+		c.runTasks(ctx, holder)
+	}
+}
+
+// Guards against a process that takes its reports for complete because it held the lease
+// when an era began, although it had not yet taken over in the era before.
+func TestReportsAreIncompleteBeforeTakeOver(t *testing.T) {
+	t.Parallel()
+	w := newEraWorld(t)
+	empty := w.memory.Snapshot()
+	clientA, clientB := w.memory.Client(), w.memory.Client()
+	a, b := newCoordinator("a", clientA, &w.cloud, usageOf(1)), newCoordinator("b", clientB, &w.cloud, usageOf(2))
+	ctxB, stopB := context.WithCancel(t.Context())
+	for c, ctx := range map[*Coordinator]context.Context{a: t.Context(), b: ctxB} {
+		c.initLease()
+		c.firstWindow = c.Usage.WindowAt(c.Now())
+		c.UnreportedWindows = w.unreported
+		c.lease.SetWanted(false)
+		go c.runLease(ctx, make(chan error, 1))
+	}
+	reported := func() int { n, _, _, _ := w.cloud.counters(); return n }
+	until := func(f func() bool, c *Coordinator) {
+		require.Eventually(t, func() bool { step(t.Context(), c, true); return f() }, 15*time.Second, 20*time.Millisecond)
+	}
+	until(func() bool { return reported() >= 1 }, a) // a holds the lease of era 0 and reports
+	a.observeLease(false)                            // and releases it
+	before := reported()
+	until(func() bool { return reported() >= before+2 }, b) // b reports two later windows
+	stopB()                                                 // b ends
+	time.Sleep(300 * time.Millisecond)
+	w.memory.Restore(empty) // era 1
+	require.Eventually(t, func() bool { a.observeLease(true); return a.era == 1 && a.lease.Current(clclock.Now()).Held }, 5*time.Second, 5*time.Millisecond)
+	// a has just seen that it holds the lease of era 1; before it takes over, the answer
+	// of another call of the process (a mirror's, say) states era 2.
+	w.memory.Restore(empty)
+	_, _ = clientA.Get(t.Context(), "whatever")
+	before = reported()
+	end := time.Now().Add(4 * time.Second)
+	for time.Now().Before(end) {
+		step(t.Context(), a, true)
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, _, differing, shared := w.cloud.counters()
+	require.Zero(t, shared)
+	require.Zero(t, differing, "reports of one window with different counts")
+}
+
 // Guards against a window that is reported again because the process had a slow clock
 // when it learned of the era, and the right one when it acts.
 func TestClockOfStartIsCorrected(t *testing.T) {
