--- a/cllease/doc.go
+++ b/cllease/doc.go
@@ -13,7 +13,10 @@
 // A store that returns from an older copy lacks the lease last confirmed, and
 // states a new era (clstore.EraStore). Each era has an object of its own, and
 // the fencing number begins with the era, so that it rises whatever the copy
-// holds. Nobody holds the lease before it is acquired in the new era, which
-// the process that holds it may do at once and others after a TTL. Numbers
+// holds. Nobody holds the lease before it is acquired in the new era. A process
+// that trusts its lease when it learns of the era excludes all other holders of
+// earlier eras, and may acquire at once. Any other waits a TTL from then on: a
+// lease of an earlier era was last renewed before the store returned, and has
+// lapsed by that time. Numbers
 // bear 2^32 holders in an era; how old a copy is does not matter.
 package cllease
