--- a/cllease/doc.go
+++ b/cllease/doc.go
@@ -17,6 +17,6 @@
 // that trusts its lease when it learns of the era excludes all other holders of
 // earlier eras, and may acquire at once. Any other waits a TTL from then on: a
 // lease of an earlier era was last renewed before the store returned, and has
-// lapsed by that time. Numbers
-// bear 2^32 holders in an era; how old a copy is does not matter.
+// lapsed by that time. Numbers bear 2^32 holders in an era; how old a copy is
+// does not matter.
 package cllease
