--- a/internal/serving/clnode/rollouts_test.go
+++ b/internal/serving/clnode/rollouts_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// Guards against a bad version that stays in service because an outcome that could not
+// reach the store counts as one that operators have read.
+func TestUnreachableStoreDoesNotSettle(t *testing.T) {
+	n, store := newRolloutNode("a")
+	request(n, 1, clcatalog.RolloutRunning)
+	attempts := func(count int, failed bool) {
+		for range count {
+			n.AttemptStarted("s", "v2", "r")
+			n.AttemptSampled("s", "v2", "r", failed, true, time.Millisecond)
+		}
+	}
+	attempts(20, false)
+	now := clclock.Now().Add(time.Minute)
+	store.kind = clstore.KindUnavailable
+	report(t, n, now)
+	require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutDone}, store.reports)
+	attempts(200, true)
+	decision := n.rolloutController.Decide(now.Add(5 * time.Second))[0]
+	require.Equal(t, clcatalog.RolloutRolledBack, decision.Outcome)
+	require.Zero(t, decision.Split.Share)
+}
+
 // Guards against a completed rollout that a gateway starts again which has just started
 // and knows the store's older copy only.
 func TestNewGatewayHearsOfCompletedRollout(t *testing.T) {
