--- a/internal/testing/clsoak/command.go
+++ b/internal/testing/clsoak/command.go
@@ -30,11 +30,11 @@
 			&cli.IntFlag{Name: "callers", Value: 12, Usage: "callers"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "the name of a fault, to inject only those that are named, each as often as it is named"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "how long faults are injected"},
-			&cli.DurationFlag{Name: "away", Value: DefaultDose.Away, Usage: "how long the store is away at most before it returns from an older copy"},
-			&cli.DurationFlag{Name: "age", Value: DefaultDose.Age, Usage: "the age of that copy at most"},
-			&cli.Float64Flag{Name: "again", Value: DefaultDose.Again, Usage: "part of these returns that another one follows at once"},
-			&cli.Float64Flag{Name: "no-lease", Value: DefaultDose.NoLease, Usage: "part of these copies that hold no lease"},
-			&cli.Float64Flag{Name: "end-holder", Value: DefaultDose.EndHolder, Usage: "part of these returns around which the holder of the duties ends or is paused"},
+			&cli.DurationFlag{Name: "away", Value: DefaultReturnConfig.Away, Usage: "how long the store is away at most before it returns from an older copy"},
+			&cli.DurationFlag{Name: "age", Value: DefaultReturnConfig.Age, Usage: "the age of that copy at most"},
+			&cli.Float64Flag{Name: "again", Value: DefaultReturnConfig.Again, Usage: "part of these returns that another one follows at once"},
+			&cli.Float64Flag{Name: "no-lease", Value: DefaultReturnConfig.NoLease, Usage: "part of these copies that hold no lease"},
+			&cli.Float64Flag{Name: "end-holder", Value: DefaultReturnConfig.EndHolder, Usage: "part of these returns around which the holder of the duties ends or is paused"},
 		},
 		Action: runCommand,
 	}
@@ -58,7 +58,7 @@
 		s := &Soak{
 			Binary: cmd.String("binary"), Dir: filepath.Join(dir, fmt.Sprint("seed-", seed+uint64(i))), Seed: seed + uint64(i),
 			Gateways: cmd.Int("gateways"), Endpoints: cmd.Int("endpoints"), Callers: cmd.Int("callers"), Length: cmd.Duration("length"),
-			Faults: cmd.StringSlice("fault"), Dose: doseOf(cmd), Logger: zap.NewNop(),
+			Faults: cmd.StringSlice("fault"), ReturnConfig: returnConfigOf(cmd), Logger: zap.NewNop(),
 		}
 		if err := os.MkdirAll(s.Dir, 0o700); err != nil {
 			return errors.Wrap(err, "name a folder that can be written with --dir")
@@ -87,14 +87,14 @@
 	return nil
 }
 
-func doseOf(cmd *cli.Command) Dose {
+func returnConfigOf(cmd *cli.Command) ReturnConfig {
 	share := func(name string) float64 {
 		if p := cmd.Float64(name); p > 0 {
 			return p
 		}
 		return -1
 	}
-	return Dose{
+	return ReturnConfig{
 		Away: cmd.Duration("away"), Age: cmd.Duration("age"), Again: share("again"), NoLease: share("no-lease"), EndHolder: share("end-holder"),
 	}
 }
--- a/internal/testing/clsoak/duties.go
+++ b/internal/testing/clsoak/duties.go
@@ -14,17 +14,17 @@
 )
 
 type (
-	// act is a call of the cloud API.
-	act struct {
+	// dutyCall is a call of the cloud API.
+	dutyCall struct {
 		clstandplatform.CloudCall
 		// inTouch says that neither its gateway nor the store had a fault shortly before.
 		inTouch bool
 	}
 
-	// acts are those of a run in their order. The zero value is ready.
-	acts struct {
+	// dutyLog holds those of a run in their order. The zero value is ready.
+	dutyLog struct {
 		mu  sync.Mutex
-		all []act
+		all []dutyCall
 		// returns are when the store returned from an older copy.
 		returns []time.Time
 	}
@@ -36,16 +36,16 @@
 // dutyBound bounds the time from the last fault to an accepted call.
 var dutyBound = 2*bounds.Lease + clstandplatform.UsageWindow
 
-// acted records a call of the cloud API.
-func (s *Soak) acted(c clstandplatform.CloudCall) {
+// recordDutyCall records a call of the cloud API.
+func (s *Soak) recordDutyCall(c clstandplatform.CloudCall) {
 	g := s.world.gateway(c.Machine)
-	a := act{c, g != nil && s.inTouch(attempt{gateway: g, sent: c.At})}
-	s.acts.mu.Lock()
-	defer s.acts.mu.Unlock()
-	s.acts.all = append(s.acts.all, a)
+	a := dutyCall{c, g != nil && s.inTouch(attempt{gateway: g, sent: c.At})}
+	s.dutyLog.mu.Lock()
+	defer s.dutyLog.mu.Unlock()
+	s.dutyLog.all = append(s.dutyLog.all, a)
 }
 
-func (a *acts) returned(at time.Time) {
+func (a *dutyLog) returned(at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.returns = append(a.returns, at)
@@ -53,7 +53,7 @@
 
 // acceptedSince reports whether a call was accepted from a time on, and returns how many were
 // refused after the last one that was accepted.
-func (a *acts) acceptedSince(t time.Time) (ok bool, refused int) {
+func (a *dutyLog) acceptedSince(t time.Time) (ok bool, refused int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, c := range a.all {
@@ -69,7 +69,7 @@
 // checkDutiesGoOn requires that some holder acts soon after the last fault.
 func (s *Soak) checkDutiesGoOn(ctx context.Context, last time.Time) {
 	for end := last.Add(dutyBound); ; time.Sleep(pollEvery) {
-		ok, refused := s.acts.acceptedSince(last)
+		ok, refused := s.dutyLog.acceptedSince(last)
 		if ok || ctx.Err() != nil {
 			return
 		}
@@ -83,10 +83,10 @@
 // checkHolders looks for gateways that act as the holder in turn, and measures how the
 // duties were carried out.
 func (s *Soak) checkHolders() {
-	s.acts.mu.Lock()
-	all, returns := s.acts.all, s.acts.returns
-	s.acts.mu.Unlock()
-	accepted := slices.DeleteFunc(slices.Clone(all), func(a act) bool { return a.Status != http.StatusOK })
+	s.dutyLog.mu.Lock()
+	all, returns := s.dutyLog.all, s.dutyLog.returns
+	s.dutyLog.mu.Unlock()
+	accepted := slices.DeleteFunc(slices.Clone(all), func(a dutyCall) bool { return a.Status != http.StatusOK })
 	latest := map[string]int{}
 	for i, a := range accepted {
 		before, ok := latest[a.Machine]
@@ -106,7 +106,7 @@
 	s.report.DutyCalls, s.report.DutyCallsRefused = len(accepted), len(all)-len(accepted)
 	s.report.StoreReturns = len(returns)
 	for _, at := range returns {
-		i := slices.IndexFunc(accepted, func(a act) bool { return a.At.After(at) })
+		i := slices.IndexFunc(accepted, func(a dutyCall) bool { return a.At.After(at) })
 		if i >= 0 {
 			s.report.MostMsToCall = max(s.report.MostMsToCall, accepted[i].At.Sub(at).Milliseconds())
 		}
--- a/internal/testing/clsoak/duties_test.go
+++ b/internal/testing/clsoak/duties_test.go
@@ -16,27 +16,27 @@
 	"github.com/stretchr/testify/require"
 )
 
-// actOf returns an accepted call in touch of a time that lies this long ago.
-func actOf(machine string, fencing uint64, ago time.Duration) act {
-	return act{clstandplatform.CloudCall{Machine: machine, Fencing: fencing, Status: http.StatusOK, At: time.Now().Add(-ago)}, true}
+// dutyCallOf returns an accepted call in touch of a time that lies this long ago.
+func dutyCallOf(machine string, fencing uint64, ago time.Duration) dutyCall {
+	return dutyCall{clstandplatform.CloudCall{Machine: machine, Fencing: fencing, Status: http.StatusOK, At: time.Now().Add(-ago)}, true}
 }
 
 var dutyChecks = []checkCase{
 	{"in turn", "g1, g2, g1 acted as the holder in turn", func(s *Soak) {
-		s.acts.all = []act{actOf("g1", 1, bounds.Lease), actOf("g2", 2, time.Second), actOf("g1", 3, time.Millisecond)}
+		s.dutyLog.all = []dutyCall{dutyCallOf("g1", 1, bounds.Lease), dutyCallOf("g2", 2, time.Second), dutyCallOf("g1", 3, time.Millisecond)}
 	}},
 	{"in turn, with a third one", "g1, g2, g1 acted as the holder in turn", func(s *Soak) {
-		third := actOf("g3", 3, time.Second)
+		third := dutyCallOf("g3", 3, time.Second)
 		third.inTouch = false
-		s.acts.all = []act{actOf("g1", 1, bounds.Lease), actOf("g2", 2, time.Second), third, actOf("g1", 4, time.Millisecond)}
+		s.dutyLog.all = []dutyCall{dutyCallOf("g1", 1, bounds.Lease), dutyCallOf("g2", 2, time.Second), third, dutyCallOf("g1", 4, time.Millisecond)}
 	}},
 	{"no holder", "no call of a holder of the duties was accepted", func(s *Soak) {
 		s.checkDutiesGoOn(context.Background(), time.Now().Add(-dutyBound-time.Second))
 	}},
 	{"locked out", "5s of the last fault; 2 were refused", func(s *Soak) {
-		refused := actOf("g1", 1, time.Second)
+		refused := dutyCallOf("g1", 1, time.Second)
 		refused.Status = http.StatusConflict
-		s.acts.all = []act{actOf("g2", 2, time.Hour), refused, refused}
+		s.dutyLog.all = []dutyCall{dutyCallOf("g2", 2, time.Hour), refused, refused}
 		s.checkDutiesGoOn(context.Background(), time.Now().Add(-dutyBound-time.Second))
 	}},
 	{"one number", "used fencing number 1", func(s *Soak) {
@@ -58,22 +58,22 @@
 
 // Guards against checks of the holders that find what the rule allows.
 func TestHoldersThatAreAllowed(t *testing.T) {
-	outOfTouch := actOf("g1", 1, time.Millisecond)
+	outOfTouch := dutyCallOf("g1", 1, time.Millisecond)
 	outOfTouch.inTouch = false
-	refused := actOf("g1", 1, time.Millisecond)
+	refused := dutyCallOf("g1", 1, time.Millisecond)
 	refused.Status = http.StatusConflict
 	for _, tc := range []struct {
-		name string
-		acts []act
+		name  string
+		calls []dutyCall
 	}{
-		{"one after the other", []act{actOf("g1", 1, time.Second), actOf("g2", 2, time.Millisecond), actOf("g2", 2, 0)}},
-		{"a lease apart", []act{actOf("g1", 1, 2*bounds.Lease), actOf("g2", 2, time.Second), actOf("g1", 3, 0)}},
-		{"refused", []act{actOf("g1", 1, time.Second), actOf("g2", 2, time.Millisecond), refused}},
-		{"out of touch", []act{actOf("g1", 1, time.Second), actOf("g2", 2, time.Millisecond), outOfTouch}},
+		{"one after the other", []dutyCall{dutyCallOf("g1", 1, time.Second), dutyCallOf("g2", 2, time.Millisecond), dutyCallOf("g2", 2, 0)}},
+		{"a lease apart", []dutyCall{dutyCallOf("g1", 1, 2*bounds.Lease), dutyCallOf("g2", 2, time.Second), dutyCallOf("g1", 3, 0)}},
+		{"refused", []dutyCall{dutyCallOf("g1", 1, time.Second), dutyCallOf("g2", 2, time.Millisecond), refused}},
+		{"out of touch", []dutyCall{dutyCallOf("g1", 1, time.Second), dutyCallOf("g2", 2, time.Millisecond), outOfTouch}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newChecks(t)
-			s.acts.all = tc.acts
+			s.dutyLog.all = tc.calls
 			s.checkHolders()
 			require.Empty(t, s.report.Violations)
 		})
--- a/internal/testing/clsoak/older.go
+++ b/internal/testing/clsoak/older.go
@@ -9,8 +9,8 @@
 	"github.com/chestnutlead/chestnutlead/platform/clstandplatform"
 )
 
-// Dose says how the store returns from older copies. Zero fields mean the defaults.
-type Dose struct {
+// ReturnConfig says how the store returns from older copies. Zero fields mean the defaults.
+type ReturnConfig struct {
 	// Away bounds how long the store is away before, and Age how old the copy is.
 	Away, Age time.Duration
 	// Again is the part of the returns that another one follows, NoLease the part of those
@@ -27,8 +27,8 @@
 	endpointsWrite = 2 * time.Second
 )
 
-// DefaultDose is that of the fields of a Dose that are zero.
-var DefaultDose = Dose{Away: longest, Age: 8 * time.Second, Again: 0.4, NoLease: 0.3, EndHolder: 0.6}
+// DefaultReturnConfig is that of the fields of a ReturnConfig that are zero.
+var DefaultReturnConfig = ReturnConfig{Away: longest, Age: 8 * time.Second, Again: 0.4, NoLease: 0.3, EndHolder: 0.6}
 
 // returnFromOlder lets the store go away and return from an older copy, at times twice.
 // Only one such fault goes on at a time.
@@ -37,12 +37,12 @@
 		return
 	}
 	defer w.returning.Store(false)
-	if time.Now().Before(w.staysUntil) {
+	if time.Now().Before(w.noReturnBefore) {
 		return
 	}
 	// At times long enough for gateways to be in touch again.
-	defer func() { w.staysUntil = time.Now().Add(s.between(0, 2*contact)) }()
-	d := s.Dose.orDefault()
+	defer func() { w.noReturnBefore = time.Now().Add(s.between(0, 2*contact)) }()
+	d := s.ReturnConfig.withDefaults()
 	var running sync.WaitGroup
 	defer running.Wait()
 	for again := true; again; again = s.chance(d.Again) {
@@ -56,8 +56,8 @@
 			})
 		}
 		w.store.Leave()
-		// A copy that was made before the system was whole is none that a store returns to.
-		age := min(s.between(shortestAge, max(d.Age, shortestAge+1)), time.Since(w.whole))
+		// A copy that was made before all gateways served is none that a store returns to.
+		age := min(s.between(shortestAge, max(d.Age, shortestAge+1)), time.Since(w.readyAt))
 		older := w.store.Copy(age)
 		if s.chance(d.NoLease) {
 			older = older.WithoutLeases()
@@ -65,7 +65,7 @@
 		time.Sleep(away)
 		w.store.Restore(older)
 		w.storeTroubles.trouble(time.Now().Add(storeReturn))
-		s.acts.returned(time.Now())
+		s.dutyLog.returned(time.Now())
 		operator := s.between(0, operatorWrites)
 		running.Go(func() { w.store.WriteAgain(operator, endpointsWrite) })
 		time.Sleep(s.between(shortestAway, bounds.Lease))
@@ -88,15 +88,15 @@
 	}
 }
 
-func (d Dose) orDefault() Dose {
+func (d ReturnConfig) withDefaults() ReturnConfig {
 	if d.Away == 0 {
-		d.Away = DefaultDose.Away
+		d.Away = DefaultReturnConfig.Away
 	}
 	if d.Age == 0 {
-		d.Age = DefaultDose.Age
+		d.Age = DefaultReturnConfig.Age
 	}
 	for _, p := range []struct{ share, otherwise *float64 }{
-		{&d.Again, &DefaultDose.Again}, {&d.NoLease, &DefaultDose.NoLease}, {&d.EndHolder, &DefaultDose.EndHolder},
+		{&d.Again, &DefaultReturnConfig.Again}, {&d.NoLease, &DefaultReturnConfig.NoLease}, {&d.EndHolder, &DefaultReturnConfig.EndHolder},
 	} {
 		if *p.share == 0 {
 			*p.share = *p.otherwise
--- a/internal/testing/clsoak/soak.go
+++ b/internal/testing/clsoak/soak.go
@@ -29,12 +29,12 @@
 		// Faults are the names of the faults that are injected, more often those that are
 		// named more often; empty means all.
 		Faults []string
-		// Dose says how the store returns from older copies.
-		Dose   Dose
-		Logger *zap.Logger
+		// ReturnConfig says how the store returns from older copies.
+		ReturnConfig ReturnConfig
+		Logger       *zap.Logger
 
-		world *world
-		acts  acts
+		world   *world
+		dutyLog dutyLog
 		// configuring lets configurations change one after the other.
 		configuring sync.Mutex
 
--- a/internal/testing/clsoak/soak_test.go
+++ b/internal/testing/clsoak/soak_test.go
@@ -154,17 +154,17 @@
 	}
 	binary := buildBinary(t)
 	for _, tc := range []struct {
-		name string
-		seed uint64
-		dose Dose
+		name    string
+		seed    uint64
+		returns ReturnConfig
 	}{
-		{"copies without a lease", 47402, Dose{Away: 500 * time.Millisecond, NoLease: 1, Again: 0.5, EndHolder: -1}},
-		{"in a row, and the holder ends", 47412, Dose{Away: 500 * time.Millisecond, NoLease: 0.3, Again: 0.7, EndHolder: 1}},
+		{"copies without a lease", 47402, ReturnConfig{Away: 500 * time.Millisecond, NoLease: 1, Again: 0.5, EndHolder: -1}},
+		{"in a row, and the holder ends", 47412, ReturnConfig{Away: 500 * time.Millisecond, NoLease: 0.3, Again: 0.7, EndHolder: 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := &Soak{
 				Binary: binary, Dir: t.TempDir(), Seed: tc.seed, Gateways: 4, Endpoints: 4, Callers: 8, Length: 8 * time.Second,
-				Faults: []string{returnsOlder}, Dose: tc.dose, Logger: zaptest.NewLogger(t),
+				Faults: []string{returnsOlder}, ReturnConfig: tc.returns, Logger: zaptest.NewLogger(t),
 			}
 			report, err := s.Run(t.Context())
 			require.NoError(t, err)
--- a/internal/testing/clsoak/world.go
+++ b/internal/testing/clsoak/world.go
@@ -42,10 +42,10 @@
 		// holding says that answers of the store are being held up, and returning that it
 		// returns from an older copy.
 		holding, returning atomic.Bool
-		// whole is when all gateways served.
-		whole time.Time
-		// staysUntil is when the store may go away next; it belongs to who has set returning.
-		staysUntil time.Time
+		// readyAt is when all gateways served.
+		readyAt time.Time
+		// noReturnBefore is when the store may go away next; it belongs to who has set returning.
+		noReturnBefore time.Time
 	}
 
 	// server is an HTTP server of the world's own.
@@ -128,7 +128,7 @@
 
 // newWorld starts the system and waits until it serves.
 func newWorld(s *Soak) (*world, error) {
-	w := &world{soak: s, store: clstandplatform.NewStore(), cloud: &clstandplatform.Cloud{Called: s.acted}, byID: map[string]*endpoint{}}
+	w := &world{soak: s, store: clstandplatform.NewStore(), cloud: &clstandplatform.Cloud{Called: s.recordDutyCall}, byID: map[string]*endpoint{}}
 	s.world = w
 	s.configure()
 	var err error
@@ -152,7 +152,7 @@
 			}
 		}
 	}
-	w.whole = time.Now()
+	w.readyAt = time.Now()
 	return w, nil
 }
 
