Rollouts: told completions count only after the store's return

An operator who orders v2, goes back to v1 and orders v2 again with the same time, or deletes the rollout and creates it again, could read "completed" at once: v2 then received all requests without a trial. It took a gateway that lagged behind the store, for instance cut off from it.

Digests name a completed rollout by service, version and time, not by request, so that a gateway still telling of the earlier request settled the later one. Digests are needed only when the store may have lost an outcome, so Controller.MarkDone now has an effect only for 10 s after this process learned of a return. For a process whose first complete copy is of an era above 0, that time starts with this copy: it cannot see that the copy is older. At all other times, the store has the outcome.

Within the 10 s after a return, or after the start of a process on a store that has ever returned, a lagging gateway can still cause this. Naming the request in digests was ruled out for now: an older copy gives out revisions again.

TestRolloutOrderedAgainIsTried, two cases of TestToldCompletionCountsOnlyAfterReturn and the case "store has never returned" of TestGatewayStartedAfterReturnHearsOfCompletedRollout failed with the condition taken out. TestNewGatewayHearsOfCompletedRollout and TestOutcomeStaysAfterStoreHasLostIt now let the store return before they expect completions to count.

--- a/internal/coordination/clmove/moves.go
+++ b/internal/coordination/clmove/moves.go
@@ -29,6 +29,8 @@
 		// missing holds the rollouts that a complete copy of the store lacked lately, by
 		// the request for them.
 		missing map[request]missingRollout
+		// returnedAt is when this process learned of the store's latest return.
+		returnedAt time.Time
 		// local holds this gateway's counts, and peers those of the other gateways,
 		// by gateway name.
 		local map[AttemptKey]AttemptCounts
@@ -124,6 +126,9 @@
 	// the store has returned from an older copy, operators write their requests again
 	// within a few seconds.
 	missingLifetime = 10 * time.Second
+	// returnDuration is the time after a return of the store in which the other gateways'
+	// knowledge of reported outcomes counts.
+	returnDuration = 10 * time.Second
 )
 
 // SetIntents replaces the operators' intents. A changed version or deadline
@@ -191,12 +196,24 @@
 	}
 }
 
+// StoreReturned records when this process learned that the store has returned from an
+// older copy, which may lack outcomes that have been reported.
+func (ctl *Controller) StoreReturned(now time.Time) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	ctl.returnedAt = now
+}
+
 // MarkDone records that another gateway knows the rollout to a version within a time to
-// have been reported as done. It does nothing if the service has another rollout, or if
-// another outcome of it is known.
-func (ctl *Controller) MarkDone(service, version string, within time.Duration) {
+// have been reported as done. It does nothing if the service has another rollout, if
+// another outcome of it is known, or unless the store has returned lately: otherwise the
+// store has the outcome, and the other gateway may mean an earlier request for the same.
+func (ctl *Controller) MarkDone(service, version string, within time.Duration, now time.Time) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
+	if ctl.returnedAt.IsZero() || now.Sub(ctl.returnedAt) > returnDuration {
+		return
+	}
 	if r := ctl.rollouts[service]; r != nil && requestOf(r.intent) == (request{service, version, within}) && r.settled == "" {
 		r.settle(clcatalog.RolloutDone)
 	}
--- a/internal/coordination/clmove/moves_test.go
+++ b/internal/coordination/clmove/moves_test.go
@@ -212,7 +212,10 @@
 		}
 	}
 	markBad := func(ctl *Controller) { ctl.MarkBad("s", "v2") }
-	markDone := func(ctl *Controller) { ctl.MarkDone("s", "v2", rolloutDuration) }
+	markDone := func(ctl *Controller) {
+		ctl.StoreReturned(start)
+		ctl.MarkDone("s", "v2", rolloutDuration, start)
+	}
 	for _, tc := range []struct {
 		name  string
 		learn func(*Controller)
@@ -250,6 +253,33 @@
 	}
 }
 
+// Guards against a request that counts as completed without a trial because another
+// gateway still tells of an earlier request for the same version.
+func TestToldCompletionCountsOnlyAfterReturn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name     string
+		returned bool
+		toldAt   time.Duration
+		want     clcatalog.RolloutOutcome
+	}{
+		{"no return", false, time.Second, clcatalog.RolloutRunning},
+		{"after a return", true, returnDuration, clcatalog.RolloutDone},
+		{"long after a return", true, returnDuration + time.Second, clcatalog.RolloutRunning},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctl := &Controller{TrialShare: 0.1, TrialFloor: 50}
+			if tc.returned {
+				ctl.StoreReturned(start)
+			}
+			now := start.Add(tc.toldAt)
+			ctl.SetIntents([]clcatalog.Rollout{{Service: "s", Version: "v2", Within: rolloutDuration}}, false, now)
+			ctl.MarkDone("s", "v2", rolloutDuration, now)
+			require.Equal(t, tc.want, ctl.Decide(now)[0].Outcome)
+		})
+	}
+}
+
 // Guards against a rollout that starts again because an older copy of the store lacked
 // its request, or had an earlier one, until the operator had written it again.
 func TestRolloutGoesOnWhenItsRequestIsBack(t *testing.T) {
--- a/internal/serving/clnode/blocks_test.go
+++ b/internal/serving/clnode/blocks_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clgossip"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
+	"github.com/chestnutlead/chestnutlead/internal/coordination/clmove"
 	"github.com/chestnutlead/chestnutlead/internal/limits/clcrash"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
 	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
@@ -175,7 +176,7 @@
 	store.mu.Lock()
 	store.records, store.changes, store.era = nil, nil, store.era+1
 	store.mu.Unlock()
-	n := &Node{blockKeeper: k, eraBegun: make(chan struct{}, 1)}
+	n := &Node{blockKeeper: k, eraBegun: make(chan struct{}, 1), rolloutController: &clmove.Controller{}}
 	n.beginEra(store.era)
 	require.Eventually(t, func() bool { return store.len() == 1 }, 5*time.Second, 10*time.Millisecond)
 }
--- a/internal/serving/clnode/mirrors.go
+++ b/internal/serving/clnode/mirrors.go
@@ -180,6 +180,9 @@
 // replaces the known ones. The traffic split of a service is reset when changes
 // reports that its rollout was removed.
 func (n *Node) applyRollouts(changes []clmirror.Change[clcatalog.Rollout], complete bool) {
+	if complete {
+		n.noteFirstRollouts()
+	}
 	n.mu.Lock()
 	removed := []string{}
 	if complete {
@@ -315,7 +318,7 @@
 		n.rolloutController.MarkBad(v.GetService(), v.GetVersion())
 	}
 	for _, c := range d.GetCompletions() {
-		n.rolloutController.MarkDone(c.GetService(), c.GetVersion(), time.Duration(c.GetWithinNs()))
+		n.rolloutController.MarkDone(c.GetService(), c.GetVersion(), time.Duration(c.GetWithinNs()), now)
 	}
 	n.mergeCrashEvidence(d)
 	n.applyServiceCosts(d, now)
--- a/internal/serving/clnode/mirrors_test.go
+++ b/internal/serving/clnode/mirrors_test.go
@@ -28,6 +28,7 @@
 		fleet: &clfleet.Fleet{Rand: rand.New(rand.NewPCG(1, 1))}, quotaLimiter: &clquota.Limiter{}, gateway: &clgateway.Gateway{Shares: &clshare.Allocator{Rand: rand.New(rand.NewPCG(1, 1))}},
 		rolloutController: &clmove.Controller{TrialShare: 0.1}, gatewayEntries: map[string]clcatalog.Member{},
 		requestedRollouts: map[string]clcatalog.Rollout{}, evacuatedDataCentres: map[string]bool{}, silenceStart: map[string]time.Time{},
+		replicator: &clmirror.Replicator{},
 	}
 	n.applyConfig([]clmirror.Change[*clcatalog.Catalog]{{Value: &clcatalog.Catalog{
 		Version: 1, Services: []clcatalog.Service{{Name: "s"}}, Accounts: []clcatalog.Account{{Name: "a", Rate: 100, Burst: 1000}},
--- a/internal/serving/clnode/node.go
+++ b/internal/serving/clnode/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutlead/chestnutlead/clendpoint"
@@ -123,6 +124,8 @@
 
 		// eraBegun receives a value when the store has returned from an older copy.
 		eraBegun chan struct{}
+		// rolloutsReceived is set once a complete copy of the rollouts was received.
+		rolloutsReceived atomic.Bool
 
 		loadEstimator loadEstimator
 		// partitionDetector, grantedGatewayCount and rolloutReports are used only by the
--- a/internal/serving/clnode/recover.go
+++ b/internal/serving/clnode/recover.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutlead/chestnutlead/clstore"
 	"github.com/chestnutlead/chestnutlead/internal/coordination/clmirror"
 	"github.com/chestnutlead/chestnutlead/internal/model/clcatalog"
+	"github.com/chestnutlead/chestnutlead/internal/model/clclock"
 )
 
 // storeEra returns the latest era that an answer of the store has stated.
@@ -14,8 +15,9 @@
 
 // beginEra makes this gateway write its entry and the records of blocked traits again, which
 // the older copy may lack, and counts the silence of the others from now on: their entries
-// may be outdated.
+// may be outdated. The others may know outcomes of rollouts that the copy lacks.
 func (n *Node) beginEra(uint64) {
+	n.rolloutController.StoreReturned(clclock.Now())
 	n.blockKeeper.forgetRecords()
 	n.mu.Lock()
 	clear(n.silenceStart)
@@ -26,6 +28,19 @@
 	}
 }
 
+// noteFirstRollouts takes the first complete copy of the rollouts that this process receives
+// for that of a store which has just returned, if the store has ever returned.
+func (n *Node) noteFirstRollouts() {
+	if n.rolloutsReceived.Swap(true) {
+		return
+	}
+	// A reader may have told the era before this process has called the store.
+	era, _ := n.replicator.Era()
+	if max(era, n.storeEra()) > 0 {
+		n.rolloutController.StoreReturned(clclock.Now())
+	}
+}
+
 // recoverEndpoint decides about an entry of an endpoint. One that leaves is not ready again
 // before it has restarted, and requests that reach it later may be lost.
 func recoverEndpoint(known, listed clcatalog.Endpoint) clmirror.Recovery {
--- a/internal/serving/clnode/rollouts_test.go
+++ b/internal/serving/clnode/rollouts_test.go
@@ -21,10 +21,14 @@
 type rolloutStore struct {
 	Store
 	// kind is the kind of failure of the next calls.
-	kind    clstore.Kind
+	kind clstore.Kind
+	// era is what Era returns.
+	era     uint64
 	reports []clcatalog.RolloutOutcome
 }
 
+func (s *rolloutStore) Era() uint64 { return s.era }
+
 func (s *rolloutStore) Configuration() clmirror.Source[*clcatalog.Catalog] { return nil }
 func (s *rolloutStore) Endpoints() clmirror.Source[clcatalog.Endpoint]     { return nil }
 func (s *rolloutStore) Rollouts() clmirror.Source[clcatalog.Rollout]       { return nil }
@@ -150,6 +154,7 @@
 	first, _ := newRolloutNode("a")
 	request(first, 1, clcatalog.RolloutDone)
 	second, store := newRolloutNode("b")
+	second.beginEra(1)
 	request(second, 2, "")
 	report(t, second, clclock.Now())
 	require.Empty(t, store.reports, "others have not been heard")
@@ -164,3 +169,52 @@
 	report(t, third, clclock.Now().Add(time.Second))
 	require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutRunning}, store.reports, "nobody knows of an outcome")
 }
+
+// Guards against a rollout that is ordered again and counts as completed, without a trial,
+// because a gateway that is cut off from the store still tells of the earlier one.
+func TestRolloutOrderedAgainIsTried(t *testing.T) {
+	lagging, _ := newRolloutNode("a")
+	request(lagging, 1, clcatalog.RolloutDone)
+	n, store := newRolloutNode("b")
+	request(n, 1, clcatalog.RolloutDone)
+	for i, version := range []string{"v1", "v2"} {
+		n.applyRollouts([]clmirror.Change[clcatalog.Rollout]{{Name: "s", Value: clcatalog.Rollout{
+			Service: "s", Version: version, Within: time.Minute, Revision: uint64(5 + i),
+		}}}, false)
+	}
+	d := &clgossip.Digest{Name: "a", Boot: 1, Sequence: 1}
+	lagging.fillDigest(d)
+	require.Len(t, d.GetCompletions(), 1)
+	n.applyDigest(d)
+	now := clclock.Now().Add(2 * time.Second)
+	decision := n.rolloutController.Decide(now)[0]
+	report(t, n, now)
+	require.Equal(t, []clcatalog.RolloutOutcome{clcatalog.RolloutRunning}, store.reports, "no request has tried the version")
+	require.Less(t, decision.Split.Share, 1.0)
+}
+
+// Guards against a completed rollout that a gateway starts again which has started after
+// the store's return: it cannot see that the copy is older.
+func TestGatewayStartedAfterReturnHearsOfCompletedRollout(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		era  uint64
+		want clcatalog.RolloutOutcome
+	}{
+		{"store has returned", 1, clcatalog.RolloutDone},
+		{"store has never returned", 0, clcatalog.RolloutRunning},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			first, _ := newRolloutNode("a")
+			request(first, 1, clcatalog.RolloutDone)
+			second, store := newRolloutNode("b")
+			store.era = tc.era
+			request(second, 2, "")
+			d := &clgossip.Digest{Name: "a", Boot: 1, Sequence: 1}
+			first.fillDigest(d)
+			second.applyDigest(d)
+			report(t, second, clclock.Now().Add(time.Second))
+			require.Equal(t, []clcatalog.RolloutOutcome{tc.want}, store.reports)
+		})
+	}
+}
