--- a/internal/coordination/clduty/duties.go
+++ b/internal/coordination/clduty/duties.go
@@ -186,7 +186,9 @@
 	// or two may be lost.
 	minGatherDelay        = 1500 * time.Millisecond
 	gatherDigestIntervals = 3
-	// maxOlderObjects is the number of earlier eras whose reports are looked for.
+	// maxOlderObjects is the number of earlier eras whose reports are looked for. It
+	// bounds the reads of a new holder; older reports are past their deadline unless the
+	// store returned several times in a row.
 	maxOlderObjects = 4
 	// callTimeout limits each call to the cloud API and to the store. It is long
 	// enough for a slow cloud API and short compared with the lease.
